--- /dev/null
+++ b/src/verbenawell/adapters/BackendConnections.cpp
@@ -0,0 +1,56 @@
+#include "verbenawell/adapters/BackendConnections.h"
+
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+// Shorter than the idle time-out of the backend servers, so that a request is
+// not written to a connection that the other side is about to close.
+constexpr std::chrono::seconds kMaxIdleTime{ 3 };
+constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+
+} // namespace
+
+void
+BackendConnections::SetIdleLimit(std::size_t aLimit)
+{
+  const std::lock_guard lock{ mutex_ };
+  idleLimit_ = aLimit;
+}
+
+std::unique_ptr<httplib::Client>
+BackendConnections::Take(const Endpoint& aAddress)
+{
+  const auto oldest = std::chrono::steady_clock::now() - kMaxIdleTime;
+  {
+    const std::lock_guard lock{ mutex_ };
+    std::vector<Idle>& idle = idle_[aAddress];
+    if (!idle.empty() && idle.back().since_ >= oldest) {
+      auto client = std::move(idle.back().client_);
+      idle.pop_back();
+      return client;
+    }
+    // The last one has been idle for the shortest time.
+    idle.clear();
+  }
+  auto client =
+    std::make_unique<httplib::Client>(aAddress.host_, aAddress.port_);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  client->set_connection_timeout(kConnectTimeout);
+  return client;
+}
+
+void
+BackendConnections::Return(const Endpoint& aAddress,
+                           std::unique_ptr<httplib::Client> aClient)
+{
+  const std::lock_guard lock{ mutex_ };
+  if (std::vector<Idle>& idle = idle_[aAddress]; idle.size() < idleLimit_) {
+    idle.push_back({ std::move(aClient), std::chrono::steady_clock::now() });
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/BackendConnections.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include <httplib.h>
+
+namespace verbenawell {
+
+/// Idle connections to backend servers, kept for the next request.
+class BackendConnections
+{
+public:
+  /// Keeps at most this many idle connections a backend server.
+  void SetIdleLimit(std::size_t aLimit);
+
+  std::unique_ptr<httplib::Client> Take(const Endpoint& aAddress);
+  void Return(const Endpoint& aAddress,
+              std::unique_ptr<httplib::Client> aClient);
+
+private:
+  struct Idle
+  {
+    std::unique_ptr<httplib::Client> client_;
+    std::chrono::steady_clock::time_point since_;
+  };
+
+  std::mutex mutex_;
+  std::size_t idleLimit_ = 7;
+  std::map<Endpoint, std::vector<Idle>> idle_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/BoundedTaskQueue.cpp
@@ -0,0 +1,94 @@
+#include "verbenawell/adapters/BoundedTaskQueue.h"
+
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+thread_local bool isOverflowThread = false;
+
+} // namespace
+
+BoundedTaskQueue::BoundedTaskQueue(std::size_t aMaxThreads)
+  : maxThreads_(aMaxThreads)
+  , overflowThread_([this] { RunOverflow(); })
+{
+}
+
+void
+BoundedTaskQueue::enqueue(std::function<void()> aTask)
+{
+  const std::lock_guard lock{ mutex_ };
+  if (tasks_.size() < idle_) {
+    tasks_.push_back(std::move(aTask));
+    changed_.notify_one();
+  } else if (threads_.size() < maxThreads_) {
+    tasks_.push_back(std::move(aTask));
+    threads_.emplace_back([this] { Run(); });
+  } else {
+    overflow_.push_back(std::move(aTask));
+    overflowChanged_.notify_one();
+  }
+}
+
+void
+BoundedTaskQueue::shutdown()
+{
+  {
+    const std::lock_guard lock{ mutex_ };
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  overflowChanged_.notify_all();
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  overflowThread_.join();
+}
+
+bool
+BoundedTaskQueue::IsOverflow()
+{
+  return isOverflowThread;
+}
+
+void
+BoundedTaskQueue::Run()
+{
+  std::unique_lock lock{ mutex_ };
+  while (true) {
+    ++idle_;
+    changed_.wait(lock, [this] { return !tasks_.empty() || stopping_; });
+    --idle_;
+    if (tasks_.empty()) {
+      return;
+    }
+    const auto task = std::move(tasks_.front());
+    tasks_.pop_front();
+    lock.unlock();
+    task();
+    lock.lock();
+  }
+}
+
+void
+BoundedTaskQueue::RunOverflow()
+{
+  isOverflowThread = true;
+  std::unique_lock lock{ mutex_ };
+  while (true) {
+    overflowChanged_.wait(lock,
+                          [this] { return !overflow_.empty() || stopping_; });
+    if (overflow_.empty()) {
+      return;
+    }
+    const auto task = std::move(overflow_.front());
+    overflow_.pop_front();
+    lock.unlock();
+    task();
+    lock.lock();
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/BoundedTaskQueue.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+namespace verbenawell {
+
+/// Runs each connection on a thread of its own, started on demand. Beyond the
+/// limit one more thread runs the rest as overflow, so that they are refused
+/// at once instead of waiting unseen.
+class BoundedTaskQueue : public httplib::TaskQueue
+{
+public:
+  explicit BoundedTaskQueue(std::size_t aMaxThreads);
+
+  void enqueue(std::function<void()> aTask) override;
+  void shutdown() override;
+
+  /// Tells whether the calling thread runs a task beyond the limit.
+  static bool IsOverflow();
+
+private:
+  using Tasks = std::deque<std::function<void()>>;
+
+  void Run();
+  void RunOverflow();
+
+  const std::size_t maxThreads_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::condition_variable overflowChanged_;
+  Tasks tasks_;
+  Tasks overflow_;
+  std::size_t idle_ = 0;
+  bool stopping_ = false;
+  std::vector<std::thread> threads_;
+  std::thread overflowThread_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/CallerExchange.cpp
@@ -0,0 +1,289 @@
+#include "verbenawell/adapters/CallerExchange.h"
+
+#include "verbenawell/core/Overloaded.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kTooManyRequests = 429;
+
+// Headers that belong to one connection and are not passed on.
+constexpr std::array<std::string_view, 11> kConnectionHeaders{
+  "connection", "keep-alive",     "transfer-encoding",
+  "te",         "content-length", "upgrade",
+  "host",       "remote_addr",    "remote_port",
+  "local_addr", "local_port"
+};
+
+bool
+BelongsToConnection(std::string aName)
+{
+  std::ranges::transform(aName, aName.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return std::ranges::find(kConnectionHeaders, aName) !=
+         kConnectionHeaders.end();
+}
+
+httplib::Headers
+PassedOn(const httplib::Headers& aHeaders)
+{
+  httplib::Headers result;
+  for (const auto& [name, value] : aHeaders) {
+    if (!BelongsToConnection(name)) {
+      result.emplace(name, value);
+    }
+  }
+  return result;
+}
+
+int
+StatusOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::BadRequest:
+      return kBadRequest;
+    case RefusalReason::Oversize:
+      return kPayloadTooLarge;
+    case RefusalReason::UnknownService:
+      return kNotFound;
+    case RefusalReason::Quota:
+    case RefusalReason::QueueFull:
+      return kTooManyRequests;
+    default:
+      return kServiceUnavailable;
+  }
+}
+
+void
+WriteOutcome(httplib::Response& aResponse,
+             int aStatus,
+             const char* aOutcome,
+             std::string_view aReason)
+{
+  aResponse.status = aStatus;
+  aResponse.set_header("Verbenawell-Outcome", aOutcome);
+  aResponse.set_header("Verbenawell-Reason", std::string(aReason));
+  aResponse.set_content(
+    std::string(aOutcome) + ": " + std::string(aReason) + "\n", "text/plain");
+}
+
+/// Tells whether the end of the answer is marked. Without a mark a cut answer
+/// looks like a short one.
+bool
+HasMarkedEnd(const httplib::Response& aResponse)
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return aResponse.has_header("Content-Length") ||
+         aResponse.has_header("Transfer-Encoding") ||
+         aResponse.status == kNoContent || aResponse.status == kNotModified;
+}
+
+} // namespace
+
+void
+WriteVerdict(const std::variant<NotRun, MayHaveRun>& aVerdict,
+             httplib::Response& aResponse)
+{
+  std::visit(
+    Overloaded{
+      [&](const NotRun& aNotRun) {
+        WriteOutcome(aResponse,
+                     StatusOf(aNotRun.reason_),
+                     "not-run",
+                     ToString(aNotRun.reason_));
+        if (aNotRun.retryAfter_ > Duration::zero()) {
+          const auto seconds =
+            std::chrono::ceil<std::chrono::seconds>(aNotRun.retryAfter_);
+          aResponse.set_header("Retry-After", std::to_string(seconds.count()));
+        }
+      },
+      [&](const MayHaveRun& aUnknown) {
+        WriteOutcome(
+          aResponse, kBadGateway, "unknown", ToString(aUnknown.reason_));
+      },
+    },
+    aVerdict);
+}
+
+CallerExchange::CallerExchange(RequestKey aKey,
+                               ByteCount aMaxBody,
+                               BackendConnections& aBackends,
+                               EventSink aSink)
+  : key_(aKey)
+  , maxBody_(aMaxBody)
+  , backends_(aBackends)
+  , sink_(std::move(aSink))
+{
+}
+
+void
+CallerExchange::Serve(const httplib::Request& aRequest,
+                      httplib::Response& aResponse)
+{
+  bool done = false;
+  while (!done) {
+    const Instruction instruction = Wait();
+    std::visit(Overloaded{
+                 [&](const StartAttempt& aStart) { Attempt(aRequest, aStart); },
+                 [&](const ForwardAnswer&) {
+                   aResponse.status = answer_.status;
+                   aResponse.headers = PassedOn(answer_.headers);
+                   aResponse.body = std::move(answer_.body);
+                   done = true;
+                 },
+                 [&](const RefuseCaller& aRefusal) {
+                   WriteVerdict(aRefusal.verdict_, aResponse);
+                   done = true;
+                 },
+                 [&](const Abandoned&) { done = true; },
+               },
+               instruction);
+  }
+}
+
+void
+CallerExchange::Run(const StartAttempt& aEffect)
+{
+  Push(aEffect);
+}
+
+void
+CallerExchange::Run(const CancelAttempt& aEffect)
+{
+  const std::lock_guard lock{ mutex_ };
+  cancelled_ = aEffect.attempt_;
+  if (client_ != nullptr) {
+    client_->stop();
+  }
+}
+
+void
+CallerExchange::Run(const ForwardAnswer& aEffect)
+{
+  Push(aEffect);
+}
+
+void
+CallerExchange::Run(const RefuseCaller& aEffect)
+{
+  Push(aEffect);
+}
+
+void
+CallerExchange::Abandon()
+{
+  Push(Abandoned{});
+}
+
+void
+CallerExchange::Push(Instruction aInstruction)
+{
+  const std::lock_guard lock{ mutex_ };
+  instructions_.push_back(std::move(aInstruction));
+  changed_.notify_one();
+}
+
+CallerExchange::Instruction
+CallerExchange::Wait()
+{
+  std::unique_lock lock{ mutex_ };
+  changed_.wait(lock, [this] { return !instructions_.empty(); });
+  Instruction instruction = std::move(instructions_.front());
+  instructions_.pop_front();
+  return instruction;
+}
+
+void
+CallerExchange::Attempt(const httplib::Request& aRequest,
+                        const StartAttempt& aStart)
+{
+  const auto began = std::chrono::steady_clock::now();
+  auto client = backends_.Take(aStart.address_);
+  AttemptOutcome outcome = Cancelled{};
+  bool mayStart = false;
+  {
+    const std::lock_guard lock{ mutex_ };
+    mayStart = cancelled_ != aStart.attempt_;
+    client_ = mayStart ? client.get() : nullptr;
+  }
+  if (mayStart) {
+    outcome = Send(aRequest, aStart, *client);
+    const std::lock_guard lock{ mutex_ };
+    client_ = nullptr;
+  }
+  if (std::holds_alternative<WholeAnswer>(outcome)) {
+    backends_.Return(aStart.address_, std::move(client));
+  }
+  const auto took = std::chrono::steady_clock::now() - began;
+  sink_(AttemptEnded{ key_,
+                      aStart.attempt_,
+                      outcome,
+                      std::chrono::duration_cast<Duration>(took) });
+}
+
+AttemptOutcome
+CallerExchange::Send(const httplib::Request& aRequest,
+                     const StartAttempt& aStart,
+                     httplib::Client& aClient)
+{
+  const auto began = std::chrono::steady_clock::now();
+  aClient.set_read_timeout(aStart.timeLeft_);
+  aClient.set_write_timeout(aStart.timeLeft_);
+  httplib::Request request;
+  request.method = aRequest.method;
+  request.path = aRequest.target;
+  request.headers = PassedOn(aRequest.headers);
+  request.body = aRequest.body;
+  bool oversize = false;
+  std::string body;
+  request.content_receiver =
+    [&](const char* aData, std::size_t aSize, std::uint64_t, std::uint64_t) {
+      oversize = body.size() + aSize > maxBody_.Value();
+      if (!oversize) {
+        body.append(aData, aSize);
+      }
+      return !oversize;
+    };
+  const httplib::Result result = aClient.send(request);
+  if (oversize) {
+    return OversizeAnswer{};
+  }
+  if (!result) {
+    switch (result.error()) {
+      case httplib::Error::Connection:
+      case httplib::Error::ConnectionTimeout:
+      case httplib::Error::BindIPAddress:
+        return NotSent{};
+      default:
+        break;
+    }
+    const bool late =
+      std::chrono::steady_clock::now() - began >= aStart.timeLeft_;
+    return late ? AttemptOutcome{ LateAnswer{} }
+                : AttemptOutcome{ CutAnswer{} };
+  }
+  if (!HasMarkedEnd(*result)) {
+    return CutAnswer{};
+  }
+  answer_ = *result;
+  answer_.body = std::move(body);
+  return WholeAnswer{ answer_.status, ByteCount{ answer_.body.size() } };
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/CallerListener.cpp
@@ -0,0 +1,138 @@
+#include "verbenawell/adapters/CallerListener.h"
+
+#include "verbenawell/adapters/CallerExchange.h"
+#include "verbenawell/adapters/CallerHeaders.h"
+#include "verbenawell/adapters/internal/ConnectionWatch.h"
+
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr const char* kBusyAnswer = "HTTP/1.1 503 Service Unavailable\r\n"
+                                    "Verbenawell-Outcome: not-run\r\n"
+                                    "Verbenawell-Reason: queue-full\r\n"
+                                    "Retry-After: 1\r\n"
+                                    "Content-Length: 0\r\n"
+                                    "Connection: close\r\n\r\n";
+
+} // namespace
+
+CallerListener::CallerListener(const CallerSettings& aSettings,
+                               const DaemonId& aSelf,
+                               asio::io_context& aIo,
+                               Metrics& aMetrics,
+                               EventSink aSink)
+  : settings_(aSettings)
+  , self_(aSelf)
+  , io_(aIo)
+  , metrics_(aMetrics)
+  , sink_(std::move(aSink))
+  , server_({ aSettings.maxConnections_,
+              static_cast<std::size_t>(aSettings.maxBody_.Value()) })
+{
+  const auto handler = [this](const httplib::Request& aRequest,
+                              httplib::Response& aResponse) {
+    Handle(aRequest, aResponse);
+  };
+  server_.SetBusyAnswer(kBusyAnswer);
+  server_.Get(".*", handler);
+  server_.Post(".*", handler);
+  server_.Put(".*", handler);
+  server_.Patch(".*", handler);
+  server_.Delete(".*", handler);
+}
+
+CallerListener::~CallerListener() = default;
+
+void
+CallerListener::Start()
+{
+  server_.Start(settings_.listen_);
+}
+
+void
+CallerListener::Stop()
+{
+  server_.Stop();
+}
+
+void
+CallerListener::Handle(const httplib::Request& aRequest,
+                       httplib::Response& aResponse)
+{
+  auto read = ReadRequestHead(aRequest);
+  if (const auto* fault = std::get_if<std::string>(&read)) {
+    metrics_.Increment(Counter::RequestsReceived);
+    metrics_.Increment(RefusalReason::BadRequest);
+    WriteVerdict(NotRun{ RefusalReason::BadRequest }, aResponse);
+    aResponse.body += *fault + "\n";
+    return;
+  }
+  auto& head = std::get<RequestHead>(read);
+  const RequestKey key{ ++lastKey_ };
+  if (head.id_.IsEmpty()) {
+    head.id_ = RequestId{ self_.Value() + "#" + std::to_string(key.Value()) };
+  }
+  const auto exchange =
+    std::make_shared<CallerExchange>(key, settings_.maxBody_, backends_, sink_);
+  {
+    const std::lock_guard lock{ mutex_ };
+    exchanges_[key] = exchange;
+  }
+  const auto watch =
+    ConnectionWatch::Start(io_, HttpServer::CurrentSocket(), [this, key] {
+      if (const auto gone = Find(key)) {
+        gone->Abandon();
+        sink_(CallerGone{ key });
+      }
+    });
+  sink_(RequestArrived{ key, std::move(head) });
+  exchange->Serve(aRequest, aResponse);
+  watch->Stop();
+  const std::lock_guard lock{ mutex_ };
+  exchanges_.erase(key);
+}
+
+std::shared_ptr<CallerExchange>
+CallerListener::Find(RequestKey aKey)
+{
+  const std::lock_guard lock{ mutex_ };
+  const auto found = exchanges_.find(aKey);
+  return found == exchanges_.end() ? nullptr : found->second;
+}
+
+void
+CallerListener::Run(const StartAttempt& aEffect)
+{
+  if (const auto exchange = Find(aEffect.key_)) {
+    exchange->Run(aEffect);
+  }
+}
+
+void
+CallerListener::Run(const CancelAttempt& aEffect)
+{
+  if (const auto exchange = Find(aEffect.key_)) {
+    exchange->Run(aEffect);
+  }
+}
+
+void
+CallerListener::Run(const ForwardAnswer& aEffect)
+{
+  if (const auto exchange = Find(aEffect.key_)) {
+    exchange->Run(aEffect);
+  }
+}
+
+void
+CallerListener::Run(const RefuseCaller& aEffect)
+{
+  if (const auto exchange = Find(aEffect.key_)) {
+    exchange->Run(aEffect);
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -0,0 +1,133 @@
+#include "verbenawell/adapters/HttpServer.h"
+
+#include "verbenawell/adapters/BoundedTaskQueue.h"
+#include "verbenawell/adapters/internal/SocketStream.h"
+
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace verbenawell {
+
+namespace {
+
+// The library listens with a backlog of 5: a burst of callers would wait for
+// the retransmission of their first packet, one second at the least.
+constexpr int kBacklog = 1024;
+
+thread_local int currentSocket = -1;
+
+} // namespace
+
+HttpServer::HttpServer(const HttpServerLimits& aLimits)
+  : limits_(aLimits)
+{
+  new_task_queue = [this] {
+    return new BoundedTaskQueue(limits_.maxConnections_);
+  };
+  set_payload_max_length(limits_.maxBodyBytes_);
+  set_tcp_nodelay(true);
+  set_socket_options([this](socket_t aSocket) {
+    const int on = 1;
+    setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    listener_ = aSocket;
+  });
+}
+
+HttpServer::~HttpServer()
+{
+  Stop();
+}
+
+void
+HttpServer::Start(const Endpoint& aListen)
+{
+  errno = 0;
+  if (!bind_to_port(aListen.host_, aListen.port_)) {
+    throw std::system_error(errno,
+                            std::generic_category(),
+                            "cannot listen on " + aListen.host_ + ":" +
+                              std::to_string(aListen.port_));
+  }
+  ::listen(listener_, kBacklog);
+  thread_ = std::thread([this] { listen_after_bind(); });
+}
+
+void
+HttpServer::Stop()
+{
+  if (!thread_.joinable()) {
+    return;
+  }
+  stopping_ = true;
+  {
+    const std::lock_guard lock{ mutex_ };
+    for (const int idle : idleSockets_) {
+      shutdown(idle, SHUT_RD);
+    }
+  }
+  // `stop` does nothing before the listening thread has begun to accept.
+  while (!is_running()) {
+    std::this_thread::yield();
+  }
+  stop();
+  thread_.join();
+}
+
+int
+HttpServer::CurrentSocket()
+{
+  return currentSocket;
+}
+
+void
+HttpServer::SetBusyAnswer(std::string aAnswer)
+{
+  busyAnswer_ = std::move(aAnswer);
+}
+
+bool
+HttpServer::process_and_close_socket(socket_t aSocket)
+{
+  if (BoundedTaskQueue::IsOverflow()) {
+    send(aSocket, busyAnswer_.data(), busyAnswer_.size(), MSG_NOSIGNAL);
+  } else {
+    currentSocket = aSocket;
+    ServeConnection(aSocket);
+    currentSocket = -1;
+  }
+  shutdown(aSocket, SHUT_RDWR);
+  close(aSocket);
+  return true;
+}
+
+void
+HttpServer::ServeConnection(int aSocket)
+{
+  SocketStream stream{ aSocket, limits_.transfer_ };
+  bool closed = false;
+  while (!closed) {
+    {
+      const std::lock_guard lock{ mutex_ };
+      if (stopping_) {
+        return;
+      }
+      idleSockets_.insert(aSocket);
+    }
+    const bool readable = stream.HasBufferedInput() ||
+                          WaitForSocket(aSocket, POLLIN, limits_.idle_);
+    {
+      const std::lock_guard lock{ mutex_ };
+      idleSockets_.erase(aSocket);
+    }
+    if (!readable || !process_request(stream, stopping_, closed, nullptr)) {
+      return;
+    }
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "verbenawell/core/Endpoint.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_set>
+
+#include <httplib.h>
+
+namespace verbenawell {
+
+struct HttpServerLimits
+{
+  std::size_t maxConnections_ = 64;
+  std::size_t maxBodyBytes_ = 1U << 20U;
+  /// A connection without a request is closed after this time.
+  std::chrono::milliseconds idle_{ 30'000 };
+  /// Longest wait for the next bytes of a request or its answer's reader.
+  std::chrono::milliseconds transfer_{ 5'000 };
+};
+
+/// An HTTP listener on cpp-httplib. It replaces the library's connection
+/// loop, which wakes up each 10 ms while a connection is idle.
+class HttpServer : public httplib::Server
+{
+public:
+  explicit HttpServer(const HttpServerLimits& aLimits);
+  ~HttpServer() override;
+
+  /// Listens and serves on a thread of its own; throws `std::system_error`
+  /// where the address cannot be used.
+  void Start(const Endpoint& aListen);
+
+  /// Stops accepting; requests in progress finish, idle connections close.
+  void Stop();
+
+  /// Socket of the connection that the calling handler serves.
+  static int CurrentSocket();
+
+  /// Answer for a connection beyond the limit.
+  void SetBusyAnswer(std::string aAnswer);
+
+private:
+  bool process_and_close_socket(socket_t aSocket) override;
+  void ServeConnection(int aSocket);
+
+  HttpServerLimits limits_;
+  std::string busyAnswer_;
+  int listener_ = -1;
+  std::thread thread_;
+  std::atomic<bool> stopping_ = false;
+  std::mutex mutex_;
+  std::unordered_set<int> idleSockets_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/codec/PeerCodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "verbenawell/core/PeerMessage.h"
+
+#include <string>
+#include <string_view>
+
+namespace verbenawell {
+
+std::string
+EncodePeerMessage(const PeerMessage& aMessage);
+
+/// Throws `DecodeError` where the bytes are not a whole, known message.
+PeerMessage
+DecodePeerMessage(std::string_view aBytes);
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/codec/VmListCodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "verbenawell/fleet/FleetEvents.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace verbenawell {
+
+/// JSON of the platform's VM list; throws `DecodeError`.
+std::vector<VmListing>
+DecodeVmList(std::string_view aText);
+
+std::string
+EncodeVmList(const std::vector<VmListing>& aVms);
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/codec/internal/Encoder.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "verbenawell/codec/internal/Fields.h"
+
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace verbenawell::codec {
+
+template<typename T>
+nlohmann::json
+Encode(const T& aValue);
+
+/// Collects the fields of one value in an array.
+class Encoder
+{
+public:
+  template<typename... Ts>
+  void operator()(const Ts&... aFields)
+  {
+    (array_.push_back(Encode(aFields)), ...);
+  }
+
+  [[nodiscard]] nlohmann::json Take() { return std::move(array_); }
+
+private:
+  nlohmann::json array_ = nlohmann::json::array();
+};
+
+template<typename Tag>
+nlohmann::json
+EncodeValue(const Id<Tag>& aId)
+{
+  return aId.Value();
+}
+
+template<typename Tag, typename Rep>
+nlohmann::json
+EncodeValue(const Quantity<Tag, Rep>& aQuantity)
+{
+  return aQuantity.Value();
+}
+
+inline nlohmann::json
+EncodeValue(Duration aDuration)
+{
+  return aDuration.count();
+}
+
+inline nlohmann::json
+EncodeValue(WallTime aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+// Text from outside may hold any bytes; binary needs no valid UTF-8.
+inline nlohmann::json
+EncodeValue(const std::string& aText)
+{
+  return nlohmann::json::binary({ aText.begin(), aText.end() });
+}
+
+inline nlohmann::json
+EncodeValue(const FleetChange& aChange)
+{
+  return std::visit(
+    [&](const auto& aKnown) {
+      using Kind = std::decay_t<decltype(aKnown)>;
+      nlohmann::json result = nlohmann::json::array();
+      if constexpr (std::is_same_v<Kind, UnknownChange>) {
+        result.push_back(aKnown.kind_);
+        result.push_back(nlohmann::json::array());
+      } else {
+        result.push_back(kChangeNames.at(aChange.index()));
+        result.push_back(Encode(aKnown));
+      }
+      return result;
+    },
+    aChange);
+}
+
+template<typename... Ts>
+nlohmann::json
+EncodeValue(const std::variant<Ts...>& aVariant)
+{
+  nlohmann::json result = nlohmann::json::array();
+  result.push_back(aVariant.index());
+  std::visit([&](const auto& aValue) { result.push_back(Encode(aValue)); },
+             aVariant);
+  return result;
+}
+
+template<typename T>
+nlohmann::json
+EncodeValue(const std::vector<T>& aItems)
+{
+  nlohmann::json result = nlohmann::json::array();
+  for (const T& item : aItems) {
+    result.push_back(Encode(item));
+  }
+  return result;
+}
+
+template<typename T>
+nlohmann::json
+Encode(const T& aValue)
+{
+  if constexpr (std::is_enum_v<T>) {
+    return static_cast<std::underlying_type_t<T>>(aValue);
+  } else if constexpr (std::is_arithmetic_v<T>) {
+    return aValue;
+  } else if constexpr (requires { EncodeValue(aValue); }) {
+    return EncodeValue(aValue);
+  } else {
+    Encoder encoder;
+    Fields(encoder, aValue);
+    return encoder.Take();
+  }
+}
+
+} // namespace verbenawell::codec
--- /dev/null
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -0,0 +1,400 @@
+#pragma once
+
+#include "verbenawell/core/PeerMessage.h"
+#include "verbenawell/log/LogRecord.h"
+
+#include <array>
+#include <concepts>
+#include <string_view>
+#include <variant>
+
+/// Names the fields of each encoded type once, for both directions. The order
+/// is part of the protocol: new fields go to the end.
+namespace verbenawell::codec {
+
+template<typename T, typename... Options>
+concept OneOf = (std::same_as<std::remove_const_t<T>, Options> || ...);
+
+template<typename Archive, OneOf<Endpoint> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.host_, aValue.port_);
+}
+
+template<typename Archive, OneOf<Resources> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.cores_, aValue.memory_, aValue.accelerators_);
+}
+
+template<typename Archive, OneOf<RequestHead> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.id_,
+           aValue.service_,
+           aValue.team_,
+           aValue.urgency_,
+           aValue.deadline_,
+           aValue.idempotent_,
+           aValue.declared_,
+           aValue.declaredRunTime_,
+           aValue.bodySize_);
+}
+
+template<typename Archive, OneOf<WholeAnswer> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.status_, aValue.size_);
+}
+
+template<typename Archive,
+         OneOf<NotSent,
+               RefusedByWorker,
+               CutAnswer,
+               LateAnswer,
+               OversizeAnswer,
+               Cancelled,
+               StateRequest> T>
+void
+Fields(Archive& aArchive, T&)
+{
+  aArchive();
+}
+
+template<typename Archive, OneOf<NotRun> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.reason_, aValue.retryAfter_);
+}
+
+template<typename Archive, OneOf<MayHaveRun> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.reason_);
+}
+
+template<typename Archive, OneOf<SlotRequest> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.key_, aValue.head_, aValue.tried_);
+}
+
+template<typename Archive, OneOf<SlotCancel> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.key_, aValue.pool_);
+}
+
+template<typename Archive, OneOf<SlotGrant> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.key_,
+           aValue.attempt_,
+           aValue.pool_,
+           aValue.term_,
+           aValue.vm_,
+           aValue.address_);
+}
+
+template<typename Archive, OneOf<SlotRefusal> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.key_, aValue.verdict_);
+}
+
+template<typename Archive, OneOf<SlotRelease> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.key_,
+           aValue.attempt_,
+           aValue.pool_,
+           aValue.term_,
+           aValue.vm_,
+           aValue.outcome_,
+           aValue.runTime_);
+}
+
+template<typename Archive, OneOf<OwnerAnnounce> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.pool_, aValue.term_);
+}
+
+template<typename Archive, OneOf<RunningAttempt> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.key_,
+           aValue.request_,
+           aValue.attempt_,
+           aValue.term_,
+           aValue.vm_,
+           aValue.team_,
+           aValue.urgency_);
+}
+
+template<typename Archive, OneOf<OwnerReport> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.pool_, aValue.term_, aValue.running_);
+}
+
+template<typename Archive, OneOf<MemberUpdate> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.daemon_,
+           aValue.incarnation_,
+           aValue.status_,
+           aValue.peerAddress_,
+           aValue.zone_,
+           aValue.region_,
+           aValue.fleetOffset_);
+}
+
+template<typename Archive, OneOf<Ping, Ack> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.sequence_, aValue.updates_);
+}
+
+template<typename Archive, OneOf<PingRequest> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.sequence_, aValue.target_);
+}
+
+template<typename Archive, OneOf<LogRecords> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.records_);
+}
+
+template<typename Archive, OneOf<StateChunk> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.chunk_);
+}
+
+template<typename Archive, OneOf<VmFacts> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.vm_,
+           aValue.address_,
+           aValue.region_,
+           aValue.zone_,
+           aValue.rack_,
+           aValue.size_,
+           aValue.slots_,
+           aValue.boots_);
+}
+
+template<typename Archive, OneOf<DefinePool> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.pool_, aValue.spare_);
+}
+
+template<typename Archive, OneOf<RemovePool> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.pool_);
+}
+
+template<typename Archive, OneOf<DefineService> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.service_, aValue.pool_, aValue.budget_);
+}
+
+template<typename Archive, OneOf<RemoveService> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.service_);
+}
+
+template<typename Archive, OneOf<SetQuota> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.team_, aValue.service_, aValue.weight_, aValue.limit_);
+}
+
+template<typename Archive, OneOf<SetSetting> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.setting_, aValue.value_);
+}
+
+template<typename Archive, OneOf<VmSeen> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.facts_);
+}
+
+template<typename Archive, OneOf<VmDown, VmGone, DrainVm, UndrainVm> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.vm_);
+}
+
+template<typename Archive, OneOf<VmUp> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.vm_, aValue.boots_);
+}
+
+template<typename Archive, OneOf<MoveVm> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.vm_, aValue.to_);
+}
+
+template<typename Archive, OneOf<StartWave> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.wave_, aValue.pool_, aValue.vms_);
+}
+
+template<typename Archive, OneOf<ReserveStop, FinishStop, FailStop> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.wave_, aValue.vm_);
+}
+
+template<typename Archive, OneOf<PauseWave> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.wave_, aValue.reason_);
+}
+
+template<typename Archive, OneOf<ResumeWave, EndWave> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.wave_);
+}
+
+template<typename Archive, OneOf<UnknownChange> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.kind_);
+}
+
+template<typename Archive, OneOf<Precondition> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.subject_, aValue.version_);
+}
+
+template<typename Archive, OneOf<FleetRecord> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.id_,
+           aValue.at_,
+           aValue.author_,
+           aValue.preconditions_,
+           aValue.change_);
+}
+
+template<typename Archive, OneOf<IntentOwner> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.pool_, aValue.owner_, aValue.term_);
+}
+
+template<typename Archive, OneOf<IntentBatch> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(
+    aValue.pool_, aValue.owner_, aValue.term_, aValue.started_, aValue.notRun_);
+}
+
+template<typename Archive, OneOf<SnapshotChunk> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.through_,
+           aValue.author_,
+           aValue.index_,
+           aValue.count_,
+           aValue.checksum_,
+           aValue.bytes_);
+}
+
+template<typename Archive, OneOf<CorruptRecord> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.reason_);
+}
+
+template<typename Archive, OneOf<LogRecord> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.offset_, aValue.id_, aValue.body_);
+}
+
+/// Names of the changes in the log, in the order of `FleetChange`. They are
+/// encoded by name, so that an older daemon skips a kind it does not know.
+inline constexpr std::array<std::string_view,
+                            std::variant_size_v<FleetChange> - 1>
+  kChangeNames{ "define-pool",    "remove-pool", "define-service",
+                "remove-service", "set-quota",   "set-setting",
+                "vm-seen",        "vm-down",     "vm-up",
+                "vm-gone",        "move-vm",     "drain-vm",
+                "undrain-vm",     "start-wave",  "reserve-stop",
+                "finish-stop",    "fail-stop",   "pause-wave",
+                "resume-wave",    "end-wave" };
+
+/// Last value of each encoded enumeration.
+template<typename Enum>
+inline constexpr Enum kLastOf = Enum{};
+template<>
+inline constexpr Urgency kLastOf<Urgency> = Urgency::Long;
+template<>
+inline constexpr RefusalReason kLastOf<RefusalReason> =
+  RefusalReason::RetriesExhausted;
+template<>
+inline constexpr UnknownReason kLastOf<UnknownReason> =
+  UnknownReason::AlreadyStarted;
+template<>
+inline constexpr MemberStatus kLastOf<MemberStatus> = MemberStatus::Left;
+
+} // namespace verbenawell::codec
--- /dev/null
+++ b/src/verbenawell/core/Context.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
+
+namespace verbenawell {
+
+/// What a reducer may know beside its state and the event.
+struct Context
+{
+  TimePoint now_;
+  WallTime wallNow_;
+  DaemonId self_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/core/Effect.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Event.h"
+#include "verbenawell/metrics/Counter.h"
+#include "verbenawell/operators/OperatorAnswer.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace verbenawell {
+
+/// Sends the request to a backend server.
+struct StartAttempt
+{
+  RequestKey key_;
+  AttemptId attempt_;
+  VmId vm_;
+  Endpoint address_;
+  /// What is left until the caller's deadline.
+  Duration timeLeft_{};
+};
+
+/// Closes the connection of a running attempt.
+struct CancelAttempt
+{
+  RequestKey key_;
+  AttemptId attempt_;
+};
+
+/// Hands the whole answer of the last attempt to the caller.
+struct ForwardAnswer
+{
+  RequestKey key_;
+};
+
+struct RefuseCaller
+{
+  RequestKey key_;
+  std::variant<NotRun, MayHaveRun> verdict_;
+};
+
+struct SendPeer
+{
+  DaemonId to_;
+  PeerMessage message_;
+};
+
+/// Tells the peer transport how a member is reached.
+struct ConnectPeer
+{
+  DaemonId peer_;
+  Endpoint address_;
+};
+
+struct DisconnectPeer
+{
+  DaemonId peer_;
+};
+
+struct ReadLog
+{
+  StreamId stream_;
+  Offset from_;
+};
+
+struct AppendLog
+{
+  StreamId stream_;
+  RecordId id_;
+  RecordBody body_;
+};
+
+struct ReadVmList
+{};
+
+/// Orders a reboot; the platform ignores an order for an older boot.
+struct RebootVm
+{
+  VmId vm_;
+  BootCount boots_;
+};
+
+struct AnswerOperator
+{
+  CommandKey key_;
+  OperatorAnswer answer_;
+};
+
+struct SetTimer
+{
+  TimerKey key_;
+  Duration after_{};
+};
+
+struct Count
+{
+  CounterKey key_;
+};
+
+struct Observe
+{
+  LatencyMetric metric_;
+  Duration value_{};
+};
+
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/// A log line about a change of state.
+struct LogLine
+{
+  LogLevel level_ = LogLevel::Info;
+  std::string event_;
+  std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+/// Sets what `/readyz` answers.
+struct SetReady
+{
+  bool ready_ = false;
+};
+
+/// Ends the process; nothing is left to hand over.
+struct Exit
+{};
+
+/// Hands an event to the other modules within the same call of `Reduce`.
+struct Raise
+{
+  Event event_;
+};
+
+using Effect = std::variant<StartAttempt,
+                            CancelAttempt,
+                            ForwardAnswer,
+                            RefuseCaller,
+                            SendPeer,
+                            ConnectPeer,
+                            DisconnectPeer,
+                            ReadLog,
+                            AppendLog,
+                            ReadVmList,
+                            RebootVm,
+                            AnswerOperator,
+                            SetTimer,
+                            Count,
+                            Observe,
+                            LogLine,
+                            SetReady,
+                            Exit,
+                            Raise>;
+
+using Effects = std::vector<Effect>;
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/core/Reduce.cpp
@@ -0,0 +1,59 @@
+#include "verbenawell/core/Reduce.h"
+
+#include "verbenawell/core/Overloaded.h"
+#include "verbenawell/core/State.h"
+#include "verbenawell/fleet/FleetReducer.h"
+#include "verbenawell/log/LogReducer.h"
+#include "verbenawell/membership/MembershipReducer.h"
+#include "verbenawell/operators/OperatorsReducer.h"
+#include "verbenawell/requests/RequestsReducer.h"
+#include "verbenawell/waves/WavesReducer.h"
+
+#include <deque>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+Effects
+ReduceModules(State& aState, const Event& aEvent, const Context& aContext)
+{
+  Effects effects;
+  const Views views = aState.View();
+  // Membership and the log come first: the others decide by their result.
+  ReduceMembership(aState.membership_, views, aEvent, aContext, effects);
+  ReduceLog(aState.log_, views, aEvent, aContext, effects);
+  ReduceFleet(aState.fleet_, views, aEvent, aContext, effects);
+  ReduceRequests(aState.requests_, views, aEvent, aContext, effects);
+  ReduceWaves(aState.waves_, views, aEvent, aContext, effects);
+  ReduceOperators(aState.operators_, views, aEvent, aContext, effects);
+  return effects;
+}
+
+} // namespace
+
+Effects
+Reduce(State& aState, const Event& aEvent, const Context& aContext)
+{
+  Effects result;
+  std::deque<Event> pending{ aEvent };
+  while (!pending.empty()) {
+    const Event event = std::move(pending.front());
+    pending.pop_front();
+    for (Effect& effect : ReduceModules(aState, event, aContext)) {
+      if (auto* raise = std::get_if<Raise>(&effect)) {
+        pending.push_back(std::move(raise->event_));
+      } else if (auto* send = std::get_if<SendPeer>(&effect);
+                 send != nullptr && send->to_ == aContext.self_) {
+        pending.emplace_back(
+          PeerMessageReceived{ aContext.self_, std::move(send->message_) });
+      } else {
+        result.push_back(std::move(effect));
+      }
+    }
+  }
+  return result;
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/core/TimerKey.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "verbenawell/core/Ids.h"
+
+#include <variant>
+
+namespace verbenawell {
+
+struct MembershipTick
+{
+  bool operator==(const MembershipTick&) const = default;
+};
+
+/// Polls one stream of the log.
+struct LogPoll
+{
+  StreamId stream_;
+  bool operator==(const LogPoll&) const = default;
+};
+
+/// Flushes group-committed intents and drives append retries.
+struct LogFlush
+{
+  bool operator==(const LogFlush&) const = default;
+};
+
+struct VmListPoll
+{
+  bool operator==(const VmListPoll&) const = default;
+};
+
+/// Advances queues owned here: expiry, probes, take-over time-outs.
+struct OwnerTick
+{
+  bool operator==(const OwnerTick&) const = default;
+};
+
+/// Expires requests received here whose owner does not answer.
+struct EntryTick
+{
+  bool operator==(const EntryTick&) const = default;
+};
+
+struct WaveTick
+{
+  bool operator==(const WaveTick&) const = default;
+};
+
+/// Answers operators whose record has not settled in time.
+struct OperatorTick
+{
+  bool operator==(const OperatorTick&) const = default;
+};
+
+/// Names a timer; setting a timer again under the same key replaces it.
+using TimerKey = std::variant<MembershipTick,
+                              LogPoll,
+                              LogFlush,
+                              VmListPoll,
+                              OwnerTick,
+                              EntryTick,
+                              WaveTick,
+                              OperatorTick>;
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -0,0 +1,142 @@
+#include "verbenawell/daemon/Daemon.h"
+
+#include "verbenawell/adapters/LogOutput.h"
+#include "verbenawell/core/Overloaded.h"
+#include "verbenawell/core/Reduce.h"
+
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include <asio/post.hpp>
+
+namespace verbenawell {
+
+namespace {
+
+TimePoint
+MonotonicNow()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint{ std::chrono::duration_cast<Duration>(now) };
+}
+
+WallTime
+WallNow()
+{
+  return std::chrono::time_point_cast<WallTime::duration>(
+    std::chrono::system_clock::now());
+}
+
+MemberUpdate
+DescribeSelf(const Settings& aSettings)
+{
+  MemberUpdate self;
+  self.daemon_ = aSettings.daemon_;
+  // Calendar time makes the incarnation of a replaced daemon a higher one.
+  self.incarnation_ = Incarnation{ static_cast<std::uint64_t>(
+    WallNow().time_since_epoch().count()) };
+  self.peerAddress_ = aSettings.peers_.listen_;
+  self.zone_ = aSettings.zone_;
+  self.region_ = aSettings.region_;
+  return self;
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings& aSettings, std::string aOperatorToken)
+  : settings_(aSettings)
+  , work_(asio::make_work_guard(io_))
+  , signals_(io_, SIGTERM, SIGINT)
+  , timers_(io_, [this](Event aEvent) { Apply(aEvent); })
+  , callers_(aSettings.callers_,
+             aSettings.daemon_,
+             io_,
+             metrics_,
+             [this](Event aEvent) { Post(std::move(aEvent)); })
+  , operators_(aSettings.operators_,
+               std::move(aOperatorToken),
+               metrics_,
+               [this](Event aEvent) { Post(std::move(aEvent)); })
+  , log_(aSettings.platform_.log_,
+         [this](Event aEvent) { Post(std::move(aEvent)); })
+  , platform_(aSettings.platform_.vmList_,
+              [this](Event aEvent) { Post(std::move(aEvent)); })
+{
+  state_.membership_.self_ = DescribeSelf(aSettings);
+  state_.requests_.random_ = Random{ std::random_device{}() };
+}
+
+void
+Daemon::Run()
+{
+  signals_.async_wait([this](const std::error_code& aError, int) {
+    if (!aError) {
+      Apply(StopRequested{});
+    }
+  });
+  operators_.Start();
+  callers_.Start();
+  Post(Started{});
+  io_.run();
+}
+
+void
+Daemon::Post(Event aEvent)
+{
+  asio::post(io_, [this, event = std::move(aEvent)] { Apply(event); });
+}
+
+void
+Daemon::Apply(const Event& aEvent)
+{
+  const Context context{ MonotonicNow(), WallNow(), settings_.daemon_ };
+  for (const Effect& effect : Reduce(state_, aEvent, context)) {
+    Execute(effect);
+  }
+}
+
+void
+Daemon::Execute(const Effect& aEffect)
+{
+  std::visit(Overloaded{
+               [&](const StartAttempt& aStart) { callers_.Run(aStart); },
+               [&](const CancelAttempt& aCancel) { callers_.Run(aCancel); },
+               [&](const ForwardAnswer& aForward) { callers_.Run(aForward); },
+               [&](const RefuseCaller& aRefuse) { callers_.Run(aRefuse); },
+               [&](const ReadLog& aRead) { log_.Run(aRead); },
+               [&](const AppendLog& aAppend) { log_.Run(aAppend); },
+               [&](const ReadVmList& aRead) { platform_.Run(aRead); },
+               [&](const RebootVm& aReboot) { platform_.Run(aReboot); },
+               [&](const AnswerOperator& aAnswer) { operators_.Run(aAnswer); },
+               [&](const SetReady& aReady) { operators_.Run(aReady); },
+               [&](const SetTimer& aTimer) {
+                 timers_.Subscribe(aTimer.key_, aTimer.after_);
+               },
+               [&](const Count& aCount) { metrics_.Increment(aCount.key_); },
+               [&](const Observe& aObserve) {
+                 metrics_.Record(aObserve.metric_, aObserve.value_);
+               },
+               [&](const LogLine& aLine) { WriteLogLine(aLine); },
+               [&](const Exit&) { Stop(); },
+               // There is no transport to other daemons yet.
+               [](const SendPeer&) {},
+               [](const ConnectPeer&) {},
+               [](const DisconnectPeer&) {},
+               // Applied within `Reduce`.
+               [](const Raise&) {},
+             },
+             aEffect);
+}
+
+void
+Daemon::Stop()
+{
+  callers_.Stop();
+  operators_.Stop();
+  timers_.Stop();
+  io_.stop();
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/daemon/Daemon.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "verbenawell/adapters/CallerListener.h"
+#include "verbenawell/adapters/LogClient.h"
+#include "verbenawell/adapters/OperatorListener.h"
+#include "verbenawell/adapters/PlatformClient.h"
+#include "verbenawell/adapters/TimerService.h"
+#include "verbenawell/core/State.h"
+#include "verbenawell/metrics/Metrics.h"
+#include "verbenawell/settings/Settings.h"
+
+#include <string>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+namespace verbenawell {
+
+/// Wires the reducer to its adapters. Events are applied on one thread.
+class Daemon
+{
+public:
+  Daemon(const Settings& aSettings, std::string aOperatorToken);
+
+  /// Serves until SIGTERM or SIGINT and until what runs has finished.
+  void Run();
+
+private:
+  void Post(Event aEvent);
+  void Apply(const Event& aEvent);
+  void Execute(const Effect& aEffect);
+  void Stop();
+
+  Settings settings_;
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  asio::signal_set signals_;
+  Metrics metrics_;
+  State state_;
+  TimerService timers_;
+  CallerListener callers_;
+  OperatorListener operators_;
+  LogClient log_;
+  PlatformClient platform_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/fleet/FleetState.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "verbenawell/fleet/FleetRecord.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace verbenawell {
+
+/// Who changed a subject last, and what the change replaced.
+struct Provenance
+{
+  Offset offset_;
+  Offset previous_;
+  OperatorId author_;
+  WallTime at_;
+};
+
+struct PoolState
+{
+  bool spare_ = false;
+  std::set<VmId> vms_;
+  std::set<ServiceId> services_;
+};
+
+struct ServiceState
+{
+  PoolId pool_;
+  VmCount budget_;
+};
+
+struct VmState
+{
+  VmFacts facts_;
+  PoolId pool_;
+  bool down_ = false;
+  bool draining_ = false;
+  /// The wave that has reserved a planned stop; empty where none has.
+  WaveId stop_;
+};
+
+struct QuotaState
+{
+  ShareWeight weight_;
+  SlotCount limit_;
+};
+
+enum class StopStatus : std::uint8_t
+{
+  Waiting,
+  Reserved,
+  Finished,
+  Failed,
+};
+
+struct WaveState
+{
+  PoolId pool_;
+  std::map<VmId, StopStatus> stops_;
+  bool paused_ = false;
+  std::string pauseReason_;
+  bool ended_ = false;
+};
+
+struct SubjectHash
+{
+  std::size_t operator()(const Subject& aSubject) const;
+};
+
+/// The fold of the fleet stream; the same on every daemon at one offset.
+struct FleetState
+{
+  /// Offset of the last record applied.
+  Offset through_;
+  std::map<PoolId, PoolState> pools_;
+  std::map<ServiceId, ServiceState> services_;
+  std::unordered_map<VmId, VmState> vms_;
+  std::map<std::pair<TeamId, ServiceId>, QuotaState> quotas_;
+  std::map<SettingId, std::string> settings_;
+  std::map<WaveId, WaveState> waves_;
+  std::unordered_map<Subject, Provenance, SubjectHash> provenance_;
+  /// Ids of the latest records, so that a record appended twice counts once.
+  std::unordered_set<RecordId> recentIds_;
+  std::deque<RecordId> recentOrder_;
+};
+
+/// Tells whether the VM can run requests and is not about to stop.
+bool
+IsServing(const VmState& aVm);
+
+/// VMs of the pool that serve now.
+VmCount
+CountServing(const FleetState& aFleet, const PoolState& aPool);
+
+/// Offset at which the subject was last changed; zero where it never was.
+Offset
+VersionOf(const FleetState& aFleet, const Subject& aSubject);
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/fleet/VmFacts.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Resources.h"
+
+namespace verbenawell {
+
+/// What the platform says about a VM.
+struct VmFacts
+{
+  VmId vm_;
+  Endpoint address_;
+  RegionId region_;
+  ZoneId zone_;
+  RackId rack_;
+  Resources size_;
+  SlotCount slots_;
+  BootCount boots_;
+
+  bool operator==(const VmFacts&) const = default;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -0,0 +1,81 @@
+#include "verbenawell/metrics/Counter.h"
+
+namespace verbenawell {
+
+std::string_view
+ToString(Counter aCounter)
+{
+  switch (aCounter) {
+    case Counter::RequestsReceived:
+      return "requests_received";
+    case Counter::RequestsAnswered:
+      return "requests_answered";
+    case Counter::RequestsCancelled:
+      return "requests_cancelled";
+    case Counter::GrantsReturnedUnused:
+      return "grants_returned_unused";
+    case Counter::SlotsOverrun:
+      return "slots_overrun";
+    case Counter::RecordsCorrupt:
+      return "records_corrupt";
+    case Counter::RecordsUnknown:
+      return "records_unknown";
+    case Counter::RecordsRefused:
+      return "records_refused";
+    case Counter::LogReadsFailed:
+      return "log_reads_failed";
+    case Counter::LogAppendsFailed:
+      return "log_appends_failed";
+    case Counter::LogAppendsSettledByReading:
+      return "log_appends_settled_by_reading";
+    case Counter::VmListsFailed:
+      return "vm_lists_failed";
+    case Counter::WorkersEjected:
+      return "workers_ejected";
+    case Counter::OwnerTakeovers:
+      return "owner_takeovers";
+    case Counter::ClockGaps:
+      return "clock_gaps";
+    case Counter::SnapshotsWritten:
+      return "snapshots_written";
+    case Counter::SnapshotsLoaded:
+      return "snapshots_loaded";
+    case Counter::SnapshotsInvalid:
+      return "snapshots_invalid";
+    case Counter::OperatorCommands:
+      return "operator_commands";
+    case Counter::OperatorUnauthorized:
+      return "operator_unauthorized";
+    case Counter::PeerUnauthorized:
+      return "peer_unauthorized";
+    case Counter::PeerFramesInvalid:
+      return "peer_frames_invalid";
+    case Counter::PeerConnectionsReplaced:
+      return "peer_connections_replaced";
+    case Counter::CallersRefusedBusy:
+      return "callers_refused_busy";
+    case Counter::CallerFramesInvalid:
+      return "caller_frames_invalid";
+  }
+  return "invalid";
+}
+
+std::string_view
+ToString(LatencyMetric aMetric)
+{
+  switch (aMetric) {
+    case LatencyMetric::QueueWait:
+      return "queue_wait";
+    case LatencyMetric::BackendTime:
+      return "backend_time";
+    case LatencyMetric::RequestTime:
+      return "request_time";
+    case LatencyMetric::ConfigurationAge:
+      return "configuration_age";
+    case LatencyMetric::LogAppend:
+      return "log_append";
+  }
+  return "invalid";
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/metrics/Counter.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "verbenawell/requests/Reasons.h"
+
+#include <cstdint>
+#include <string_view>
+#include <variant>
+
+namespace verbenawell {
+
+/// Counters without a reason of their own.
+enum class Counter : std::uint8_t
+{
+  RequestsReceived,
+  RequestsAnswered,
+  RequestsCancelled,
+  GrantsReturnedUnused,
+  SlotsOverrun,
+  RecordsCorrupt,
+  RecordsUnknown,
+  RecordsRefused,
+  LogReadsFailed,
+  LogAppendsFailed,
+  LogAppendsSettledByReading,
+  VmListsFailed,
+  WorkersEjected,
+  OwnerTakeovers,
+  ClockGaps,
+  SnapshotsWritten,
+  SnapshotsLoaded,
+  SnapshotsInvalid,
+  OperatorCommands,
+  OperatorUnauthorized,
+  PeerUnauthorized,
+  PeerFramesInvalid,
+  PeerConnectionsReplaced,
+  CallersRefusedBusy,
+  CallerFramesInvalid,
+};
+
+std::string_view
+ToString(Counter aCounter);
+
+/// What a `Count` effect increments.
+using CounterKey =
+  std::variant<Counter, RefusalReason, UnknownReason, RetryReason>;
+
+/// Durations whose distribution is recorded.
+enum class LatencyMetric : std::uint8_t
+{
+  QueueWait,
+  BackendTime,
+  RequestTime,
+  ConfigurationAge,
+  LogAppend,
+};
+
+std::string_view
+ToString(LatencyMetric aMetric);
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/operators/OperatorsState.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace verbenawell {
+
+/// A command whose record has not settled yet.
+struct PendingCommand
+{
+  CommandKey key_;
+  TimePoint deadline_;
+};
+
+struct OperatorsState
+{
+  std::unordered_map<RecordId, PendingCommand> pending_;
+  std::uint64_t lastRecord_ = 0;
+  /// Makes record ids of different runs of a daemon differ.
+  std::uint64_t run_ = 0;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/operators/Parser.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "verbenawell/operators/Command.h"
+
+#include <string_view>
+#include <variant>
+
+namespace verbenawell {
+
+/// Parses one command of the operators' language.
+std::variant<Command, SyntaxFault>
+ParseCommand(std::string_view aText);
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/OwnerReducer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "verbenawell/core/Context.h"
+#include "verbenawell/core/Effect.h"
+#include "verbenawell/core/Views.h"
+
+namespace verbenawell {
+
+struct RequestsState;
+
+/// Queues and slots of the pools that this daemon owns.
+void
+ReduceOwner(RequestsState& aRequests,
+            const Views& aViews,
+            const Event& aEvent,
+            const Context& aContext,
+            Effects& aEffects);
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/RequestsState.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "verbenawell/core/Random.h"
+#include "verbenawell/requests/EntryState.h"
+#include "verbenawell/requests/OwnerState.h"
+
+namespace verbenawell {
+
+/// Requests received here, and queues of pools owned here.
+struct RequestsState
+{
+  EntryState entry_;
+  OwnerState owner_;
+  Random random_;
+  bool stopping_ = false;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/settings/Settings.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Units.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace verbenawell {
+
+struct CallerSettings
+{
+  Endpoint listen_;
+  /// Connections served at once; more are refused as busy.
+  std::size_t maxConnections_ = 1024;
+  ByteCount maxBody_{ 1U << 20U };
+};
+
+struct OperatorSettings
+{
+  Endpoint listen_;
+  std::string tokenFile_;
+};
+
+struct PeerSettings
+{
+  Endpoint listen_;
+  std::string tokenFile_;
+  std::vector<Endpoint> seeds_;
+};
+
+struct PlatformSettings
+{
+  Endpoint log_;
+  Endpoint vmList_;
+};
+
+struct LogOutputSettings
+{
+  std::string level_ = "info";
+  /// "text" for key=value lines, "json" for one object a line.
+  std::string format_ = "text";
+};
+
+/// Everything a daemon learns from its settings file.
+struct Settings
+{
+  std::string cluster_;
+  DaemonId daemon_;
+  RegionId region_;
+  ZoneId zone_;
+  CallerSettings callers_;
+  OperatorSettings operators_;
+  PeerSettings peers_;
+  PlatformSettings platform_;
+  LogOutputSettings logOutput_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/standins/LogStore.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "verbenawell/codec/LogPageCodec.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace standins {
+
+/// Append-only streams with offsets that keep a limited number of records.
+class LogStore
+{
+public:
+  /// Zero keeps every record.
+  explicit LogStore(std::size_t aRetention);
+
+  verbenawell::Offset Append(const std::string& aStream, std::string aRecord);
+  verbenawell::LogPage Read(const std::string& aStream,
+                            verbenawell::Offset aFrom,
+                            std::size_t aMax);
+
+  /// Drops all but the newest records of every stream.
+  void Expire(std::size_t aKeep);
+
+private:
+  struct Stream
+  {
+    verbenawell::Offset first_{ 1 };
+    std::deque<std::string> records_;
+  };
+
+  static void Trim(Stream& aStream, std::size_t aKeep);
+
+  std::size_t retention_;
+  std::mutex mutex_;
+  std::map<std::string, Stream> streams_;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/Platform.cpp
@@ -0,0 +1,140 @@
+#include "Platform.h"
+
+#include "verbenawell/codec/VmListCodec.h"
+
+#include <utility>
+
+namespace standins {
+
+using verbenawell::VmListing;
+
+Platform::Platform(std::vector<VmListing> aVms,
+                   std::chrono::milliseconds aRebootTime)
+  : rebootTime_(aRebootTime)
+{
+  for (VmListing& listing : aVms) {
+    Vm& vm = vms_[listing.facts_.vm_.Value()];
+    vm.listing_ = listing;
+    vm.worker_ = std::make_unique<Worker>(listing, ledger_);
+    vm.worker_->Boot();
+  }
+  booter_ = std::thread([this] { BootDueVms(); });
+}
+
+Platform::~Platform()
+{
+  {
+    const std::lock_guard lock{ mutex_ };
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  booter_.join();
+}
+
+std::string
+Platform::ListAsJson()
+{
+  const std::lock_guard lock{ mutex_ };
+  std::vector<VmListing> list;
+  for (const auto& [name, vm] : vms_) {
+    list.push_back(vm.listing_);
+  }
+  return verbenawell::EncodeVmList(list);
+}
+
+bool
+Platform::Reboot(const std::string& aVm, std::uint64_t aBoots)
+{
+  const std::lock_guard lock{ mutex_ };
+  const auto found = vms_.find(aVm);
+  if (found == vms_.end()) {
+    return false;
+  }
+  Vm& vm = found->second;
+  if (vm.rebooting_ || vm.listing_.facts_.boots_.Value() != aBoots) {
+    return true;
+  }
+  vm.worker_->Stop();
+  vm.listing_.live_ = false;
+  vm.rebooting_ = true;
+  vm.bootsAt_ = std::chrono::steady_clock::now() + rebootTime_;
+  changed_.notify_all();
+  return true;
+}
+
+bool
+Platform::Fail(const std::string& aVm)
+{
+  const std::lock_guard lock{ mutex_ };
+  const auto found = vms_.find(aVm);
+  if (found == vms_.end()) {
+    return false;
+  }
+  found->second.worker_->Stop();
+  found->second.listing_.live_ = false;
+  found->second.rebooting_ = false;
+  return true;
+}
+
+bool
+Platform::Repair(const std::string& aVm)
+{
+  const std::lock_guard lock{ mutex_ };
+  const auto found = vms_.find(aVm);
+  if (found == vms_.end() || found->second.listing_.live_) {
+    return false;
+  }
+  Boot(found->second);
+  return true;
+}
+
+bool
+Platform::SetLeaving(const std::string& aVm, bool aLeaving)
+{
+  const std::lock_guard lock{ mutex_ };
+  const auto found = vms_.find(aVm);
+  if (found == vms_.end()) {
+    return false;
+  }
+  found->second.listing_.leaving_ = aLeaving;
+  return true;
+}
+
+bool
+Platform::SetMode(const std::string& aVm, WorkerMode aMode)
+{
+  const std::lock_guard lock{ mutex_ };
+  const auto found = vms_.find(aVm);
+  if (found == vms_.end()) {
+    return false;
+  }
+  found->second.worker_->SetMode(aMode);
+  return true;
+}
+
+void
+Platform::BootDueVms()
+{
+  constexpr std::chrono::milliseconds kInterval{ 20 };
+  std::unique_lock lock{ mutex_ };
+  while (!stopping_) {
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [name, vm] : vms_) {
+      if (vm.rebooting_ && vm.bootsAt_ <= now) {
+        Boot(vm);
+      }
+    }
+    changed_.wait_for(lock, kInterval);
+  }
+}
+
+void
+Platform::Boot(Vm& aVm)
+{
+  aVm.rebooting_ = false;
+  aVm.listing_.live_ = true;
+  ++aVm.listing_.facts_.boots_;
+  aVm.worker_->Boot();
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/Platform.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "verbenawell/fleet/FleetEvents.h"
+
+#include "RunLedger.h"
+#include "Worker.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace standins {
+
+/// The platform's VMs: a list, reboots and failures.
+class Platform
+{
+public:
+  Platform(std::vector<verbenawell::VmListing> aVms,
+           std::chrono::milliseconds aRebootTime);
+  ~Platform();
+
+  [[nodiscard]] std::string ListAsJson();
+  [[nodiscard]] std::string LedgerAsJson() { return ledger_.ToJson(); }
+
+  /// Reboots a VM that still runs the named boot.
+  bool Reboot(const std::string& aVm, std::uint64_t aBoots);
+
+  /// The VM fails and stays down until `Repair`.
+  bool Fail(const std::string& aVm);
+  bool Repair(const std::string& aVm);
+  bool SetLeaving(const std::string& aVm, bool aLeaving);
+  bool SetMode(const std::string& aVm, WorkerMode aMode);
+
+private:
+  struct Vm
+  {
+    verbenawell::VmListing listing_;
+    std::unique_ptr<Worker> worker_;
+    std::chrono::steady_clock::time_point bootsAt_;
+    bool rebooting_ = false;
+  };
+
+  void BootDueVms();
+  void Boot(Vm& aVm);
+
+  std::chrono::milliseconds rebootTime_;
+  RunLedger ledger_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, Vm> vms_;
+  bool stopping_ = false;
+  std::thread booter_;
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/WaitForSignal.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <csignal>
+
+namespace standins {
+
+/// Blocks SIGTERM and SIGINT in all threads started later, and waits for one.
+class SignalWaiter
+{
+public:
+  SignalWaiter()
+  {
+    sigemptyset(&signals_);
+    sigaddset(&signals_, SIGTERM);
+    sigaddset(&signals_, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
+  }
+
+  void Wait() const
+  {
+    int signal = 0;
+    sigwait(&signals_, &signal);
+  }
+
+private:
+  sigset_t signals_{};
+};
+
+} // namespace standins
--- /dev/null
+++ b/standins/Worker.cpp
@@ -0,0 +1,96 @@
+#include "Worker.h"
+
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace standins {
+
+namespace {
+
+constexpr std::size_t kMaxConnections = 64;
+constexpr std::size_t kMaxBodyBytes = 16U << 20U;
+constexpr int kFailed = 500;
+constexpr std::chrono::hours kForever{ 24 };
+
+std::chrono::milliseconds
+RunTime(const httplib::Request& aRequest)
+{
+  const std::string text = aRequest.get_header_value("Standin-Run-Ms");
+  return std::chrono::milliseconds(text.empty() ? 0 : std::stoll(text));
+}
+
+} // namespace
+
+Worker::Worker(verbenawell::VmListing aListing, RunLedger& aLedger)
+  : listing_(std::move(aListing))
+  , ledger_(aLedger)
+{
+}
+
+Worker::~Worker()
+{
+  Stop();
+}
+
+void
+Worker::Boot()
+{
+  stopping_ = false;
+  server_ = std::make_unique<verbenawell::HttpServer>(
+    verbenawell::HttpServerLimits{ kMaxConnections, kMaxBodyBytes });
+  const auto handler = [this](const httplib::Request& aRequest,
+                              httplib::Response& aResponse) {
+    Handle(aRequest, aResponse);
+  };
+  server_->Get(".*", handler);
+  server_->Post(".*", handler);
+  server_->Put(".*", handler);
+  server_->Start(listing_.facts_.address_);
+}
+
+void
+Worker::Stop()
+{
+  {
+    const std::lock_guard lock{ mutex_ };
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  server_.reset();
+}
+
+void
+Worker::Handle(const httplib::Request& aRequest, httplib::Response& aResponse)
+{
+  const std::string& vm = listing_.facts_.vm_.Value();
+  ledger_.Begin(vm, aRequest.get_header_value("Verbenawell-Request-Id"));
+  if (mode_ == WorkerMode::FailingFast) {
+    aResponse.status = kFailed;
+    ledger_.End(vm, true);
+    return;
+  }
+  const bool whole =
+    RunFor(mode_ == WorkerMode::Silent ? kForever : RunTime(aRequest));
+  ledger_.End(vm, whole);
+  if (!whole) {
+    shutdown(verbenawell::HttpServer::CurrentSocket(), SHUT_RDWR);
+    return;
+  }
+  aResponse.set_header("Standin-Vm", vm);
+  aResponse.set_content("answer to " +
+                          aRequest.get_header_value("Verbenawell-Request-Id") +
+                          "\n" + aRequest.body,
+                        "text/plain");
+}
+
+bool
+Worker::RunFor(std::chrono::milliseconds aTime)
+{
+  std::unique_lock lock{ mutex_ };
+  return !changed_.wait_for(lock, aTime, [this] { return stopping_; });
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/platform_main.cpp
@@ -0,0 +1,114 @@
+#include "verbenawell/adapters/HttpServer.h"
+#include "verbenawell/codec/VmListCodec.h"
+
+#include "Platform.h"
+#include "WaitForSignal.h"
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <stdexcept>
+#include <string>
+
+#include <gflags/gflags.h>
+
+DEFINE_string(host, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(port, 7491, "port to listen on");
+DEFINE_string(vms, "", "file with the VM list as JSON");
+DEFINE_uint64(reboot_ms, 500, "time that a reboot takes");
+
+namespace {
+
+using httplib::Request;
+using httplib::Response;
+using standins::WorkerMode;
+using verbenawell::HttpServer;
+
+constexpr std::size_t kMaxConnections = 512;
+constexpr int kNotFound = 404;
+
+WorkerMode
+ParseMode(const std::string& aName)
+{
+  if (aName == "serving") {
+    return WorkerMode::Serving;
+  }
+  if (aName == "failing-fast") {
+    return WorkerMode::FailingFast;
+  }
+  if (aName == "silent") {
+    return WorkerMode::Silent;
+  }
+  throw std::invalid_argument("unknown worker mode \"" + aName + "\"");
+}
+
+/// Registers an order on the VM that the parameter `vm` names.
+template<typename Order>
+void
+OnVm(HttpServer& aServer, const std::string& aPath, Order aOrder)
+{
+  aServer.Post(aPath, [aOrder](const Request& aRequest, Response& aResponse) {
+    const bool found = aOrder(aRequest.get_param_value("vm"), aRequest);
+    aResponse.status = found ? 200 : kNotFound;
+  });
+}
+
+void
+Serve(HttpServer& aServer, standins::Platform& aPlatform)
+{
+  aServer.Get("/vms", [&](const Request&, Response& aResponse) {
+    aResponse.set_content(aPlatform.ListAsJson(), "application/json");
+  });
+  aServer.Get("/ledger", [&](const Request&, Response& aResponse) {
+    aResponse.set_content(aPlatform.LedgerAsJson(), "application/json");
+  });
+  OnVm(aServer, "/reboot", [&](const auto& aVm, const Request& aRequest) {
+    return aPlatform.Reboot(aVm,
+                            std::stoull(aRequest.get_param_value("boots")));
+  });
+  OnVm(aServer, "/fail", [&](const auto& aVm, const Request&) {
+    return aPlatform.Fail(aVm);
+  });
+  OnVm(aServer, "/repair", [&](const auto& aVm, const Request&) {
+    return aPlatform.Repair(aVm);
+  });
+  OnVm(aServer, "/leave", [&](const auto& aVm, const Request& aRequest) {
+    return aPlatform.SetLeaving(aVm,
+                                aRequest.get_param_value("leaving") != "0");
+  });
+  OnVm(aServer, "/mode", [&](const auto& aVm, const Request& aRequest) {
+    return aPlatform.SetMode(aVm, ParseMode(aRequest.get_param_value("mode")));
+  });
+}
+
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file{ aPath };
+  if (!file) {
+    throw std::runtime_error("cannot read \"" + aPath + "\"");
+  }
+  return { std::istreambuf_iterator<char>{ file }, {} };
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  try {
+    standins::SignalWaiter signals;
+    standins::Platform platform{ verbenawell::DecodeVmList(ReadFile(FLAGS_vms)),
+                                 std::chrono::milliseconds(FLAGS_reboot_ms) };
+    HttpServer server{ { kMaxConnections } };
+    Serve(server, platform);
+    server.Start({ FLAGS_host, static_cast<std::uint16_t>(FLAGS_port) });
+    signals.Wait();
+    server.Stop();
+  } catch (const std::exception& error) {
+    std::cerr << "standin-platform: " << error.what() << '\n';
+    return 1;
+  }
+}
