--- a/src/verbenawell/adapters/OperatorListener.cpp
+++ b/src/verbenawell/adapters/OperatorListener.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxConnections = 32;
-constexpr std::size_t kMaxCommandBytes = 64 * 1024;
+constexpr std::size_t kMaxCommandBytes = 64U << 10U;
 constexpr int kUnauthorized = 401;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
--- a/src/verbenawell/codec/internal/Encoder.h
+++ b/src/verbenawell/codec/internal/Encoder.h
@@ -66,7 +66,7 @@
 }
 
 inline nlohmann::json
-EncodeValue(const FleetChange& aChange)
+EncodeChange(const FleetChange& aChange)
 {
   return std::visit(
     [&](const auto& aKnown) {
@@ -84,15 +84,21 @@
     aChange);
 }
 
+// A template takes the variant itself only: an alternative would convert to
+// its variant and recurse without end.
 template<typename... Ts>
 nlohmann::json
 EncodeValue(const std::variant<Ts...>& aVariant)
 {
-  nlohmann::json result = nlohmann::json::array();
-  result.push_back(aVariant.index());
-  std::visit([&](const auto& aValue) { result.push_back(Encode(aValue)); },
-             aVariant);
-  return result;
+  if constexpr (std::is_same_v<std::variant<Ts...>, FleetChange>) {
+    return EncodeChange(aVariant);
+  } else {
+    nlohmann::json result = nlohmann::json::array();
+    result.push_back(aVariant.index());
+    std::visit([&](const auto& aValue) { result.push_back(Encode(aValue)); },
+               aVariant);
+    return result;
+  }
 }
 
 template<typename T>
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -49,7 +49,7 @@
   : settings_(aSettings)
   , work_(asio::make_work_guard(io_))
   , signals_(io_, SIGTERM, SIGINT)
-  , timers_(io_, [this](Event aEvent) { Apply(aEvent); })
+  , timers_(io_, [this](const Event& aEvent) { Apply(aEvent); })
   , callers_(aSettings.callers_,
              aSettings.daemon_,
              io_,
--- a/src/verbenawell/fleet/FleetReducer.cpp
+++ b/src/verbenawell/fleet/FleetReducer.cpp
@@ -50,7 +50,8 @@
 
   void operator()(const VmListRead& aEvent)
   {
-    if (!OwnsFleetRecords(views_.membership_, context_.self_)) {
+    if (!OwnsFleetRecords(views_.membership_, context_.self_) ||
+        FindSparePool(fleet_).IsEmpty()) {
       return;
     }
     for (const VmListing& listing : aEvent.vms_) {
@@ -92,8 +93,8 @@
   }
 
   /// Appends what the list says and the fold does not. The record id names
-  /// the fact, so that the same difference is recorded once even where it is
-  /// seen again before its record arrives.
+  /// the fact and the offset it was compared with, so that a difference seen
+  /// again before its record arrives is the same append.
   void RecordDifference(const VmListing& aListing)
   {
     const VmFacts& facts = aListing.facts_;
@@ -117,7 +118,7 @@
     const Offset version = VersionOf(fleet_, aFacts.vm_);
     FleetRecord record;
     record.id_ = RecordId{ aKind + "/" + aFacts.vm_.Value() + "/" +
-                           std::to_string(version.Value()) };
+                           std::to_string(fleet_.through_.Value()) };
     record.at_ = context_.wallNow_;
     record.author_ = OperatorId{ context_.self_.Value() };
     record.preconditions_ = { { aFacts.vm_, version } };
--- a/src/verbenawell/fleet/FleetState.cpp
+++ b/src/verbenawell/fleet/FleetState.cpp
@@ -31,6 +31,17 @@
   return VmCount{ static_cast<std::uint32_t>(serving) };
 }
 
+PoolId
+FindSparePool(const FleetState& aFleet)
+{
+  for (const auto& [id, pool] : aFleet.pools_) {
+    if (pool.spare_) {
+      return id;
+    }
+  }
+  return PoolId{};
+}
+
 Offset
 VersionOf(const FleetState& aFleet, const Subject& aSubject)
 {
--- a/src/verbenawell/fleet/FleetState.h
+++ b/src/verbenawell/fleet/FleetState.h
@@ -98,6 +98,10 @@
 VmCount
 CountServing(const FleetState& aFleet, const PoolState& aPool);
 
+/// The pool that receives new VMs; empty where none is defined.
+PoolId
+FindSparePool(const FleetState& aFleet);
+
 /// Offset at which the subject was last changed; zero where it never was.
 Offset
 VersionOf(const FleetState& aFleet, const Subject& aSubject);
--- a/src/verbenawell/fleet/Fold.cpp
+++ b/src/verbenawell/fleet/Fold.cpp
@@ -106,7 +106,7 @@
     auto [entry, isNew] = fleet_.vms_.try_emplace(aChange.facts_.vm_);
     VmState& vm = entry->second;
     if (isNew) {
-      const auto spare = FindSparePool();
+      const auto spare = FindSparePool(fleet_);
       if (spare.IsEmpty()) {
         fleet_.vms_.erase(entry);
         return "no spare pool to receive the VM";
@@ -290,19 +290,9 @@
   }
 
 private:
-  [[nodiscard]] PoolId FindSparePool() const
-  {
-    for (const auto& [id, pool] : fleet_.pools_) {
-      if (pool.spare_) {
-        return id;
-      }
-    }
-    return PoolId{};
-  }
-
   [[nodiscard]] bool HasOtherSparePool(const PoolId& aPool) const
   {
-    const PoolId spare = FindSparePool();
+    const PoolId spare = FindSparePool(fleet_);
     return !spare.IsEmpty() && spare != aPool;
   }
 
--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -107,7 +107,7 @@
     FleetRecord record;
     record.id_ = RecordId{ aWave.Value() + "/" + aVm.Value() + "/" +
                            std::to_string(aChange.index()) + "/" +
-                           std::to_string(VersionOf(fleet_, aWave).Value()) };
+                           std::to_string(fleet_.through_.Value()) };
     record.at_ = context_.wallNow_;
     record.author_ = OperatorId{ context_.self_.Value() };
     record.change_ = std::move(aChange);
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -8,11 +8,11 @@
 
 using verbenawell::VmListing;
 
-Platform::Platform(std::vector<VmListing> aVms,
+Platform::Platform(const std::vector<VmListing>& aVms,
                    std::chrono::milliseconds aRebootTime)
   : rebootTime_(aRebootTime)
 {
-  for (VmListing& listing : aVms) {
+  for (const VmListing& listing : aVms) {
     Vm& vm = vms_[listing.facts_.vm_.Value()];
     vm.listing_ = listing;
     vm.worker_ = std::make_unique<Worker>(listing, ledger_);
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -21,7 +21,7 @@
 class Platform
 {
 public:
-  Platform(std::vector<verbenawell::VmListing> aVms,
+  Platform(const std::vector<verbenawell::VmListing>& aVms,
            std::chrono::milliseconds aRebootTime);
   ~Platform();
 
