Plan refills, placements and waves, and drive waves by the plan

Cause: a wave stopped one VM at a time in no order, moves could take a serving VM away, and failed VMs were never replaced from the spare pool. Change: planner with an index kept per change (refills, loss of one zone, placement from nothing, wave order, width and forecast); StartMove drains a VM before MoveVm; the fold pauses a wave after 2 failures in a rack or 3 in a wave within 10 minutes and keeps 50 ended waves; reboots are repeated and limited; a standing schedule starts waves by age. Test changed: KeepsAVmInOnePoolThroughAMove starts the move first, since a serving VM may no longer change pools at once.

--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -256,7 +256,8 @@
   aArchive(aValue.facts_);
 }
 
-template<typename Archive, OneOf<VmDown, VmGone, DrainVm, UndrainVm> T>
+template<typename Archive,
+         OneOf<VmDown, VmGone, DrainVm, UndrainVm, CancelMove> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
@@ -270,7 +271,7 @@
   aArchive(aValue.vm_, aValue.boots_);
 }
 
-template<typename Archive, OneOf<MoveVm> T>
+template<typename Archive, OneOf<MoveVm, StartMove> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
@@ -284,13 +285,20 @@
   aArchive(aValue.wave_, aValue.pool_, aValue.vms_);
 }
 
-template<typename Archive, OneOf<ReserveStop, FinishStop, FailStop> T>
+template<typename Archive, OneOf<ReserveStop, FailStop> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
   aArchive(aValue.wave_, aValue.vm_);
 }
 
+template<typename Archive, OneOf<FinishStop> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.wave_, aValue.vm_, aValue.boots_);
+}
+
 template<typename Archive, OneOf<PauseWave> T>
 void
 Fields(Archive& aArchive, T& aValue)
@@ -381,7 +389,8 @@
                 "vm-gone",        "move-vm",     "drain-vm",
                 "undrain-vm",     "start-wave",  "reserve-stop",
                 "finish-stop",    "fail-stop",   "pause-wave",
-                "resume-wave",    "end-wave" };
+                "resume-wave",    "end-wave",    "start-move",
+                "cancel-move" };
 
 /// Last value of each encoded enumeration.
 template<typename Enum>
--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -53,6 +53,7 @@
                            AppendWanted,
                            StreamAdvanced,
                            RecordSettled,
+                           DrainQuery,
                            PoolDrained>;
 
 } // namespace verbenawell
--- a/src/verbenawell/fleet/FleetRecord.h
+++ b/src/verbenawell/fleet/FleetRecord.h
@@ -72,12 +72,26 @@
   VmId vm_;
 };
 
+/// Puts a VM that takes no requests into another pool.
 struct MoveVm
 {
   VmId vm_;
   PoolId to_;
 };
 
+/// Drains a VM; `MoveVm` follows once it is idle.
+struct StartMove
+{
+  VmId vm_;
+  PoolId to_;
+};
+
+/// Lets a VM whose move has not finished serve in its pool again.
+struct CancelMove
+{
+  VmId vm_;
+};
+
 struct DrainVm
 {
   VmId vm_;
@@ -108,6 +122,7 @@
 {
   WaveId wave_;
   VmId vm_;
+  BootCount boots_;
 };
 
 /// A VM did not come back from its planned stop.
@@ -159,6 +174,8 @@
                                  PauseWave,
                                  ResumeWave,
                                  EndWave,
+                                 StartMove,
+                                 CancelMove,
                                  UnknownChange>;
 
 /// What a change is about; versions are kept by subject.
--- a/src/verbenawell/fleet/FleetState.cpp
+++ b/src/verbenawell/fleet/FleetState.cpp
@@ -19,7 +19,8 @@
 bool
 IsServing(const VmState& aVm)
 {
-  return !aVm.down_ && !aVm.draining_ && aVm.stop_.IsEmpty();
+  return !aVm.down_ && !aVm.draining_ && aVm.stop_.IsEmpty() &&
+         aVm.movingTo_.IsEmpty();
 }
 
 VmCount
@@ -31,6 +32,16 @@
   return VmCount{ static_cast<std::uint32_t>(serving) };
 }
 
+VmCount
+LargestBudget(const FleetState& aFleet, const PoolState& aPool)
+{
+  VmCount largest;
+  for (const ServiceId& service : aPool.services_) {
+    largest = std::max(largest, aFleet.services_.at(service).budget_);
+  }
+  return largest;
+}
+
 PoolId
 FindSparePool(const FleetState& aFleet)
 {
--- a/src/verbenawell/fleet/FleetState.h
+++ b/src/verbenawell/fleet/FleetState.h
@@ -43,6 +43,10 @@
   bool draining_ = false;
   /// The wave that has reserved a planned stop; empty where none has.
   WaveId stop_;
+  /// The pool that the VM moves to once it is idle; empty where none.
+  PoolId movingTo_;
+  /// When the VM was first seen, or rebooted by a wave.
+  WallTime maintainedAt_;
 };
 
 struct QuotaState
@@ -59,13 +63,25 @@
   Failed,
 };
 
+/// A VM that failed while a wave ran in its pool.
+struct WaveFailure
+{
+  WallTime at_;
+  RackId rack_;
+};
+
 struct WaveState
 {
   PoolId pool_;
   std::map<VmId, StopStatus> stops_;
+  WallTime startedAt_;
+  /// The latest failures, the oldest first.
+  std::deque<WaveFailure> failures_;
   bool paused_ = false;
   std::string pauseReason_;
   bool ended_ = false;
+  /// Offset of the record that ended the wave.
+  Offset endedAt_;
 };
 
 struct SubjectHash
@@ -98,6 +114,10 @@
 VmCount
 CountServing(const FleetState& aFleet, const PoolState& aPool);
 
+/// Largest availability budget of the pool's services.
+VmCount
+LargestBudget(const FleetState& aFleet, const PoolState& aPool);
+
 /// The pool that receives new VMs; empty where none is defined.
 PoolId
 FindSparePool(const FleetState& aFleet);
--- a/src/verbenawell/fleet/Fold.cpp
+++ b/src/verbenawell/fleet/Fold.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace verbenawell {
@@ -11,6 +12,12 @@
 // Longer than any append stays unsettled at the log's full rate.
 constexpr std::size_t kRecentIds = 8192;
 
+// Failures of a pool within this time count as correlated.
+constexpr std::chrono::minutes kFailureWindow{ 10 };
+constexpr std::size_t kEndedWavesKept = 50;
+constexpr std::ptrdiff_t kFailuresInRack = 2;
+constexpr std::size_t kFailuresInWave = 3;
+
 using Refusal = std::optional<std::string>;
 
 std::string
@@ -23,8 +30,11 @@
 class Applier
 {
 public:
-  Applier(FleetState& aFleet, std::vector<Subject>& aChanged)
+  Applier(FleetState& aFleet,
+          const FleetRecord& aRecord,
+          std::vector<Subject>& aChanged)
     : fleet_(aFleet)
+    , at_(aRecord.at_)
     , changed_(aChanged)
   {
   }
@@ -112,6 +122,7 @@
         return "no spare pool to receive the VM";
       }
       vm.pool_ = spare;
+      vm.maintainedAt_ = at_;
       fleet_.pools_.at(spare).vms_.insert(aChange.facts_.vm_);
       changed_.emplace_back(spare);
     }
@@ -122,7 +133,10 @@
 
   Refusal operator()(const VmDown& aChange)
   {
-    return ChangeVm(aChange.vm_, [](VmState& aVm) { aVm.down_ = true; });
+    return ChangeVm(aChange.vm_, [&](VmState& aVm) {
+      aVm.down_ = true;
+      NoteFailure(aVm);
+    });
   }
 
   Refusal operator()(const VmUp& aChange)
@@ -165,10 +179,10 @@
     if (!vm.stop_.IsEmpty()) {
       return DescribeVm(aChange.vm_) + " has a planned stop";
     }
-    if (IsServing(vm) && !LeavesBudgets(vm.pool_)) {
-      return "the move would break an availability budget of pool \"" +
-             vm.pool_.Value() + "\"";
+    if (IsServing(vm) && !fleet_.pools_.at(vm.pool_).services_.empty()) {
+      return DescribeVm(aChange.vm_) + " still serves; start a move first";
     }
+    vm.movingTo_ = PoolId{};
     changed_.emplace_back(vm.pool_);
     fleet_.pools_.at(vm.pool_).vms_.erase(aChange.vm_);
     target->second.vms_.insert(aChange.vm_);
@@ -178,6 +192,37 @@
     return {};
   }
 
+  Refusal operator()(const StartMove& aChange)
+  {
+    const auto found = fleet_.vms_.find(aChange.vm_);
+    if (found == fleet_.vms_.end()) {
+      return "no " + DescribeVm(aChange.vm_);
+    }
+    const VmState& vm = found->second;
+    if (!fleet_.pools_.contains(aChange.to_)) {
+      return "no pool \"" + aChange.to_.Value() + "\"";
+    }
+    if (vm.pool_ == aChange.to_) {
+      return DescribeVm(aChange.vm_) + " is in pool \"" + aChange.to_.Value() +
+             "\" already";
+    }
+    if (!vm.stop_.IsEmpty()) {
+      return DescribeVm(aChange.vm_) + " has a planned stop";
+    }
+    if (IsServing(vm) && !LeavesBudgets(vm.pool_)) {
+      return "the move would break an availability budget of pool \"" +
+             vm.pool_.Value() + "\"";
+    }
+    return ChangeVm(aChange.vm_,
+                    [&](VmState& aVm) { aVm.movingTo_ = aChange.to_; });
+  }
+
+  Refusal operator()(const CancelMove& aChange)
+  {
+    return ChangeVm(aChange.vm_,
+                    [](VmState& aVm) { aVm.movingTo_ = PoolId{}; });
+  }
+
   Refusal operator()(const DrainVm& aChange)
   {
     const auto found = fleet_.vms_.find(aChange.vm_);
@@ -207,6 +252,7 @@
     }
     WaveState wave;
     wave.pool_ = aChange.pool_;
+    wave.startedAt_ = at_;
     for (const VmId& vm : aChange.vms_) {
       if (!pool->second.vms_.contains(vm)) {
         return DescribeVm(vm) + " is not in pool \"" + aChange.pool_.Value() +
@@ -254,12 +300,22 @@
 
   Refusal operator()(const FinishStop& aChange)
   {
-    return EndStop(aChange.wave_, aChange.vm_, StopStatus::Finished);
+    Refusal refusal = EndStop(aChange.wave_, aChange.vm_, StopStatus::Finished);
+    if (!refusal) {
+      VmState& vm = fleet_.vms_.at(aChange.vm_);
+      vm.facts_.boots_ = aChange.boots_;
+      vm.maintainedAt_ = at_;
+    }
+    return refusal;
   }
 
   Refusal operator()(const FailStop& aChange)
   {
-    return EndStop(aChange.wave_, aChange.vm_, StopStatus::Failed);
+    Refusal refusal = EndStop(aChange.wave_, aChange.vm_, StopStatus::Failed);
+    if (!refusal) {
+      NoteFailure(fleet_.vms_.at(aChange.vm_));
+    }
+    return refusal;
   }
 
   Refusal operator()(const PauseWave& aChange)
@@ -275,13 +331,18 @@
     return ChangeWave(aChange.wave_, [](WaveState& aWave) {
       aWave.paused_ = false;
       aWave.pauseReason_.clear();
+      aWave.failures_.clear();
     });
   }
 
   Refusal operator()(const EndWave& aChange)
   {
-    return ChangeWave(aChange.wave_,
-                      [](WaveState& aWave) { aWave.ended_ = true; });
+    Refusal refusal = ChangeWave(aChange.wave_, [&](WaveState& aWave) {
+      aWave.ended_ = true;
+      aWave.endedAt_ = fleet_.through_;
+    });
+    ForgetOldWaves();
+    return refusal;
   }
 
   Refusal operator()(const UnknownChange& aChange)
@@ -347,6 +408,46 @@
     return {};
   }
 
+  /// Counts a failure in the waves of the VM's pool, and pauses them where
+  /// failures are correlated: a rack that loses a second VM, or a third VM.
+  void NoteFailure(const VmState& aVm)
+  {
+    for (auto& [id, wave] : fleet_.waves_) {
+      if (wave.ended_ || wave.pool_ != aVm.pool_) {
+        continue;
+      }
+      while (!wave.failures_.empty() &&
+             wave.failures_.front().at_ + kFailureWindow < at_) {
+        wave.failures_.pop_front();
+      }
+      wave.failures_.push_back({ at_, aVm.facts_.rack_ });
+      const auto inRack = std::ranges::count(
+        wave.failures_, aVm.facts_.rack_, &WaveFailure::rack_);
+      if (inRack >= kFailuresInRack ||
+          wave.failures_.size() >= kFailuresInWave) {
+        wave.paused_ = true;
+        wave.pauseReason_ =
+          "correlated failures, the last in rack " + aVm.facts_.rack_.Value();
+      }
+      changed_.emplace_back(id);
+    }
+  }
+
+  void ForgetOldWaves()
+  {
+    std::vector<std::pair<Offset, WaveId>> ended;
+    for (const auto& [id, wave] : fleet_.waves_) {
+      if (wave.ended_) {
+        ended.emplace_back(wave.endedAt_, id);
+      }
+    }
+    std::ranges::sort(ended);
+    for (std::size_t at = 0; at + kEndedWavesKept < ended.size(); ++at) {
+      fleet_.waves_.erase(ended[at].second);
+      fleet_.provenance_.erase(ended[at].second);
+    }
+  }
+
   void NoteStop(const WaveId& aWave, const VmId& aVm)
   {
     changed_.emplace_back(aWave);
@@ -354,6 +455,7 @@
   }
 
   FleetState& fleet_;
+  WallTime at_;
   std::vector<Subject>& changed_;
 };
 
@@ -406,7 +508,7 @@
     outcome.refusal_ = std::move(*refusal);
     return outcome;
   }
-  Applier applier{ aFleet, outcome.changed_ };
+  Applier applier{ aFleet, aRecord, outcome.changed_ };
   if (Refusal refusal = std::visit(applier, aRecord.change_)) {
     outcome.refusal_ = std::move(*refusal);
     outcome.changed_.clear();
--- a/src/verbenawell/operators/Parser.cpp
+++ b/src/verbenawell/operators/Parser.cpp
@@ -149,7 +149,8 @@
   if (aReader.TakeIf("move")) {
     const VmId vm{ aReader.Name("a VM name") };
     aReader.Expect("to");
-    return ChangeFleet{ MoveVm{ vm, PoolId{ aReader.Name("a pool name") } } };
+    return ChangeFleet{ StartMove{ vm,
+                                   PoolId{ aReader.Name("a pool name") } } };
   }
   if (aReader.TakeIf("drain")) {
     return ChangeFleet{ DrainVm{ VmId{ aReader.Name("a VM name") } } };
--- /dev/null
+++ b/src/verbenawell/planner/FleetIndex.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Units.h"
+#include "verbenawell/fleet/FleetState.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace verbenawell {
+
+/// Serving VMs of one pool, by availability zone.
+struct PoolLoad
+{
+  /// Largest budget of the pool's services.
+  VmCount budget_;
+  VmCount serving_;
+  std::map<ZoneId, VmCount> byZone_;
+};
+
+/// What the planner asks of the fleet, kept up to date change by change: the
+/// cost of a change does not grow with the number of VMs.
+class FleetIndex
+{
+public:
+  void Rebuild(const FleetState& aFleet);
+  void Update(const FleetState& aFleet, const Subject& aSubject);
+
+  [[nodiscard]] const std::map<PoolId, PoolLoad>& Pools() const
+  {
+    return pools_;
+  }
+
+  /// Serving VMs of the spare pool, by availability zone.
+  [[nodiscard]] const std::map<ZoneId, std::set<VmId>>& Spares() const
+  {
+    return spares_;
+  }
+
+  [[nodiscard]] VmCount SpareCount() const { return spareCount_; }
+
+private:
+  /// Where a serving VM is counted.
+  struct Place
+  {
+    PoolId pool_;
+    ZoneId zone_;
+    bool spare_ = false;
+  };
+
+  void UpdateVm(const FleetState& aFleet, const VmId& aVm);
+  void UpdatePool(const FleetState& aFleet, const PoolId& aPool);
+  void Remove(const VmId& aVm, const Place& aPlace);
+
+  std::map<PoolId, PoolLoad> pools_;
+  std::map<ZoneId, std::set<VmId>> spares_;
+  VmCount spareCount_;
+  std::unordered_map<VmId, Place> places_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/planner/SparePlan.cpp
@@ -0,0 +1,142 @@
+#include "verbenawell/planner/SparePlan.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+std::set<ZoneId>
+ZonesOf(const FleetIndex& aIndex)
+{
+  std::set<ZoneId> zones;
+  for (const auto& [id, load] : aIndex.Pools()) {
+    for (const auto& [zone, count] : load.byZone_) {
+      zones.insert(zone);
+    }
+  }
+  for (const auto& [zone, vms] : aIndex.Spares()) {
+    zones.insert(zone);
+  }
+  return zones;
+}
+
+VmCount
+CountIn(const std::map<ZoneId, VmCount>& aByZone, const ZoneId& aZone)
+{
+  const auto found = aByZone.find(aZone);
+  return found == aByZone.end() ? VmCount{} : found->second;
+}
+
+ZoneLoss
+AssessLoss(const FleetIndex& aIndex, const ZoneId& aZone)
+{
+  ZoneLoss loss{ aZone, {}, aIndex.SpareCount() };
+  if (const auto spares = aIndex.Spares().find(aZone);
+      spares != aIndex.Spares().end()) {
+    loss.spares_ -=
+      VmCount{ static_cast<std::uint32_t>(spares->second.size()) };
+  }
+  for (const auto& [id, load] : aIndex.Pools()) {
+    const VmCount left = load.serving_ - CountIn(load.byZone_, aZone);
+    if (left < load.budget_) {
+      loss.missing_ += load.budget_ - left;
+    }
+  }
+  return loss;
+}
+
+/// Spare VMs that a plan has not used yet.
+class SpareStock
+{
+public:
+  explicit SpareStock(const FleetIndex& aIndex)
+    : spares_(aIndex.Spares())
+  {
+  }
+
+  /// Takes a VM from the zone where the pool has the fewest, and among those
+  /// from the one with the most spares left.
+  std::optional<std::pair<VmId, ZoneId>> Take(
+    const std::map<ZoneId, VmCount>& aPoolByZone)
+  {
+    auto best = spares_.end();
+    for (auto zone = spares_.begin(); zone != spares_.end(); ++zone) {
+      if (!zone->second.empty() &&
+          (best == spares_.end() || IsBetter(*zone, *best, aPoolByZone))) {
+        best = zone;
+      }
+    }
+    if (best == spares_.end()) {
+      return {};
+    }
+    const VmId vm = *best->second.begin();
+    best->second.erase(best->second.begin());
+    return std::pair{ vm, best->first };
+  }
+
+private:
+  using Zone = std::pair<const ZoneId, std::set<VmId>>;
+
+  static bool IsBetter(const Zone& aLeft,
+                       const Zone& aRight,
+                       const std::map<ZoneId, VmCount>& aPoolByZone)
+  {
+    const VmCount left = CountIn(aPoolByZone, aLeft.first);
+    const VmCount right = CountIn(aPoolByZone, aRight.first);
+    return left != right ? left < right
+                         : aLeft.second.size() > aRight.second.size();
+  }
+
+  std::map<ZoneId, std::set<VmId>> spares_;
+};
+
+} // namespace
+
+SpareNeed
+AssessSpares(const FleetIndex& aIndex)
+{
+  SpareNeed need;
+  std::int64_t leastMargin = 0;
+  for (const ZoneId& zone : ZonesOf(aIndex)) {
+    const ZoneLoss loss = AssessLoss(aIndex, zone);
+    const std::int64_t margin = std::int64_t{ loss.spares_.Value() } -
+                                std::int64_t{ loss.missing_.Value() };
+    if (need.worst_.zone_.IsEmpty() || margin < leastMargin) {
+      need.worst_ = loss;
+      leastMargin = margin;
+    }
+  }
+  need.covered_ = leastMargin >= 0;
+  return need;
+}
+
+std::vector<PlannedMove>
+PlanRefills(const FleetIndex& aIndex,
+            const PoolId& aSparePool,
+            const std::set<PoolId>& aWavePools)
+{
+  std::vector<PlannedMove> moves;
+  SpareStock stock{ aIndex };
+  for (const auto& [id, load] : aIndex.Pools()) {
+    VmCount wanted = load.budget_;
+    if (aWavePools.contains(id)) {
+      ++wanted;
+    }
+    auto byZone = load.byZone_;
+    for (VmCount serving = load.serving_; serving < wanted; ++serving) {
+      const auto taken = stock.Take(byZone);
+      if (!taken) {
+        return moves;
+      }
+      moves.push_back({ taken->first, aSparePool, id });
+      ++byZone[taken->second];
+    }
+  }
+  return moves;
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -51,6 +51,8 @@
     }
   }
 
+  void operator()(const DrainQuery& aEvent) { ReportIfDrained(aEvent.vm_); }
+
   void operator()(const auto&) {}
 
 private:
--- a/src/verbenawell/requests/RequestEvents.h
+++ b/src/verbenawell/requests/RequestEvents.h
@@ -26,6 +26,13 @@
   Duration runTime_{};
 };
 
+/// Asks the pool's owner to raise `PoolDrained` if the VM is idle.
+struct DrainQuery
+{
+  PoolId pool_;
+  VmId vm_;
+};
+
 /// No attempt runs on a VM that takes no new work.
 struct PoolDrained
 {
--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -1,11 +1,15 @@
 #include "verbenawell/waves/WavesReducer.h"
 
+#include "verbenawell/fleet/FleetSettings.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/log/Streams.h"
 #include "verbenawell/membership/Ownership.h"
+#include "verbenawell/planner/SparePlan.h"
+#include "verbenawell/planner/WavePlan.h"
+#include "verbenawell/waves/Schedule.h"
 #include "verbenawell/waves/WavesState.h"
 
-#include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -14,6 +18,10 @@
 namespace {
 
 constexpr Duration kWaveInterval = std::chrono::milliseconds(250);
+constexpr Duration kRebootRetryInterval = std::chrono::seconds(2);
+constexpr Duration kScheduleInterval = std::chrono::seconds(60);
+/// Weight of a new observation in the smoothed reboot time: one part in 4.
+constexpr int kRebootSmoothing = 4;
 
 class Reducer
 {
@@ -40,38 +48,52 @@
     if (!std::holds_alternative<WaveTick>(aEvent.key_)) {
       return;
     }
-    for (const auto& [id, wave] : fleet_.waves_) {
-      if (!wave.ended_ && Drives(wave)) {
-        Advance(id, wave);
+    effects_.emplace_back(SetTimer{ WaveTick{}, kWaveInterval });
+    if (waves_.pending_.empty()) {
+      for (const auto& [id, wave] : fleet_.waves_) {
+        if (!wave.ended_ && Drives(wave.pool_)) {
+          Advance(id, wave);
+        }
       }
+      RefillPools();
+    }
+    AskForDrains();
+    CheckReboots();
+    CheckSchedule();
+  }
+
+  void operator()(const FleetChanged& aEvent)
+  {
+    for (const Subject& subject : aEvent.subjects_) {
+      waves_.index_.Update(fleet_, subject);
     }
-    effects_.emplace_back(SetTimer{ WaveTick{}, kWaveInterval });
+  }
+
+  void operator()(const RecordSettled& aEvent)
+  {
+    waves_.pending_.erase(aEvent.id_);
   }
 
   void operator()(const PoolDrained& aEvent)
   {
-    const auto vm = fleet_.vms_.find(aEvent.vm_);
-    if (vm == fleet_.vms_.end() || vm->second.stop_.IsEmpty()) {
+    const auto found = fleet_.vms_.find(aEvent.vm_);
+    if (found == fleet_.vms_.end() || !Drives(aEvent.pool_)) {
       return;
     }
-    DrivenStop& stop = waves_.stops_[aEvent.vm_];
-    stop.wave_ = vm->second.stop_;
-    stop.phase_ = StopPhase::Rebooting;
-    stop.boots_ = vm->second.facts_.boots_;
-    stop.since_ = context_.now_;
-    effects_.emplace_back(RebootVm{ aEvent.vm_, stop.boots_ });
+    const VmState& vm = found->second;
+    if (!vm.stop_.IsEmpty()) {
+      OrderReboot(vm);
+    } else if (!vm.movingTo_.IsEmpty()) {
+      Append(MoveVm{ aEvent.vm_, vm.movingTo_ });
+    }
   }
 
   void operator()(const VmListRead& aEvent)
   {
     for (const VmListing& listing : aEvent.vms_) {
-      const auto found = waves_.stops_.find(listing.facts_.vm_);
-      if (found != waves_.stops_.end() && listing.live_ &&
-          listing.facts_.boots_ > found->second.boots_) {
-        Append(found->second.wave_,
-               listing.facts_.vm_,
-               FinishStop{ found->second.wave_, listing.facts_.vm_ });
-        waves_.stops_.erase(found);
+      if (const auto found = waves_.reboots_.find(listing.facts_.vm_);
+          found != waves_.reboots_.end()) {
+        Verify(listing, found->second);
       }
     }
   }
@@ -79,39 +101,155 @@
   void operator()(const auto&) {}
 
 private:
-  [[nodiscard]] bool Drives(const WaveState& aWave) const
+  [[nodiscard]] bool Drives(const PoolId& aPool) const
   {
-    return OwnerOfPool(views_.membership_, aWave.pool_) == context_.self_;
+    return OwnerOfPool(views_.membership_, aPool) == context_.self_;
   }
 
-  /// Stops one VM at a time.
   void Advance(const WaveId& aId, const WaveState& aWave)
   {
-    const auto is = [](StopStatus aStatus) {
-      return [aStatus](const auto& aStop) { return aStop.second == aStatus; };
-    };
-    if (std::ranges::any_of(aWave.stops_, is(StopStatus::Reserved))) {
+    const auto order = OrderStops(fleet_, aWave);
+    std::size_t allowed =
+      StopsAllowed(fleet_, aWave, waves_.index_.SpareCount());
+    for (const VmId& vm : order) {
+      if (allowed == 0) {
+        return;
+      }
+      if (const VmState& state = fleet_.vms_.at(vm);
+          state.stop_.IsEmpty() && state.movingTo_.IsEmpty()) {
+        Append(ReserveStop{ aId, vm });
+        --allowed;
+      }
+    }
+    if (order.empty() && !HasRunningStops(aWave)) {
+      Append(EndWave{ aId });
+    }
+  }
+
+  static bool HasRunningStops(const WaveState& aWave)
+  {
+    for (const auto& [vm, status] : aWave.stops_) {
+      if (status == StopStatus::Reserved) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void RefillPools()
+  {
+    if (!OwnsFleetRecords(views_.membership_, context_.self_)) {
+      return;
+    }
+    std::set<PoolId> wavePools;
+    for (const auto& [id, wave] : fleet_.waves_) {
+      // With a stop in progress the wave goes on without a borrowed VM.
+      if (!wave.ended_ && !wave.paused_ && !HasRunningStops(wave)) {
+        wavePools.insert(wave.pool_);
+      }
+    }
+    for (const PlannedMove& move :
+         PlanRefills(waves_.index_, FindSparePool(fleet_), wavePools)) {
+      Append(MoveVm{ move.vm_, move.to_ },
+             { { move.vm_, VersionOf(fleet_, move.vm_) } });
+    }
+  }
+
+  // The owner raises `PoolDrained` when the last request ends; asking again
+  // covers an idle VM whose stop another daemon began to drive.
+  void AskForDrains()
+  {
+    for (const auto& [id, wave] : fleet_.waves_) {
+      if (wave.ended_ || !Drives(wave.pool_)) {
+        continue;
+      }
+      for (const auto& [vm, status] : wave.stops_) {
+        if (status == StopStatus::Reserved && !waves_.reboots_.contains(vm)) {
+          effects_.emplace_back(Raise{ DrainQuery{ wave.pool_, vm } });
+        }
+      }
+    }
+  }
+
+  void OrderReboot(const VmState& aVm)
+  {
+    const VmId& id = aVm.facts_.vm_;
+    const auto [entry, isNew] = waves_.reboots_.try_emplace(
+      id,
+      OrderedReboot{
+        aVm.stop_, aVm.facts_.boots_, context_.now_, context_.now_ });
+    if (isNew) {
+      effects_.emplace_back(RebootVm{ id, aVm.facts_.boots_ });
+    }
+  }
+
+  void Verify(const VmListing& aListing, const OrderedReboot& aReboot)
+  {
+    const VmFacts& facts = aListing.facts_;
+    if (!aListing.live_ || facts.boots_ <= aReboot.boots_) {
+      return;
+    }
+    const Duration took = context_.now_ - aReboot.orderedAt_;
+    waves_.rebootTime_ += (took - waves_.rebootTime_) / kRebootSmoothing;
+    Append(FinishStop{ aReboot.wave_, facts.vm_, facts.boots_ });
+    waves_.reboots_.erase(facts.vm_);
+  }
+
+  void CheckReboots()
+  {
+    const Duration limit = std::chrono::seconds(ValueOf(fleet_, kRebootLimit));
+    for (auto entry = waves_.reboots_.begin();
+         entry != waves_.reboots_.end();) {
+      auto& [vm, reboot] = *entry;
+      const auto found = fleet_.vms_.find(vm);
+      if (found == fleet_.vms_.end() || found->second.stop_ != reboot.wave_) {
+        entry = waves_.reboots_.erase(entry);
+      } else if (context_.now_ - reboot.orderedAt_ >= limit) {
+        Append(FailStop{ reboot.wave_, vm });
+        entry = waves_.reboots_.erase(entry);
+      } else {
+        RepeatOrder(vm, reboot);
+        ++entry;
+      }
+    }
+  }
+
+  // An order may be lost. The platform ignores it once the boot has changed.
+  void RepeatOrder(const VmId& aVm, OrderedReboot& aReboot)
+  {
+    if (context_.now_ - aReboot.lastOrderAt_ >= kRebootRetryInterval) {
+      aReboot.lastOrderAt_ = context_.now_;
+      effects_.emplace_back(RebootVm{ aVm, aReboot.boots_ });
+    }
+  }
+
+  void CheckSchedule()
+  {
+    if (context_.now_ - waves_.scheduleCheckedAt_ < kScheduleInterval ||
+        !OwnsFleetRecords(views_.membership_, context_.self_)) {
       return;
     }
-    const auto next =
-      std::ranges::find_if(aWave.stops_, is(StopStatus::Waiting));
-    if (next == aWave.stops_.end()) {
-      Append(aId, VmId{}, EndWave{ aId });
-    } else if (!aWave.paused_) {
-      Append(aId, next->first, ReserveStop{ aId, next->first });
+    waves_.scheduleCheckedAt_ = context_.now_;
+    for (StartWave& wave : DueWaves(fleet_, context_.wallNow_)) {
+      const WaveId id = wave.wave_;
+      Append(std::move(wave), { { id, Offset{} } });
     }
   }
 
-  void Append(const WaveId& aWave, const VmId& aVm, FleetChange aChange)
+  void Append(FleetChange aChange,
+              std::vector<Precondition> aPreconditions = {})
   {
     FleetRecord record;
-    record.id_ = RecordId{ aWave.Value() + "/" + aVm.Value() + "/" +
-                           std::to_string(aChange.index()) + "/" +
-                           std::to_string(fleet_.through_.Value()) };
+    record.id_ =
+      RecordId{ context_.self_.Value() + "/waves/" +
+                std::to_string(context_.wallNow_.time_since_epoch().count()) +
+                "/" + std::to_string(++waves_.lastRecord_) };
     record.at_ = context_.wallNow_;
     record.author_ = OperatorId{ context_.self_.Value() };
+    record.preconditions_ = std::move(aPreconditions);
     record.change_ = std::move(aChange);
     const RecordId id = record.id_;
+    waves_.pending_.insert(id);
     effects_.emplace_back(
       Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
   }
--- a/src/verbenawell/waves/WavesState.h
+++ b/src/verbenawell/waves/WavesState.h
@@ -3,33 +3,33 @@
 #include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Time.h"
 #include "verbenawell/core/Units.h"
+#include "verbenawell/planner/FleetIndex.h"
 
-#include <cstdint>
 #include <map>
+#include <unordered_set>
 
 namespace verbenawell {
 
-enum class StopPhase : std::uint8_t
-{
-  /// Takes no new work; requests in progress finish.
-  Draining,
-  /// The platform has been asked to reboot the VM.
-  Rebooting,
-};
-
-/// A planned stop that this daemon drives.
-struct DrivenStop
+/// A reboot that this daemon has ordered and that has not been verified.
+struct OrderedReboot
 {
   WaveId wave_;
-  StopPhase phase_ = StopPhase::Draining;
   /// Boot that the reboot replaces.
   BootCount boots_;
-  TimePoint since_;
+  TimePoint orderedAt_;
+  TimePoint lastOrderAt_;
 };
 
 struct WavesState
 {
-  std::map<VmId, DrivenStop> stops_;
+  FleetIndex index_;
+  std::map<VmId, OrderedReboot> reboots_;
+  /// Records of this module on their way; one decision waits for them.
+  std::unordered_set<RecordId> pending_;
+  std::uint64_t lastRecord_ = 0;
+  /// Smoothed time from the order of a reboot to the VM's return.
+  Duration rebootTime_ = std::chrono::seconds(60);
+  TimePoint scheduleCheckedAt_;
 };
 
 } // namespace verbenawell
--- a/tests/unit/FoldTest.cpp
+++ b/tests/unit/FoldTest.cpp
@@ -62,11 +62,48 @@
 // Guards against a VM that two pools own after a move.
 TEST_F(FoldTest, KeepsAVmInOnePoolThroughAMove)
 {
+  ASSERT_EQ(Record(StartMove{ VmId{ "vm1" }, PoolId{ "spare" } }), "");
+  EXPECT_TRUE(fleet_.pools_.at(PoolId{ "web" }).vms_.contains(VmId{ "vm1" }));
   ASSERT_EQ(Record(MoveVm{ VmId{ "vm1" }, PoolId{ "spare" } }), "");
   EXPECT_TRUE(fleet_.pools_.at(PoolId{ "spare" }).vms_.contains(VmId{ "vm1" }));
   EXPECT_FALSE(fleet_.pools_.at(PoolId{ "web" }).vms_.contains(VmId{ "vm1" }));
 }
 
+// Guards against a worker that gets slots from the owners of two pools.
+TEST_F(FoldTest, RefusesToMoveAVmThatStillServes)
+{
+  EXPECT_NE(Record(MoveVm{ VmId{ "vm1" }, PoolId{ "spare" } }), "");
+}
+
+// Guards against a move that takes the last VM of a budget.
+TEST_F(FoldTest, RefusesAMoveThatWouldBreakABudget)
+{
+  EXPECT_EQ(Record(StartMove{ VmId{ "vm1" }, PoolId{ "spare" } }), "");
+  EXPECT_NE(Record(StartMove{ VmId{ "vm2" }, PoolId{ "spare" } }), "");
+}
+
+// Guards against a wave that goes on stopping VMs of a pool that is failing.
+TEST_F(FoldTest, PausesTheWaveAfterTwoFailuresInOneRack)
+{
+  Record(VmDown{ VmId{ "vm1" } });
+  EXPECT_FALSE(fleet_.waves_.at(WaveId{ "w1" }).paused_);
+  Record(VmDown{ VmId{ "vm2" } });
+  EXPECT_TRUE(fleet_.waves_.at(WaveId{ "w1" }).paused_);
+}
+
+// Guards against a state that grows with every wave ever run.
+TEST_F(FoldTest, KeepsALimitedNumberOfEndedWaves)
+{
+  Record(EndWave{ WaveId{ "w1" } });
+  for (int number = 0; number < 200; ++number) {
+    const WaveId wave{ "n" + std::to_string(number) };
+    Record(StartWave{ wave, PoolId{ "web" }, {} });
+    Record(EndWave{ wave });
+  }
+  EXPECT_LE(fleet_.waves_.size(), 64U);
+  EXPECT_TRUE(fleet_.waves_.contains(WaveId{ "n199" }));
+}
+
 // Guards against two racing operators who both believe that they have won.
 TEST_F(FoldTest, GivesARaceOfTwoOperatorsOneWinner)
 {
