Split the owner part into admission, granting and return of slots

Cause: the queue policy, the intents and the take-over are built by two people and all touched OwnerReducer.cpp. Change: OwnerReducer.cpp only dispatches; SlotAdmission, SlotGranting, SlotReturn and Grant hold one step each and share OwnerScope. No change of behaviour. Conclusion: both parts can be changed side by side.

--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -1,29 +1,21 @@
 #include "verbenawell/requests/OwnerReducer.h"
 
-#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/core/Overloaded.h"
+#include "verbenawell/requests/OwnerScope.h"
 #include "verbenawell/requests/RequestsState.h"
-
-#include <algorithm>
-#include <utility>
+#include "verbenawell/requests/SlotAdmission.h"
+#include "verbenawell/requests/SlotGranting.h"
+#include "verbenawell/requests/SlotReturn.h"
 
 namespace verbenawell {
 
 namespace {
 
-constexpr std::size_t kMaxWaiting = 4096;
-constexpr Duration kQueueFullRetryAfter = std::chrono::seconds(1);
-
 class Reducer
 {
 public:
-  Reducer(OwnerState& aOwner,
-          const Views& aViews,
-          const Context& aContext,
-          Effects& aEffects)
-    : owner_(aOwner)
-    , views_(aViews)
-    , context_(aContext)
-    , effects_(aEffects)
+  explicit Reducer(OwnerScope aScope)
+    : scope_(aScope)
   {
   }
 
@@ -31,160 +23,34 @@
   {
     for (const Subject& subject : aEvent.subjects_) {
       if (const auto* vm = std::get_if<VmId>(&subject)) {
-        ReportIfDrained(*vm);
+        ReportIfDrained(scope_, *vm);
       }
     }
-    for (auto& [id, queue] : owner_.pools_) {
-      GrantFreeSlots(id, queue);
+    for (auto& [id, queue] : scope_.owner_.pools_) {
+      GrantFreeSlots(scope_, id, queue);
     }
   }
 
   void operator()(const PeerMessageReceived& aEvent)
   {
-    if (const auto* request = std::get_if<SlotRequest>(&aEvent.message_)) {
-      Enqueue(aEvent.from_, *request);
-    } else if (const auto* cancel = std::get_if<SlotCancel>(&aEvent.message_)) {
-      Withdraw({ aEvent.from_, cancel->key_ }, cancel->pool_);
-    } else if (const auto* release =
-                 std::get_if<SlotRelease>(&aEvent.message_)) {
-      Release(*release);
-    }
+    std::visit(
+      Overloaded{
+        [&](const SlotRequest& aRequest) {
+          AdmitTicket(scope_, aEvent.from_, aRequest);
+        },
+        [&](const SlotCancel& aCancel) {
+          WithdrawTicket(scope_, { aEvent.from_, aCancel.key_ }, aCancel.pool_);
+        },
+        [&](const SlotRelease& aRelease) { ReleaseSlot(scope_, aRelease); },
+        [](const auto&) {},
+      },
+      aEvent.message_);
   }
 
   void operator()(const auto&) {}
 
 private:
-  void Enqueue(const DaemonId& aEntry, const SlotRequest& aRequest)
-  {
-    const auto service = views_.fleet_.services_.find(aRequest.head_.service_);
-    if (service == views_.fleet_.services_.end()) {
-      Refuse(aEntry, aRequest.key_, NotRun{ RefusalReason::UnknownService });
-      return;
-    }
-    PoolQueue& queue = owner_.pools_[service->second.pool_];
-    if (queue.waiting_.size() >= kMaxWaiting) {
-      Refuse(aEntry,
-             aRequest.key_,
-             NotRun{ RefusalReason::QueueFull, kQueueFullRetryAfter });
-      return;
-    }
-    queue.waiting_.push_back({ { aEntry, aRequest.key_ },
-                               aRequest,
-                               context_.now_,
-                               context_.now_ + aRequest.head_.deadline_ });
-    GrantFreeSlots(service->second.pool_, queue);
-  }
-
-  void Withdraw(const TicketId& aTicket, const PoolId& aPool)
-  {
-    if (const auto found = owner_.pools_.find(aPool);
-        found != owner_.pools_.end()) {
-      std::erase_if(found->second.waiting_, [&](const QueuedTicket& aQueued) {
-        return aQueued.id_ == aTicket;
-      });
-    }
-  }
-
-  void Release(const SlotRelease& aRelease)
-  {
-    const auto pool = owner_.pools_.find(aRelease.pool_);
-    if (pool == owner_.pools_.end()) {
-      return;
-    }
-    PoolQueue& queue = pool->second;
-    if (const auto slot = queue.granted_.find(aRelease.attempt_);
-        slot != queue.granted_.end()) {
-      --queue.running_[slot->second.vm_];
-      queue.granted_.erase(slot);
-    }
-    ReportIfDrained(aRelease.vm_);
-    GrantFreeSlots(pool->first, queue);
-  }
-
-  void GrantFreeSlots(const PoolId& aPool, PoolQueue& aQueue)
-  {
-    while (!aQueue.waiting_.empty()) {
-      const QueuedTicket& next = aQueue.waiting_.front();
-      const VmState* worker = ChooseWorker(aPool, aQueue, next);
-      if (worker == nullptr) {
-        return;
-      }
-      Grant(aPool, aQueue, next, *worker);
-      aQueue.waiting_.pop_front();
-    }
-  }
-
-  [[nodiscard]] const VmState* ChooseWorker(const PoolId& aPool,
-                                            const PoolQueue& aQueue,
-                                            const QueuedTicket& aTicket) const
-  {
-    const auto pool = views_.fleet_.pools_.find(aPool);
-    if (pool == views_.fleet_.pools_.end()) {
-      return nullptr;
-    }
-    const VmState* best = nullptr;
-    SlotCount bestRunning;
-    for (const VmId& id : pool->second.vms_) {
-      const VmState& vm = views_.fleet_.vms_.at(id);
-      const auto found = aQueue.running_.find(id);
-      const SlotCount running =
-        found == aQueue.running_.end() ? SlotCount{} : found->second;
-      const bool usable = IsServing(vm) && running < vm.facts_.slots_ &&
-                          std::ranges::find(aTicket.request_.tried_, id) ==
-                            aTicket.request_.tried_.end();
-      if (usable && (best == nullptr || running < bestRunning)) {
-        best = &vm;
-        bestRunning = running;
-      }
-    }
-    return best;
-  }
-
-  void Grant(const PoolId& aPool,
-             PoolQueue& aQueue,
-             const QueuedTicket& aTicket,
-             const VmState& aWorker)
-  {
-    const VmId& vm = aWorker.facts_.vm_;
-    ++owner_.lastAttempt_;
-    ++aQueue.running_[vm];
-    aQueue.granted_[owner_.lastAttempt_] = { aTicket.id_, vm, context_.now_ };
-    effects_.emplace_back(
-      Observe{ LatencyMetric::QueueWait, context_.now_ - aTicket.queuedAt_ });
-    effects_.emplace_back(SendPeer{ aTicket.id_.entry_,
-                                    SlotGrant{ aTicket.id_.key_,
-                                               owner_.lastAttempt_,
-                                               aPool,
-                                               aQueue.term_,
-                                               vm,
-                                               aWorker.facts_.address_ } });
-  }
-
-  void ReportIfDrained(const VmId& aVm)
-  {
-    const auto found = views_.fleet_.vms_.find(aVm);
-    if (found == views_.fleet_.vms_.end() || IsServing(found->second)) {
-      return;
-    }
-    const PoolId& poolId = found->second.pool_;
-    const auto pool = owner_.pools_.find(poolId);
-    const bool idle = pool == owner_.pools_.end() ||
-                      !pool->second.running_.contains(aVm) ||
-                      pool->second.running_.at(aVm) == SlotCount{};
-    if (idle) {
-      effects_.emplace_back(Raise{ PoolDrained{ poolId, aVm } });
-    }
-  }
-
-  void Refuse(const DaemonId& aEntry, RequestKey aKey, const NotRun& aVerdict)
-  {
-    effects_.emplace_back(SendPeer{ aEntry, SlotRefusal{ aKey, aVerdict } });
-  }
-
-  OwnerState& owner_;
-  const Views& views_;
-  const Context& context_;
-  Effects& effects_;
+  OwnerScope scope_;
 };
 
 } // namespace
@@ -196,7 +62,10 @@
             const Context& aContext,
             Effects& aEffects)
 {
-  std::visit(Reducer{ aRequests.owner_, aViews, aContext, aEffects }, aEvent);
+  OwnerScope scope{
+    aRequests.owner_, aRequests.random_, aViews, aContext, aEffects
+  };
+  std::visit(Reducer{ scope }, aEvent);
 }
 
 } // namespace verbenawell
