Follow streams of the log that modules want

Only the fleet stream was followed, at a fixed interval, and a failed append was sent again after any page, also one that was read before the failure.

Modules now raise StreamWanted and StreamUnwanted. Polls keep to max(250 ms, members x 20 ms) and back off with jitter up to 2 s. A failed append is sent again only after a read that started later has reached the end it learned. Pending appends are bounded in count (1024) and age (10 s); AppendGivenUp tells whether the record may be in the log. A gap of the fleet stream is raised and never skipped.

--- a/src/verbenawell/adapters/LogClient.cpp
+++ b/src/verbenawell/adapters/LogClient.cpp
@@ -76,8 +76,9 @@
 Event
 LogClient::Read(const ReadLog& aEffect) const
 {
-  const std::string path =
-    PathOf(aEffect.stream_) + "&from=" + std::to_string(aEffect.from_.Value());
+  const std::string path = PathOf(aEffect.stream_) +
+                           "&from=" + std::to_string(aEffect.from_.Value()) +
+                           "&limit=" + std::to_string(aEffect.limit_);
   const auto result = ThreadClient(log_).Get(path);
   if (!result || result->status != kOk) {
     return LogReadFailed{ aEffect.stream_, Describe(result) };
--- a/src/verbenawell/core/Effect.h
+++ b/src/verbenawell/core/Effect.h
@@ -5,6 +5,8 @@
 #include "verbenawell/metrics/Counter.h"
 #include "verbenawell/operators/OperatorAnswer.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <variant>
@@ -64,6 +66,8 @@
 {
   StreamId stream_;
   Offset from_;
+  /// Most records of the answer; a longer page is read in parts.
+  std::size_t limit_ = 0;
 };
 
 struct AppendLog
--- a/src/verbenawell/core/TimerKey.h
+++ b/src/verbenawell/core/TimerKey.h
@@ -24,6 +24,12 @@
   bool operator==(const LogFlush&) const = default;
 };
 
+/// Gives up appends that are too old.
+struct AppendExpiry
+{
+  bool operator==(const AppendExpiry&) const = default;
+};
+
 struct VmListPoll
 {
   bool operator==(const VmListPoll&) const = default;
@@ -56,6 +62,7 @@
 using TimerKey = std::variant<MembershipTick,
                               LogPoll,
                               LogFlush,
+                              AppendExpiry,
                               VmListPoll,
                               OwnerTick,
                               EntryTick,
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -66,6 +66,7 @@
 {
   state_.membership_.self_ = DescribeSelf(aSettings);
   state_.requests_.random_ = Random{ std::random_device{}() };
+  state_.log_.random_ = Random{ std::random_device{}() };
 }
 
 void
--- a/src/verbenawell/log/LogEvents.h
+++ b/src/verbenawell/log/LogEvents.h
@@ -48,6 +48,47 @@
   RecordBody body_;
 };
 
+/// The append was not seen in the log in time; it is not sent again.
+struct AppendGivenUp
+{
+  StreamId stream_;
+  RecordId id_;
+  /// False where the record surely is not in the log.
+  bool mayBeInLog_ = true;
+  std::string reason_;
+};
+
+/// A module wants the records of a stream raised as `StreamAdvanced`.
+struct StreamWanted
+{
+  StreamId stream_;
+  /// First offset wanted; zero for the oldest record that the log has kept.
+  Offset from_;
+};
+
+struct StreamUnwanted
+{
+  StreamId stream_;
+};
+
+/// Every record up to the stream's end was raised; follows the first time
+/// that reading has reached the end after `StreamWanted`.
+struct StreamCaughtUp
+{
+  StreamId stream_;
+  /// Offset that the next record will get.
+  Offset next_;
+};
+
+/// Retention has passed records that were not read yet. The fold of the fleet
+/// stream needs a snapshot; other streams continue at `first_`.
+struct StreamGap
+{
+  StreamId stream_;
+  Offset from_;
+  Offset first_;
+};
+
 /// New records of a stream, each once and in order of their offsets.
 struct StreamAdvanced
 {
--- /dev/null
+++ b/src/verbenawell/log/ReadReducer.cpp
@@ -0,0 +1,274 @@
+#include "verbenawell/log/ReadReducer.h"
+
+#include "verbenawell/log/LogState.h"
+#include "verbenawell/log/Streams.h"
+#include "verbenawell/membership/MembershipState.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+// Together the members read a stream at most 50 times a second.
+constexpr Duration kPollIntervalPerMember = std::chrono::milliseconds(20);
+constexpr Duration kPollIntervalFailing = std::chrono::seconds(2);
+constexpr std::uint32_t kMostDoublings = 3;
+// Keeps the time that one page occupies the core short.
+constexpr std::size_t kMaxPageRecords = 256;
+
+class Reducer
+{
+public:
+  Reducer(LogState& aLog, const Views& aViews, Effects& aEffects)
+    : log_(aLog)
+    , views_(aViews)
+    , effects_(aEffects)
+  {
+  }
+
+  void operator()(const StreamWanted& aEvent)
+  {
+    StreamState& stream = log_.streams_[aEvent.stream_];
+    stream.followed_ = true;
+    stream.caughtUp_ = false;
+    stream.gap_ = false;
+    stream.next_ = aEvent.from_;
+    stream.discard_ = stream.reading_;
+    Read(aEvent.stream_, stream);
+  }
+
+  void operator()(const StreamUnwanted& aEvent)
+  {
+    if (const auto found = log_.streams_.find(aEvent.stream_);
+        found != log_.streams_.end()) {
+      found->second.followed_ = false;
+      ForgetIfUnused(found);
+    }
+  }
+
+  void operator()(const TimerDue& aEvent)
+  {
+    const auto* poll = std::get_if<LogPoll>(&aEvent.key_);
+    if (poll == nullptr) {
+      return;
+    }
+    const auto found = log_.streams_.find(poll->stream_);
+    if (found == log_.streams_.end()) {
+      return;
+    }
+    found->second.pollSet_ = false;
+    if (!found->second.reading_) {
+      Read(poll->stream_, found->second);
+    }
+  }
+
+  void operator()(const LogAppended& aEvent)
+  {
+    if (const auto found = log_.streams_.find(aEvent.stream_);
+        found != log_.streams_.end()) {
+      Read(aEvent.stream_, found->second);
+    }
+  }
+
+  // A poll that is due already is kept: appends that fail often would put it
+  // off for ever.
+  void operator()(const LogAppendFailed& aEvent)
+  {
+    if (const auto found = log_.streams_.find(aEvent.stream_);
+        found != log_.streams_.end() && !found->second.reading_ &&
+        !found->second.pollSet_) {
+      SchedulePoll(aEvent.stream_, found->second);
+    }
+  }
+
+  void operator()(const LogRead& aEvent)
+  {
+    const auto found = log_.streams_.find(aEvent.stream_);
+    if (found == log_.streams_.end()) {
+      return;
+    }
+    StreamState& stream = found->second;
+    stream.reading_ = false;
+    if (std::exchange(stream.failures_, 0) > 0) {
+      NoteChange(LogLevel::Info, "log-answers", aEvent.stream_, "");
+    }
+    const bool discard = std::exchange(stream.discard_, false);
+    bool reachedEnd = true;
+    if (!discard) {
+      reachedEnd = Advance(aEvent, stream);
+    }
+    if (ForgetIfUnused(found)) {
+      return;
+    }
+    if (discard || !reachedEnd || stream.readAgain_) {
+      Read(aEvent.stream_, stream);
+    } else {
+      SchedulePoll(aEvent.stream_, stream);
+    }
+  }
+
+  void operator()(const LogReadFailed& aEvent)
+  {
+    effects_.emplace_back(Count{ Counter::LogReadsFailed });
+    const auto found = log_.streams_.find(aEvent.stream_);
+    if (found == log_.streams_.end()) {
+      return;
+    }
+    StreamState& stream = found->second;
+    stream.reading_ = false;
+    stream.readAgain_ = false;
+    stream.discard_ = false;
+    if (stream.failures_++ == 0) {
+      NoteChange(
+        LogLevel::Warning, "log-failing", aEvent.stream_, aEvent.reason_);
+    }
+    if (!ForgetIfUnused(found)) {
+      SchedulePoll(aEvent.stream_, stream);
+    }
+  }
+
+  void operator()(const auto&) {}
+
+private:
+  using StreamEntry = std::map<StreamId, StreamState>::iterator;
+
+  bool ForgetIfUnused(StreamEntry aEntry)
+  {
+    const StreamState& stream = aEntry->second;
+    if (stream.followed_ || stream.reading_ || stream.appends_ > 0) {
+      return false;
+    }
+    log_.streams_.erase(aEntry);
+    return true;
+  }
+
+  void Read(const StreamId& aId, StreamState& aStream)
+  {
+    if (aStream.reading_) {
+      aStream.readAgain_ = true;
+      return;
+    }
+    aStream.reading_ = true;
+    aStream.readAgain_ = false;
+    ++aStream.readsStarted_;
+    effects_.emplace_back(ReadLog{ aId, aStream.next_, kMaxPageRecords });
+  }
+
+  // Doubles the interval while the log fails. The jitter spreads the reads of
+  // all daemons, so that they do not come at once after an outage.
+  void SchedulePoll(const StreamId& aId, StreamState& aStream)
+  {
+    aStream.pollSet_ = true;
+    const auto members =
+      static_cast<Duration::rep>(views_.membership_.members_.size());
+    Duration interval =
+      std::max(kPollInterval, kPollIntervalPerMember * members);
+    if (aStream.failures_ > 0) {
+      const std::uint32_t doublings =
+        std::min(aStream.failures_ - 1, kMostDoublings);
+      interval = std::min(interval * (1U << doublings),
+                          std::max(interval, kPollIntervalFailing));
+      interval -= Duration{ static_cast<Duration::rep>(
+        log_.random_.Below(static_cast<std::uint64_t>(interval.count()) / 2)) };
+    }
+    effects_.emplace_back(SetTimer{ LogPoll{ aId }, interval });
+  }
+
+  /// Raises what is new; returns false where the page did not reach the end
+  /// of the stream.
+  bool Advance(const LogRead& aPage, StreamState& aStream)
+  {
+    if (IsBehind(aPage, aStream) && !SkipGap(aPage, aStream)) {
+      return true;
+    }
+    StreamAdvanced advanced{ aPage.stream_, {} };
+    for (const LogRecord& record : aPage.records_) {
+      if (record.offset_ < aStream.next_) {
+        continue;
+      }
+      if (advanced.records_.size() >= kMaxPageRecords) {
+        break;
+      }
+      aStream.next_ = record.offset_ + Offset{ 1 };
+      advanced.records_.push_back(record);
+    }
+    if (aStream.followed_ && !advanced.records_.empty()) {
+      effects_.emplace_back(Raise{ std::move(advanced) });
+    }
+    if (aStream.next_ < aPage.next_) {
+      // An empty page before the end would be read again without a pause.
+      return aPage.records_.empty();
+    }
+    if (aStream.followed_ && !std::exchange(aStream.caughtUp_, true)) {
+      effects_.emplace_back(
+        Raise{ StreamCaughtUp{ aPage.stream_, aStream.next_ } });
+    }
+    return true;
+  }
+
+  static Offset FirstOf(const LogRead& aPage)
+  {
+    return aPage.records_.empty()
+             ? aPage.first_
+             : std::max(aPage.first_, aPage.records_.front().offset_);
+  }
+
+  static bool IsBehind(const LogRead& aPage, const StreamState& aStream)
+  {
+    return aStream.next_ < FirstOf(aPage);
+  }
+
+  /// Continues behind the gap where the stream allows it. The fleet stream
+  /// does not: its fold would silently lack what was passed.
+  bool SkipGap(const LogRead& aPage, StreamState& aStream)
+  {
+    const Offset first = FirstOf(aPage);
+    if (aStream.next_ == Offset{} && aPage.stream_ != FleetStream()) {
+      aStream.next_ = first;
+      return true;
+    }
+    const bool skips = aPage.stream_ != FleetStream();
+    if (skips || !std::exchange(aStream.gap_, true)) {
+      effects_.emplace_back(Count{ Counter::LogGaps });
+      effects_.emplace_back(
+        Raise{ StreamGap{ aPage.stream_, aStream.next_, first } });
+    }
+    if (skips) {
+      aStream.next_ = first;
+    }
+    return skips;
+  }
+
+  void NoteChange(LogLevel aLevel,
+                  std::string aEvent,
+                  const StreamId& aStream,
+                  const std::string& aReason)
+  {
+    effects_.emplace_back(
+      LogLine{ aLevel,
+               std::move(aEvent),
+               { { "stream", aStream.Value() }, { "reason", aReason } } });
+  }
+
+  LogState& log_;
+  const Views& views_;
+  Effects& effects_;
+};
+
+} // namespace
+
+void
+ReduceReads(LogState& aLog,
+            const Views& aViews,
+            const Event& aEvent,
+            const Context&,
+            Effects& aEffects)
+{
+  std::visit(Reducer{ aLog, aViews, aEffects }, aEvent);
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -28,6 +28,10 @@
       return "log_appends_failed";
     case Counter::LogAppendsSettledByReading:
       return "log_appends_settled_by_reading";
+    case Counter::LogAppendsGivenUp:
+      return "log_appends_given_up";
+    case Counter::LogGaps:
+      return "log_gaps";
     case Counter::VmListsFailed:
       return "vm_lists_failed";
     case Counter::WorkersEjected:
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -22,6 +22,8 @@
   LogReadsFailed,
   LogAppendsFailed,
   LogAppendsSettledByReading,
+  LogAppendsGivenUp,
+  LogGaps,
   VmListsFailed,
   WorkersEjected,
   OwnerTakeovers,
--- a/src/verbenawell/operators/OperatorsReducer.cpp
+++ b/src/verbenawell/operators/OperatorsReducer.cpp
@@ -73,6 +73,24 @@
     operators_.pending_.erase(found);
   }
 
+  void operator()(const AppendGivenUp& aEvent)
+  {
+    const auto found = operators_.pending_.find(aEvent.id_);
+    if (found == operators_.pending_.end()) {
+      return;
+    }
+    if (aEvent.mayBeInLog_) {
+      Answer(found->second.key_,
+             CommandStatus::Pending,
+             "the log has not answered; the change may take effect later");
+    } else {
+      Answer(found->second.key_,
+             CommandStatus::Refused,
+             "not in the log: " + aEvent.reason_);
+    }
+    operators_.pending_.erase(found);
+  }
+
   void operator()(const TimerDue& aEvent)
   {
     if (!std::holds_alternative<OperatorTick>(aEvent.key_)) {
--- a/standins/log_service_main.cpp
+++ b/standins/log_service_main.cpp
@@ -3,6 +3,7 @@
 #include "LogStore.h"
 #include "WaitForSignal.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -68,6 +69,16 @@
   }
 }
 
+std::size_t
+PageLimit(const httplib::Request& aRequest)
+{
+  if (!aRequest.has_param("limit")) {
+    return kMaxPage;
+  }
+  const std::size_t limit = std::stoull(aRequest.get_param_value("limit"));
+  return std::min(limit, kMaxPage);
+}
+
 void
 Serve(HttpServer& aServer, standins::LogStore& aStore, Faults& aFaults)
 {
@@ -99,7 +110,7 @@
       const auto page = aStore.Read(
         aRequest.get_param_value("stream"),
         verbenawell::Offset{ std::stoull(aRequest.get_param_value("from")) },
-        kMaxPage);
+        PageLimit(aRequest));
       aResponse.set_content(verbenawell::EncodeLogPage(page),
                             "application/cbor");
     });
--- /dev/null
+++ b/tests/unit/LogReadTest.cpp
@@ -0,0 +1,248 @@
+#include "verbenawell/core/State.h"
+#include "verbenawell/log/LogReducer.h"
+#include "verbenawell/log/Streams.h"
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+const StreamId kStream{ "intents/web" };
+
+LogRecord
+MakeRecord(std::uint64_t aOffset)
+{
+  return { Offset{ aOffset },
+           RecordId{ "r" + std::to_string(aOffset) },
+           IntentOwner{ PoolId{ "web" }, DaemonId{ "d1" }, Term{ 1 } } };
+}
+
+/// Runs the log's reducer alone and keeps the effects of the last event.
+class LogReadTest : public testing::Test
+{
+protected:
+  void Run(const Event& aEvent)
+  {
+    effects_.clear();
+    ReduceLog(state_.log_, state_.View(), aEvent, context_, effects_);
+  }
+
+  void Want(std::uint64_t aFrom)
+  {
+    Run(StreamWanted{ kStream, Offset{ aFrom } });
+  }
+
+  void Page(std::uint64_t aFirst,
+            std::uint64_t aNext,
+            std::vector<LogRecord> aRecords)
+  {
+    Run(LogRead{ kStream,
+                 state_.log_.streams_[kStream].next_,
+                 Offset{ aFirst },
+                 Offset{ aNext },
+                 std::move(aRecords) });
+  }
+
+  void Append(const std::string& aId)
+  {
+    Run(AppendWanted{ kStream, RecordId{ aId }, IntentOwner{} });
+  }
+
+  void FailAppend(const std::string& aId)
+  {
+    Run(LogAppendFailed{ kStream, RecordId{ aId }, false, "no answer" });
+  }
+
+  template<typename Kind>
+  [[nodiscard]] std::vector<Kind> All() const
+  {
+    std::vector<Kind> result;
+    for (const Effect& effect : effects_) {
+      if (const auto* found = std::get_if<Kind>(&effect)) {
+        result.push_back(*found);
+      }
+    }
+    return result;
+  }
+
+  template<typename Kind>
+  [[nodiscard]] std::vector<Kind> Raised() const
+  {
+    std::vector<Kind> result;
+    for (const Raise& raise : All<Raise>()) {
+      if (const auto* found = std::get_if<Kind>(&raise.event_)) {
+        result.push_back(*found);
+      }
+    }
+    return result;
+  }
+
+  [[nodiscard]] bool Counted(Counter aCounter) const
+  {
+    for (const Count& count : All<Count>()) {
+      if (count.key_ == CounterKey{ aCounter }) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  State state_;
+  Context context_{ TimePoint{}, WallTime{}, DaemonId{ "d1" } };
+  Effects effects_;
+};
+
+// Guards against a record that is folded twice because two pages hold it.
+TEST_F(LogReadTest, RaisesEachRecordOnceAndInOrder)
+{
+  Want(1);
+  Page(1, 3, { MakeRecord(1), MakeRecord(2) });
+  ASSERT_EQ(Raised<StreamAdvanced>().size(), 1U);
+  Page(1, 4, { MakeRecord(2), MakeRecord(3) });
+  const auto advanced = Raised<StreamAdvanced>();
+  ASSERT_EQ(advanced.size(), 1U);
+  ASSERT_EQ(advanced[0].records_.size(), 1U);
+  EXPECT_EQ(advanced[0].records_[0].offset_, Offset{ 3 });
+}
+
+// Guards against a take-over that goes on before it has read the window.
+TEST_F(LogReadTest, TellsOnceThatTheEndIsReached)
+{
+  Want(0);
+  Page(7, 9, { MakeRecord(7) });
+  EXPECT_TRUE(Raised<StreamCaughtUp>().empty());
+  EXPECT_EQ(All<ReadLog>().at(0).from_, Offset{ 8 });
+  Page(7, 9, { MakeRecord(8) });
+  EXPECT_EQ(Raised<StreamCaughtUp>().at(0).next_, Offset{ 9 });
+  Page(7, 9, {});
+  EXPECT_TRUE(Raised<StreamCaughtUp>().empty());
+}
+
+// Guards against records that reach a module after it has stopped following.
+TEST_F(LogReadTest, RaisesNothingOfAStreamThatIsNoLongerWanted)
+{
+  Want(1);
+  Run(StreamUnwanted{ kStream });
+  Page(1, 2, { MakeRecord(1) });
+  EXPECT_TRUE(Raised<StreamAdvanced>().empty());
+  EXPECT_FALSE(state_.log_.streams_.contains(kStream));
+}
+
+// Guards against a page of an earlier position that passes for a gap.
+TEST_F(LogReadTest, IgnoresThePageThatWasOnItsWayWhenTheStreamWasWantedAnew)
+{
+  Want(5);
+  Run(StreamWanted{ kStream, Offset{ 1 } });
+  Run(LogRead{
+    kStream, Offset{ 5 }, Offset{ 1 }, Offset{ 6 }, { MakeRecord(5) } });
+  EXPECT_TRUE(Raised<StreamAdvanced>().empty());
+  EXPECT_TRUE(Raised<StreamGap>().empty());
+  EXPECT_EQ(All<ReadLog>().at(0).from_, Offset{ 1 });
+}
+
+// Guards against a fold that silently lacks what retention has passed.
+TEST_F(LogReadTest, NeverSkipsAGapOfTheFleetStream)
+{
+  Run(StreamWanted{ FleetStream(), Offset{ 1 } });
+  const LogRead page{
+    FleetStream(), Offset{ 1 }, Offset{ 5 }, Offset{ 6 }, { MakeRecord(5) }
+  };
+  Run(page);
+  EXPECT_TRUE(Raised<StreamAdvanced>().empty());
+  EXPECT_TRUE(Raised<StreamCaughtUp>().empty());
+  EXPECT_EQ(Raised<StreamGap>().at(0).first_, Offset{ 5 });
+  EXPECT_EQ(state_.log_.streams_[FleetStream()].next_, Offset{ 1 });
+}
+
+// Guards against hundreds of daemons that read together after an outage.
+TEST_F(LogReadTest, SpreadsThePollsOfAnOutageUpToTwoSeconds)
+{
+  std::set<Duration> intervals;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    state_.log_ = LogState{};
+    state_.log_.random_ = Random{ seed };
+    Want(1);
+    for (int failure = 0; failure < 10; ++failure) {
+      Run(LogReadFailed{ kStream, "down" });
+      Run(TimerDue{ LogPoll{ kStream } });
+    }
+    Run(LogReadFailed{ kStream, "down" });
+    const Duration interval = All<SetTimer>().at(0).after_;
+    EXPECT_GE(interval, std::chrono::seconds(1));
+    EXPECT_LE(interval, std::chrono::seconds(2));
+    intervals.insert(interval);
+  }
+  EXPECT_GT(intervals.size(), 15U);
+}
+
+// Guards against appends that fail often and keep the log from being read.
+TEST_F(LogReadTest, DoesNotPutOffAPollWhenAnAppendFails)
+{
+  Want(1);
+  Page(1, 1, {});
+  ASSERT_EQ(All<SetTimer>().size(), 1U);
+  Append("a");
+  FailAppend("a");
+  EXPECT_TRUE(All<SetTimer>().empty());
+}
+
+// Guards against a lost answer that makes the daemon append twice.
+TEST_F(LogReadTest, SettlesAnAppendWhoseAnswerWasLostByReading)
+{
+  Want(1);
+  Page(1, 1, {});
+  Append("r1");
+  FailAppend("r1");
+  Run(TimerDue{ LogPoll{ kStream } });
+  Page(1, 2, { MakeRecord(1) });
+  EXPECT_TRUE(All<AppendLog>().empty());
+  EXPECT_TRUE(Counted(Counter::LogAppendsSettledByReading));
+  EXPECT_TRUE(state_.log_.pending_.empty());
+}
+
+// Guards against a second append on the word of a read that is too old to
+// know whether the first one took effect.
+TEST_F(LogReadTest, SendsAnAppendAgainOnlyAfterAReadThatStartedAfterTheFailure)
+{
+  Want(1);
+  Append("a");
+  FailAppend("a");
+  Page(1, 1, {});
+  EXPECT_TRUE(All<AppendLog>().empty());
+  Run(TimerDue{ LogPoll{ kStream } });
+  Page(1, 3, { MakeRecord(1) });
+  EXPECT_TRUE(All<AppendLog>().empty());
+  Page(1, 4, { MakeRecord(2) });
+  ASSERT_EQ(All<AppendLog>().size(), 1U);
+  EXPECT_EQ(All<AppendLog>()[0].id_, RecordId{ "a" });
+}
+
+// Guards against modules that wait for ever for a record of a lasting outage.
+TEST_F(LogReadTest, GivesUpAnAppendAfterTheAgeLimit)
+{
+  Append("a");
+  FailAppend("a");
+  context_.now_ += std::chrono::seconds(11);
+  Run(TimerDue{ AppendExpiry{} });
+  const auto givenUp = Raised<AppendGivenUp>();
+  ASSERT_EQ(givenUp.size(), 1U);
+  EXPECT_TRUE(givenUp[0].mayBeInLog_);
+  EXPECT_TRUE(state_.log_.pending_.empty());
+}
+
+// Guards against memory that grows with the length of an outage.
+TEST_F(LogReadTest, RefusesAppendsBeyondTheBoundAsSurelyAbsent)
+{
+  for (int append = 0; append < 1024; ++append) {
+    Append("a" + std::to_string(append));
+  }
+  EXPECT_TRUE(Raised<AppendGivenUp>().empty());
+  Append("one-more");
+  const auto givenUp = Raised<AppendGivenUp>();
+  ASSERT_EQ(givenUp.size(), 1U);
+  EXPECT_FALSE(givenUp[0].mayBeInLog_);
+  EXPECT_TRUE(All<AppendLog>().empty());
+}
+
+} // namespace
+} // namespace verbenawell
