Let operators ask, plan and confirm in the language

Cause: the language had four commands, showed no consequences and could not say why something is in force. Change: grammar for queries, plans and changes with faults by column; consequences from a copy of the fold before a change and a comparison after it; dangerous changes need the code of the shown consequences; explain, status, spares, settings; tool with history, completion, a live wave and colour on a terminal only. Before: 'plan' and 'explain' did not exist.

--- a/src/verbenawell/operators/OperatorsReducer.cpp
+++ b/src/verbenawell/operators/OperatorsReducer.cpp
@@ -2,10 +2,13 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/log/LogState.h"
 #include "verbenawell/log/Streams.h"
 #include "verbenawell/operators/OperatorsState.h"
 #include "verbenawell/operators/Parser.h"
 #include "verbenawell/operators/Reports.h"
+#include "verbenawell/operators/Subjects.h"
+#include "verbenawell/waves/WavesState.h"
 
 #include <string>
 #include <utility>
@@ -14,6 +17,7 @@
 
 namespace {
 
+// The bound within which an accepted configuration is in force everywhere.
 constexpr Duration kSettleLimit = std::chrono::seconds(4);
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 
@@ -26,6 +30,7 @@
           Effects& aEffects)
     : operators_(aOperators)
     , views_(aViews)
+    , fleet_(aViews.fleet_)
     , context_(aContext)
     , effects_(aEffects)
   {
@@ -45,9 +50,11 @@
     std::visit(Overloaded{
                  [&](const SyntaxFault& aFault) {
                    Answer(aEvent.key_,
-                          CommandStatus::SyntaxError,
-                          "column " + std::to_string(aFault.column_) +
-                            ": expected " + aFault.expected_);
+                          { CommandStatus::SyntaxError,
+                            "column " + std::to_string(aFault.column_) +
+                              ": expected " + aFault.expected_,
+                            {},
+                            {} });
                  },
                  [&](const Command& aCommand) { Execute(aEvent, aCommand); },
                },
@@ -61,14 +68,20 @@
       return;
     }
     const std::string offset = std::to_string(aEvent.offset_.Value());
+    const PendingCommand& pending = found->second;
     if (aEvent.refusal_.empty()) {
-      Answer(found->second.key_,
-             CommandStatus::Done,
-             "in effect at offset " + offset);
+      Answer(pending.key_,
+             { CommandStatus::Done,
+               "in effect at offset " + offset,
+               {},
+               { TableOf(pending.expected_),
+                 CompareWithFleet(pending.expected_, fleet_) } });
     } else {
-      Answer(found->second.key_,
-             CommandStatus::Refused,
-             "refused at offset " + offset + ": " + aEvent.refusal_);
+      Answer(pending.key_,
+             { CommandStatus::Refused,
+               "refused at offset " + offset + ": " + aEvent.refusal_,
+               {},
+               {} });
     }
     operators_.pending_.erase(found);
   }
@@ -79,15 +92,14 @@
     if (found == operators_.pending_.end()) {
       return;
     }
-    if (aEvent.mayBeInLog_) {
-      Answer(found->second.key_,
-             CommandStatus::Pending,
-             "the log has not answered; the change may take effect later");
-    } else {
-      Answer(found->second.key_,
-             CommandStatus::Refused,
-             "not in the log: " + aEvent.reason_);
-    }
+    Answer(
+      found->second.key_,
+      { aEvent.mayBeInLog_ ? CommandStatus::Pending : CommandStatus::Refused,
+        aEvent.mayBeInLog_
+          ? "unknown: the log did not answer; look before you repeat it"
+          : "not done: " + aEvent.reason_,
+        {},
+        {} });
     operators_.pending_.erase(found);
   }
 
@@ -101,8 +113,11 @@
         return false;
       }
       Answer(aPending.second.key_,
-             CommandStatus::Pending,
-             "the log has not answered; the change may take effect later");
+             { CommandStatus::Pending,
+               "unknown: the log has not answered; the change may take "
+               "effect later, look before you repeat it",
+               {},
+               {} });
       return true;
     });
     effects_.emplace_back(SetTimer{ OperatorTick{}, kTickInterval });
@@ -113,22 +128,124 @@
 private:
   void Execute(const CommandReceived& aEvent, const Command& aCommand)
   {
-    std::visit(Overloaded{
-                 [&](const ShowFleet&) {
-                   AnswerTable(aEvent.key_, ReportPools(views_.fleet_));
-                 },
-                 [&](const ShowVms&) {
-                   AnswerTable(aEvent.key_, ReportVms(views_.fleet_));
-                 },
-                 [&](const ShowWaves&) {
-                   AnswerTable(aEvent.key_, ReportWaves(views_.fleet_));
-                 },
-                 [&](const ChangeFleet& aChange) { Append(aEvent, aChange); },
-               },
-               aCommand);
+    std::visit(
+      Overloaded{
+        [&](const PlanChange& aPlan) { Plan(aEvent, aPlan.change_); },
+        [&](const ChangeFleet& aChange) { Change(aEvent, aChange.change_); },
+        [&](const auto& aQuery) { Answer(aEvent.key_, Report(aQuery)); },
+      },
+      aCommand);
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowFleet&) const
+  {
+    return Show(ReportPools(fleet_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowVms& aQuery) const
+  {
+    return Show(ReportVms(fleet_, aQuery.pool_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowWaves&) const
+  {
+    return Show(ReportWaves(fleet_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowWave& aQuery) const
+  {
+    if (!fleet_.waves_.contains(aQuery.wave_)) {
+      return Refusal("no wave \"" + aQuery.wave_.Value() + "\"");
+    }
+    return Show(ReportStops(fleet_, aQuery.wave_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowQuotas&) const
+  {
+    return Show(ReportQuotas(fleet_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowSettings&) const
+  {
+    return Show(ReportSettings(fleet_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowSpares&) const
+  {
+    return Show(ReportSpares(fleet_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowStatus&) const
+  {
+    return Show(ReportStatus(views_.membership_, fleet_, context_.self_));
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const ShowHelp&) const
+  {
+    return { CommandStatus::Done, std::string(GrammarText()), {}, {} };
+  }
+
+  [[nodiscard]] OperatorAnswer Report(const Explain& aQuery) const
+  {
+    auto tables = ReportReasons(fleet_, aQuery.subject_);
+    if (tables.empty()) {
+      return Refusal("nothing is in force for " +
+                     DescribeSubject(aQuery.subject_));
+    }
+    return { CommandStatus::Done, {}, {}, std::move(tables) };
+  }
+
+  void Plan(const CommandReceived& aEvent, const FleetChange& aChange)
+  {
+    const Consequences consequences = Foresee(MakeRecord(aEvent, aChange));
+    if (!consequences.refusal_.empty()) {
+      Answer(aEvent.key_,
+             Refusal("would be refused: " + consequences.refusal_));
+      return;
+    }
+    Answer(aEvent.key_,
+           { CommandStatus::Done,
+             "nothing was changed" + ListDangers(consequences),
+             {},
+             TablesOf(consequences) });
+  }
+
+  void Change(const CommandReceived& aEvent, const FleetChange& aChange)
+  {
+    FleetRecord record = MakeRecord(aEvent, aChange);
+    Consequences consequences = Foresee(record);
+    if (!consequences.refusal_.empty()) {
+      Answer(aEvent.key_, Refusal("refused: " + consequences.refusal_));
+      return;
+    }
+    if (!consequences.dangers_.empty() &&
+        aEvent.confirmation_ != consequences.code_) {
+      Answer(aEvent.key_,
+             { CommandStatus::NeedsConfirmation,
+               "not done" + ListDangers(consequences) +
+                 "\nrepeat the command with the code " + consequences.code_ +
+                 " to accept this",
+               consequences.code_,
+               TablesOf(consequences) });
+      return;
+    }
+    const RecordId id = record.id_;
+    operators_.pending_[id] = { aEvent.key_,
+                                context_.now_ + kSettleLimit,
+                                std::move(consequences) };
+    effects_.emplace_back(
+      Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
   }
 
-  void Append(const CommandReceived& aEvent, const ChangeFleet& aChange)
+  [[nodiscard]] Consequences Foresee(const FleetRecord& aRecord) const
+  {
+    return Assess(fleet_, aRecord, views_.waves_.rebootTime_);
+  }
+
+  // The precondition names the version that the operator was shown: of two
+  // racing changes of one subject the second is refused.
+  FleetRecord MakeRecord(const CommandReceived& aEvent,
+                         const FleetChange& aChange)
   {
     FleetRecord record;
     record.id_ =
@@ -136,28 +253,48 @@
                 "/" + std::to_string(++operators_.lastRecord_) };
     record.at_ = context_.wallNow_;
     record.author_ = aEvent.author_;
-    record.change_ = aChange.change_;
-    const RecordId id = record.id_;
-    operators_.pending_[id] = { aEvent.key_, context_.now_ + kSettleLimit };
-    effects_.emplace_back(
-      Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
+    if (const auto subject = SubjectOf(aChange)) {
+      record.preconditions_ = { { *subject, VersionOf(fleet_, *subject) } };
+    }
+    record.change_ = aChange;
+    return record;
   }
 
-  void AnswerTable(CommandKey aKey, Table aTable)
+  static std::string ListDangers(const Consequences& aConsequences)
   {
-    OperatorAnswer answer;
-    answer.tables_.push_back(std::move(aTable));
-    effects_.emplace_back(AnswerOperator{ aKey, std::move(answer) });
+    std::string text;
+    for (const std::string& danger : aConsequences.dangers_) {
+      text += "\ndanger: " + danger;
+    }
+    return text;
   }
 
-  void Answer(CommandKey aKey, CommandStatus aStatus, std::string aMessage)
+  static std::vector<Table> TablesOf(const Consequences& aConsequences)
   {
-    effects_.emplace_back(
-      AnswerOperator{ aKey, { aStatus, std::move(aMessage), {}, {} } });
+    std::vector<Table> tables{ TableOf(aConsequences) };
+    tables.insert(
+      tables.end(), aConsequences.tables_.begin(), aConsequences.tables_.end());
+    return tables;
+  }
+
+  static OperatorAnswer Show(Table aTable)
+  {
+    return { CommandStatus::Done, {}, {}, { std::move(aTable) } };
+  }
+
+  static OperatorAnswer Refusal(std::string aMessage)
+  {
+    return { CommandStatus::Refused, std::move(aMessage), {}, {} };
+  }
+
+  void Answer(CommandKey aKey, OperatorAnswer aAnswer)
+  {
+    effects_.emplace_back(AnswerOperator{ aKey, std::move(aAnswer) });
   }
 
   OperatorsState& operators_;
   const Views& views_;
+  const FleetState& fleet_;
   const Context& context_;
   Effects& effects_;
 };
--- a/src/verbenawell/operators/OperatorsState.h
+++ b/src/verbenawell/operators/OperatorsState.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Time.h"
+#include "verbenawell/operators/Consequences.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -13,6 +14,8 @@
 {
   CommandKey key_;
   TimePoint deadline_;
+  /// Compared with the fleet once the change is in force.
+  Consequences expected_;
 };
 
 struct OperatorsState
--- a/src/verbenawell/operators/Parser.h
+++ b/src/verbenawell/operators/Parser.h
@@ -11,4 +11,8 @@
 std::variant<Command, SyntaxFault>
 ParseCommand(std::string_view aText);
 
+/// The grammar, one form a line, as shown by the command `help`.
+std::string_view
+GrammarText();
+
 } // namespace verbenawell
--- a/src/verbenawell/operators/Reports.cpp
+++ b/src/verbenawell/operators/Reports.cpp
@@ -1,6 +1,9 @@
 #include "verbenawell/operators/Reports.h"
 
+#include "verbenawell/fleet/FleetSettings.h"
 #include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/membership/MembershipState.h"
+#include "verbenawell/planner/SparePlan.h"
 
 #include <algorithm>
 #include <map>
@@ -31,6 +34,9 @@
   if (aVm.down_) {
     return "down";
   }
+  if (!aVm.movingTo_.IsEmpty()) {
+    return "moving to " + aVm.movingTo_.Value();
+  }
   return aVm.draining_ ? "draining" : "serving";
 }
 
@@ -43,6 +49,38 @@
     }));
 }
 
+std::string
+NameOf(StopStatus aStatus)
+{
+  switch (aStatus) {
+    case StopStatus::Waiting:
+      return "waiting";
+    case StopStatus::Reserved:
+      return "stopping";
+    case StopStatus::Finished:
+      return "finished";
+    case StopStatus::Failed:
+      return "failed";
+  }
+  return "invalid";
+}
+
+std::string
+NameOf(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::Alive:
+      return "alive";
+    case MemberStatus::Suspect:
+      return "suspect";
+    case MemberStatus::Dead:
+      return "dead";
+    case MemberStatus::Left:
+      return "left";
+  }
+  return "invalid";
+}
+
 std::string
 DescribeWave(const WaveState& aWave)
 {
@@ -69,12 +107,14 @@
 }
 
 Table
-ReportVms(const FleetState& aFleet)
+ReportVms(const FleetState& aFleet, const PoolId& aPool)
 {
   Table table{ "vms", { "vm", "pool", "zone", "rack", "state" }, {} };
   std::map<VmId, const VmState*> sorted;
   for (const auto& [id, vm] : aFleet.vms_) {
-    sorted[id] = &vm;
+    if (aPool.IsEmpty() || vm.pool_ == aPool) {
+      sorted[id] = &vm;
+    }
   }
   for (const auto& [id, vm] : sorted) {
     table.rows_.push_back({ id.Value(),
@@ -106,4 +146,95 @@
   return table;
 }
 
+Table
+ReportStops(const FleetState& aFleet, const WaveId& aWave)
+{
+  Table table{ "stops", { "vm", "zone", "rack", "stop", "state" }, {} };
+  const auto wave = aFleet.waves_.find(aWave);
+  if (wave == aFleet.waves_.end()) {
+    return table;
+  }
+  for (const auto& [id, status] : wave->second.stops_) {
+    const auto vm = aFleet.vms_.find(id);
+    const bool known = vm != aFleet.vms_.end();
+    table.rows_.push_back({ id.Value(),
+                            known ? vm->second.facts_.zone_.Value() : "",
+                            known ? vm->second.facts_.rack_.Value() : "",
+                            NameOf(status),
+                            known ? DescribeState(vm->second) : "gone" });
+  }
+  return table;
+}
+
+Table
+ReportQuotas(const FleetState& aFleet)
+{
+  Table table{ "quotas", { "team", "service", "weight", "limit" }, {} };
+  for (const auto& [key, quota] : aFleet.quotas_) {
+    table.rows_.push_back({ key.first.Value(),
+                            key.second.Value(),
+                            std::to_string(quota.weight_.Value()),
+                            quota.limit_ == SlotCount{}
+                              ? "none"
+                              : std::to_string(quota.limit_.Value()) });
+  }
+  return table;
+}
+
+Table
+ReportSettings(const FleetState& aFleet)
+{
+  Table table{ "settings",
+               { "setting", "value", "unit", "default", "range", "meaning" },
+               {} };
+  for (const FleetSetting& setting : kFleetSettings) {
+    table.rows_.push_back(
+      { std::string(setting.name_),
+        std::to_string(ValueOf(aFleet, setting)),
+        std::string(setting.unit_),
+        std::to_string(setting.default_),
+        std::to_string(setting.min_) + ".." + std::to_string(setting.max_),
+        std::string(setting.meaning_) });
+  }
+  return table;
+}
+
+Table
+ReportSpares(const FleetState& aFleet)
+{
+  FleetIndex index;
+  index.Rebuild(aFleet);
+  const SpareNeed need = AssessSpares(index);
+  return { "loss of the worst zone",
+           { "zone", "vms missing", "spares left", "covered" },
+           { { need.worst_.zone_.Value(),
+               std::to_string(need.worst_.missing_.Value()),
+               std::to_string(need.worst_.spares_.Value()),
+               need.covered_ ? "yes" : "NO" } } };
+}
+
+Table
+ReportStatus(const MembershipState& aMembership,
+             const FleetState& aFleet,
+             const DaemonId& aSelf)
+{
+  Table table{ "status",
+               { "daemon", "zone", "status", "offset in force", "behind" },
+               {} };
+  Offset newest = aFleet.through_;
+  for (const auto& [id, member] : aMembership.members_) {
+    newest = std::max(newest, member.latest_.fleetOffset_);
+  }
+  for (const auto& [id, member] : aMembership.members_) {
+    const Offset offset =
+      id == aSelf ? aFleet.through_ : member.latest_.fleetOffset_;
+    table.rows_.push_back({ id.Value(),
+                            member.latest_.zone_.Value(),
+                            NameOf(member.latest_.status_),
+                            std::to_string(offset.Value()),
+                            std::to_string((newest - offset).Value()) });
+  }
+  return table;
+}
+
 } // namespace verbenawell
--- a/src/verbenawell/tool/PrintTable.cpp
+++ b/src/verbenawell/tool/PrintTable.cpp
@@ -9,6 +9,23 @@
 
 namespace {
 
+constexpr const char* kPlain = "\033[0m";
+constexpr const char* kBold = "\033[1m";
+
+const char*
+ColourOf(CommandStatus aStatus)
+{
+  switch (aStatus) {
+    case CommandStatus::Done:
+      return "\033[32m";
+    case CommandStatus::Pending:
+    case CommandStatus::NeedsConfirmation:
+      return "\033[33m";
+    default:
+      return "\033[31m";
+  }
+}
+
 std::vector<std::size_t>
 Widths(const Table& aTable)
 {
@@ -39,12 +56,19 @@
 } // namespace
 
 void
-PrintAnswer(const OperatorAnswer& aAnswer, std::ostream& aOut)
+PrintAnswer(const OperatorAnswer& aAnswer, Colour aColour, std::ostream& aOut)
 {
+  const bool coloured = aColour == Colour::On;
   if (!aAnswer.message_.empty()) {
-    aOut << aAnswer.message_ << '\n';
+    aOut << (coloured ? ColourOf(aAnswer.status_) : "") << aAnswer.message_
+         << (coloured ? kPlain : "") << '\n';
   }
   for (const Table& table : aAnswer.tables_) {
+    if (table.rows_.empty()) {
+      continue;
+    }
+    aOut << (coloured ? kBold : "") << table.title_ << (coloured ? kPlain : "")
+         << '\n';
     const auto widths = Widths(table);
     PrintRow(table.columns_, widths, aOut);
     for (const auto& row : table.rows_) {
--- a/src/verbenawell/tool/PrintTable.h
+++ b/src/verbenawell/tool/PrintTable.h
@@ -6,8 +6,14 @@
 
 namespace verbenawell {
 
+enum class Colour
+{
+  Off,
+  On,
+};
+
 /// Prints the message and the tables in aligned columns.
 void
-PrintAnswer(const OperatorAnswer& aAnswer, std::ostream& aOut);
+PrintAnswer(const OperatorAnswer& aAnswer, Colour aColour, std::ostream& aOut);
 
 } // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/tool/WatchWave.cpp
@@ -0,0 +1,78 @@
+#include "verbenawell/tool/WatchWave.h"
+
+#include <algorithm>
+#include <chrono>
+#include <ostream>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr std::chrono::milliseconds kInterval{ 500 };
+
+void
+WaitForNextLook()
+{
+  asio::io_context io;
+  asio::steady_timer timer{ io, kInterval };
+  timer.wait();
+}
+
+/// Row of the wave in the table of all waves; empty where there is none.
+std::vector<std::string>
+FindWave(const OperatorAnswer& aAnswer, const std::string& aWave)
+{
+  for (const Table& table : aAnswer.tables_) {
+    for (const auto& row : table.rows_) {
+      if (!row.empty() && row.front() == aWave) {
+        return row;
+      }
+    }
+  }
+  return {};
+}
+
+std::string
+Join(const std::vector<std::string>& aRow)
+{
+  constexpr std::array<const char*, 7> kLabels{
+    "", "pool ", "", "waiting ", "stopping ", "finished ", "failed "
+  };
+  std::string text;
+  for (std::size_t at = 0; at < std::min(aRow.size(), kLabels.size()); ++at) {
+    text += (at == 0 ? "" : ", ") + std::string(kLabels.at(at)) + aRow[at];
+  }
+  return text;
+}
+
+} // namespace
+
+bool
+WatchWave(const OperatorClientOptions& aOptions,
+          const std::string& aWave,
+          std::ostream& aOut)
+{
+  constexpr std::size_t kStateColumn = 2;
+  std::string last;
+  while (true) {
+    const auto row = FindWave(SendCommand(aOptions, "show waves", {}), aWave);
+    if (row.size() <= kStateColumn) {
+      aOut << "no wave \"" << aWave << "\"\n";
+      return false;
+    }
+    if (std::string line = Join(row); line != last) {
+      aOut << line << std::endl;
+      last = std::move(line);
+    }
+    const std::string& state = row[kStateColumn];
+    if (state != "running") {
+      return state == "ended";
+    }
+    WaitForNextLook();
+  }
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/tool/main.cpp
+++ b/src/verbenawell/tool/main.cpp
@@ -1,7 +1,9 @@
 #include "verbenawell/codec/OperatorCodec.h"
-#include "verbenawell/operators/OperatorAnswer.h"
 #include "verbenawell/settings/LoadSettings.h"
+#include "verbenawell/tool/OperatorClient.h"
 #include "verbenawell/tool/PrintTable.h"
+#include "verbenawell/tool/Shell.h"
+#include "verbenawell/tool/WatchWave.h"
 
 #include <cstdlib>
 #include <exception>
@@ -9,84 +11,123 @@
 #include <string>
 
 #include <gflags/gflags.h>
-#include <httplib.h>
+#include <unistd.h>
 
 DEFINE_string(server,
               "http://127.0.0.1:7480",
               "operators' address of a daemon");
 DEFINE_string(token_file, "", "file with the operators' token");
-DEFINE_string(operator_name, "", "your name, kept with each change");
+DEFINE_string(name, "", "your name, kept with each change");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(confirm, "", "code of the consequences that you accept");
+DEFINE_string(watch, "", "print the progress of this wave until it ends");
 
 namespace {
 
+using namespace verbenawell;
+
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
-constexpr int kOk = 200;
-constexpr std::chrono::seconds kTimeout{ 15 };
 
 int
-ExitCodeOf(verbenawell::CommandStatus aStatus)
+ExitCodeOf(CommandStatus aStatus)
 {
   switch (aStatus) {
-    case verbenawell::CommandStatus::Done:
+    case CommandStatus::Done:
       return EXIT_SUCCESS;
-    case verbenawell::CommandStatus::SyntaxError:
+    case CommandStatus::SyntaxError:
       return kExitUsage;
     default:
       return kExitFailed;
   }
 }
 
-int
-RunCommand(const std::string& aText)
+Colour
+ColourOfOutput()
 {
-  httplib::Client client{ FLAGS_server };
-  client.set_read_timeout(kTimeout);
-  const httplib::Headers headers{
-    { "Authorization", "Bearer " + verbenawell::LoadToken(FLAGS_token_file) },
-    { "Verbenawell-Operator", FLAGS_operator_name },
-    { "Verbenawell-Confirmation", FLAGS_confirm }
-  };
-  const auto result = client.Post("/command", headers, aText, "text/plain");
-  if (!result) {
-    std::cerr << FLAGS_server << ": " << httplib::to_string(result.error())
-              << '\n';
-    return kExitFailed;
-  }
-  if (result->status != kOk) {
-    std::cerr << FLAGS_server << ": status " << result->status << ": "
-              << result->body;
-    return kExitFailed;
+  return isatty(STDOUT_FILENO) != 0 ? Colour::On : Colour::Off;
+}
+
+void
+PrintFault(const OperatorAnswer& aAnswer, const std::string& aText)
+{
+  if (aAnswer.status_ != CommandStatus::SyntaxError) {
+    return;
   }
-  const auto answer = verbenawell::DecodeOperatorAnswer(result->body);
+  // The message begins with "column N:".
+  const std::size_t column = std::strtoul(
+    aAnswer.message_.c_str() + std::string("column ").size(), nullptr, 10);
+  std::cout << aText << '\n' << std::string(column - 1, ' ') << "^\n";
+}
+
+int
+RunCommand(const OperatorClientOptions& aOptions, const std::string& aText)
+{
+  const OperatorAnswer answer = SendCommand(aOptions, aText, FLAGS_confirm);
   if (FLAGS_output == "json") {
-    std::cout << result->body << '\n';
+    std::cout << EncodeOperatorAnswer(answer) << '\n';
   } else {
-    verbenawell::PrintAnswer(answer, std::cout);
+    PrintFault(answer, aText);
+    PrintAnswer(answer, ColourOfOutput(), std::cout);
   }
   return ExitCodeOf(answer.status_);
 }
 
+int
+RunInteractively(const OperatorClientOptions& aOptions)
+{
+  RunShell([&](const std::string& aText) {
+    try {
+      RunCommand(aOptions, aText);
+    } catch (const OperatorClientError& error) {
+      std::cerr << "verbenawell: " << error.what() << '\n';
+    }
+  });
+  return EXIT_SUCCESS;
+}
+
+std::string
+JoinArguments(int aCount, char** aArguments)
+{
+  std::string text;
+  for (int index = 1; index < aCount; ++index) {
+    text += (text.empty() ? "" : " ") + std::string(aArguments[index]);
+  }
+  return text;
+}
+
+int
+Run(const std::string& aText)
+{
+  const OperatorClientOptions options{ FLAGS_server,
+                                       LoadToken(FLAGS_token_file),
+                                       FLAGS_name };
+  if (!FLAGS_watch.empty()) {
+    return WatchWave(options, FLAGS_watch, std::cout) ? EXIT_SUCCESS
+                                                      : kExitFailed;
+  }
+  return aText.empty() ? RunInteractively(options) : RunCommand(options, aText);
+}
+
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("[flags] COMMAND...");
+  gflags::SetUsageMessage(
+    "[flags] [COMMAND...]\n"
+    "Without a command it reads commands from the terminal; the command "
+    "\"help\" shows the grammar.\n"
+    "Exit codes: 0 done, 1 refused or failed, 2 wrong usage.");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
-  if (aCount < 2 || (FLAGS_output != "table" && FLAGS_output != "json")) {
-    std::cerr << "usage: verbenawell [flags] COMMAND...\n";
+  if (FLAGS_output != "table" && FLAGS_output != "json") {
+    std::cerr << "verbenawell: --output is \"" << FLAGS_output
+              << "\", expected table or json\n";
     return kExitUsage;
   }
-  std::string text;
-  for (int index = 1; index < aCount; ++index) {
-    text += (text.empty() ? "" : " ") + std::string(aArguments[index]);
-  }
   try {
-    return RunCommand(text);
+    return Run(JoinArguments(aCount, aArguments));
   } catch (const std::exception& error) {
     std::cerr << "verbenawell: " << error.what() << '\n';
     return kExitFailed;
--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -74,6 +74,11 @@
     waves_.pending_.erase(aEvent.id_);
   }
 
+  void operator()(const AppendGivenUp& aEvent)
+  {
+    waves_.pending_.erase(aEvent.id_);
+  }
+
   void operator()(const PoolDrained& aEvent)
   {
     const auto found = fleet_.vms_.find(aEvent.vm_);
--- /dev/null
+++ b/tests/unit/LanguageTest.cpp
@@ -0,0 +1,158 @@
+#include "verbenawell/fleet/Fold.h"
+#include "verbenawell/operators/Consequences.h"
+#include "verbenawell/operators/Parser.h"
+#include "verbenawell/operators/Subjects.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+template<typename Change>
+Change
+ParseChange(const std::string& aText)
+{
+  const auto parsed = ParseCommand(aText);
+  const auto& command = std::get<Command>(parsed);
+  return std::get<Change>(std::get<ChangeFleet>(command).change_);
+}
+
+SyntaxFault
+ParseFault(const std::string& aText)
+{
+  return std::get<SyntaxFault>(ParseCommand(aText));
+}
+
+// Guards against words that end up in the wrong field of a change.
+TEST(LanguageTest, ReadsEachKindOfChange)
+{
+  const auto service =
+    ParseChange<DefineService>("create service slot in web budget 7");
+  EXPECT_EQ(service.service_, ServiceId{ "slot" });
+  EXPECT_EQ(service.pool_, PoolId{ "web" });
+  EXPECT_EQ(service.budget_, VmCount{ 7 });
+  const auto quota =
+    ParseChange<SetQuota>("set quota of bakers in slot weight 3 limit 20");
+  EXPECT_EQ(quota.team_, TeamId{ "bakers" });
+  EXPECT_EQ(quota.weight_, ShareWeight{ 3 });
+  EXPECT_EQ(quota.limit_, SlotCount{ 20 });
+  const auto wave = ParseChange<StartWave>("start wave w1 over web vms a b");
+  EXPECT_EQ(wave.vms_.size(), 2U);
+  EXPECT_EQ(ParseChange<PauseWave>("pause wave w1 because of rain").reason_,
+            "of rain");
+}
+
+// Guards against errors that do not say where and what was expected.
+TEST(LanguageTest, PointsAtTheColumnOfAFault)
+{
+  EXPECT_EQ(ParseFault("shw fleet").column_, 1U);
+  EXPECT_EQ(ParseFault("show  flet").column_, 7U);
+  EXPECT_EQ(ParseFault("move vm1 too web").column_, 10U);
+  EXPECT_EQ(ParseFault("move vm1 to").column_, 12U);
+  EXPECT_EQ(ParseFault("drain vm1 now").expected_, "the end of the command");
+  EXPECT_EQ(ParseFault("set reboot-limit to 5").column_, 21U);
+}
+
+// Guards against a setting of an unknown name that is kept and does nothing.
+TEST(LanguageTest, RefusesAnUnknownSettingWithTheKnownOnes)
+{
+  EXPECT_NE(ParseFault("set reboot-limt to 60").expected_.find("reboot-limit"),
+            std::string::npos);
+}
+
+/// A pool of 6 VMs over 3 zones, 2 spare VMs and a service of budget 4.
+class ConsequencesTest : public testing::Test
+{
+protected:
+  FleetRecord MakeRecord(FleetChange aChange)
+  {
+    FleetRecord record;
+    record.id_ = RecordId{ "r" + std::to_string(++records_) };
+    record.change_ = std::move(aChange);
+    return record;
+  }
+
+  void Record(FleetChange aChange)
+  {
+    Apply(fleet_, fleet_.through_ + Offset{ 1 }, MakeRecord(aChange));
+  }
+
+  void SetUp() override
+  {
+    Record(DefinePool{ PoolId{ "spare" }, true });
+    Record(DefinePool{ PoolId{ "web" }, false });
+    for (int number = 0; number < 8; ++number) {
+      VmFacts facts;
+      facts.vm_ = VmId{ "vm" + std::to_string(number) };
+      facts.zone_ = ZoneId{ "z" + std::to_string(number % 3) };
+      facts.slots_ = SlotCount{ 8 };
+      Record(VmSeen{ facts });
+      if (number < 6) {
+        Record(MoveVm{ facts.vm_, PoolId{ "web" } });
+      }
+    }
+    Record(DefineService{ ServiceId{ "slot" }, PoolId{ "web" }, VmCount{ 4 } });
+  }
+
+  Consequences Foresee(FleetChange aChange)
+  {
+    return Assess(
+      fleet_, MakeRecord(std::move(aChange)), std::chrono::seconds(10));
+  }
+
+  FleetState fleet_;
+  int records_ = 0;
+};
+
+// Guards against consequences that change what they only describe.
+TEST_F(ConsequencesTest, ChangesNothing)
+{
+  const Offset before = fleet_.through_;
+  Foresee(DrainVm{ VmId{ "vm0" } });
+  EXPECT_EQ(fleet_.through_, before);
+  EXPECT_TRUE(IsServing(fleet_.vms_.at(VmId{ "vm0" })));
+}
+
+// Guards against a budget that lets a wave stop more than a zone's loss would.
+TEST_F(ConsequencesTest, AsksForAConfirmationOfABudgetBelowAZonesLoss)
+{
+  const auto low = Foresee(
+    DefineService{ ServiceId{ "slot" }, PoolId{ "web" }, VmCount{ 1 } });
+  EXPECT_EQ(low.dangers_.size(), 1U);
+  const auto same = Foresee(
+    DefineService{ ServiceId{ "slot" }, PoolId{ "web" }, VmCount{ 4 } });
+  EXPECT_TRUE(same.dangers_.empty());
+}
+
+// Guards against a quota that no pool can give.
+TEST_F(ConsequencesTest, AsksForAConfirmationOfAQuotaOverThePool)
+{
+  const auto over = Foresee(SetQuota{
+    TeamId{ "t" }, ServiceId{ "slot" }, ShareWeight{ 1 }, SlotCount{ 49 } });
+  EXPECT_EQ(over.dangers_.size(), 1U);
+}
+
+// Guards against a code that confirms other consequences than those shown.
+TEST_F(ConsequencesTest, GivesOtherConsequencesAnotherCode)
+{
+  const DrainVm drain{ VmId{ "vm0" } };
+  const std::string shown = Foresee(drain).code_;
+  EXPECT_EQ(Foresee(drain).code_, shown);
+  Record(VmDown{ VmId{ "vm5" } });
+  EXPECT_NE(Foresee(drain).code_, shown);
+}
+
+// Guards against a wave whose cost is hidden until it runs.
+TEST_F(ConsequencesTest, ShowsTheCostOfAWave)
+{
+  const auto wave = Foresee(StartWave{ WaveId{ "w1" }, PoolId{ "web" }, {} });
+  ASSERT_EQ(wave.tables_.size(), 3U);
+  EXPECT_EQ(wave.tables_[1].rows_[0][0], "6");
+  EXPECT_EQ(wave.tables_[1].rows_[0][1], "2");
+  EXPECT_EQ(wave.tables_[1].rows_[0][2], "4");
+}
+
+} // namespace
+} // namespace verbenawell
