--- a/src/verbenawell/operators/Command.h
+++ b/src/verbenawell/operators/Command.h
@@ -11,6 +11,9 @@
 struct ShowFleet
 {};
 
+struct ShowServices
+{};
+
 /// VMs of one pool, or of all pools where the id is empty.
 struct ShowVms
 {
@@ -63,6 +66,7 @@
 
 /// What an operator may ask or order.
 using Command = std::variant<ShowFleet,
+                             ShowServices,
                              ShowVms,
                              ShowWaves,
                              ShowWave,
--- a/src/verbenawell/operators/OperatorsReducer.cpp
+++ b/src/verbenawell/operators/OperatorsReducer.cpp
@@ -142,6 +142,11 @@
     return Show(ReportPools(fleet_));
   }
 
+  [[nodiscard]] OperatorAnswer Report(const ShowServices&) const
+  {
+    return Show(ReportServices(fleet_));
+  }
+
   [[nodiscard]] OperatorAnswer Report(const ShowVms& aQuery) const
   {
     return Show(ReportVms(fleet_, aQuery.pool_));
--- a/src/verbenawell/operators/Parser.cpp
+++ b/src/verbenawell/operators/Parser.cpp
@@ -208,6 +208,9 @@
   if (aReader.TakeIf("fleet")) {
     return ShowFleet{};
   }
+  if (aReader.TakeIf("services")) {
+    return ShowServices{};
+  }
   if (aReader.TakeIf("vms")) {
     return ShowVms{ aReader.TakeIf("in") ? TakePool(aReader) : PoolId{} };
   }
@@ -229,8 +232,9 @@
   if (aReader.TakeIf("status")) {
     return ShowStatus{};
   }
-  aReader.Fail("\"fleet\", \"vms\", \"waves\", \"wave\", \"quotas\", "
-               "\"settings\", \"spares\" or \"status\"");
+  aReader.Fail(
+    "\"fleet\", \"services\", \"vms\", \"waves\", \"wave\", \"quotas\", "
+    "\"settings\", \"spares\" or \"status\"");
 }
 
 Command
@@ -303,7 +307,9 @@
 GrammarText()
 {
   return "command  = help | show | explain | plan change | change\n"
-         "show     = \"show\" (\"fleet\" | \"vms\" [\"in\" POOL] | \"waves\""
+         "show     = \"show\" (\"fleet\" | \"services\" | \"vms\" [\"in\" "
+         "POOL]\n"
+         "         | \"waves\""
          " | \"wave\" WAVE\n"
          "         | \"quotas\" | \"settings\" | \"spares\" | \"status\")\n"
          "explain  = \"explain\" (\"pool\" POOL | \"service\" SERVICE"
--- a/src/verbenawell/operators/Reports.cpp
+++ b/src/verbenawell/operators/Reports.cpp
@@ -106,6 +106,24 @@
   return table;
 }
 
+Table
+ReportServices(const FleetState& aFleet)
+{
+  Table table{ "services",
+               { "service", "pool", "budget", "serving", "state" },
+               {} };
+  for (const auto& [id, service] : aFleet.services_) {
+    const VmCount serving =
+      CountServing(aFleet, aFleet.pools_.at(service.pool_));
+    table.rows_.push_back({ id.Value(),
+                            service.pool_.Value(),
+                            std::to_string(service.budget_.Value()),
+                            std::to_string(serving.Value()),
+                            serving < service.budget_ ? "BELOW" : "ok" });
+  }
+  return table;
+}
+
 Table
 ReportVms(const FleetState& aFleet, const PoolId& aPool)
 {
--- a/src/verbenawell/operators/Reports.h
+++ b/src/verbenawell/operators/Reports.h
@@ -16,6 +16,10 @@
 Table
 ReportPools(const FleetState& aFleet);
 
+/// One row a service: its budget, and whether its serving VMs hold it.
+Table
+ReportServices(const FleetState& aFleet);
+
 /// One row a VM: pool, location and state; all pools where `aPool` is empty.
 Table
 ReportVms(const FleetState& aFleet, const PoolId& aPool);
--- a/src/verbenawell/tool/Shell.cpp
+++ b/src/verbenawell/tool/Shell.cpp
@@ -13,13 +13,13 @@
 namespace {
 
 // Sorted by how often operators begin with them.
-constexpr std::array<const char*, 37> kWords{
-  "show",   "explain", "plan",   "move",    "drain",  "undrain", "set",
-  "start",  "pause",   "resume", "end",     "create", "remove",  "cancel",
-  "help",   "fleet",   "vms",    "waves",   "wave",   "quotas",  "settings",
-  "spares", "status",  "pool",   "service", "vm",     "team",    "setting",
-  "in",     "to",      "of",     "over",    "budget", "weight",  "limit",
-  "quota",  "spare"
+constexpr std::array<const char*, 38> kWords{
+  "show",     "explain",  "plan",   "move", "drain",   "undrain", "set",
+  "start",    "pause",    "resume", "end",  "create",  "remove",  "cancel",
+  "help",     "services", "fleet",  "vms",  "waves",   "wave",    "quotas",
+  "settings", "spares",   "status", "pool", "service", "vm",      "team",
+  "setting",  "in",       "to",     "of",   "over",    "budget",  "weight",
+  "limit",    "quota",    "spare"
 };
 
 char*
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -28,6 +28,8 @@
   [[nodiscard]] std::string ListAsJson();
   [[nodiscard]] std::string LedgerAsJson() { return ledger_.ToJson(); }
 
+  [[nodiscard]] std::string LedgerTotals() { return ledger_.Totals(); }
+
   /// Reboots a VM that still runs the named boot.
   bool Reboot(const std::string& aVm, std::uint64_t aBoots);
 
--- a/standins/RunLedger.cpp
+++ b/standins/RunLedger.cpp
@@ -7,10 +7,14 @@
 namespace standins {
 
 void
-RunLedger::Begin(const std::string& aVm, const std::string& aRequest)
+RunLedger::Begin(const std::string& aVm,
+                 const std::string& aRequest,
+                 bool aIdempotent)
 {
   const std::lock_guard lock{ mutex_ };
-  ++runs_[aRequest];
+  if (++runs_[aRequest] > 1 && !aIdempotent) {
+    ++doubled_;
+  }
   Load& load = loads_[aVm];
   ++load.started_;
   ++load.running_;
@@ -40,4 +44,20 @@
   return nlohmann::json{ { "runs", runs_ }, { "vms", loads } }.dump();
 }
 
+std::string
+RunLedger::Totals()
+{
+  const std::lock_guard lock{ mutex_ };
+  Load sum;
+  for (const auto& [vm, load] : loads_) {
+    sum.started_ += load.started_;
+    sum.cut_ += load.cut_;
+    sum.mostRunning_ = std::max(sum.mostRunning_, load.mostRunning_);
+  }
+  return "started=" + std::to_string(sum.started_) +
+         " cut=" + std::to_string(sum.cut_) +
+         " doubled=" + std::to_string(doubled_) +
+         " most_running=" + std::to_string(sum.mostRunning_) + "\n";
+}
+
 } // namespace standins
--- a/standins/RunLedger.h
+++ b/standins/RunLedger.h
@@ -13,12 +13,18 @@
 class RunLedger
 {
 public:
-  void Begin(const std::string& aVm, const std::string& aRequest);
+  void Begin(const std::string& aVm,
+             const std::string& aRequest,
+             bool aIdempotent);
   void End(const std::string& aVm, bool aWhole);
 
   /// All counts as a JSON object.
   std::string ToJson();
 
+  /// Sums as `name=value` words: what started, was cut, ran twice though not
+  /// idempotent, and the most that ran at once on one VM.
+  std::string Totals();
+
 private:
   struct Load
   {
@@ -30,6 +36,7 @@
 
   std::mutex mutex_;
   std::unordered_map<std::string, std::size_t> runs_;
+  std::size_t doubled_ = 0;
   std::map<std::string, Load> loads_;
 };
 
--- a/standins/Worker.cpp
+++ b/standins/Worker.cpp
@@ -66,7 +66,9 @@
 Worker::Handle(const httplib::Request& aRequest, httplib::Response& aResponse)
 {
   const std::string& vm = listing_.facts_.vm_.Value();
-  ledger_.Begin(vm, aRequest.get_header_value("Verbenawell-Request-Id"));
+  ledger_.Begin(vm,
+                aRequest.get_header_value("Verbenawell-Request-Id"),
+                aRequest.get_header_value("Verbenawell-Idempotent") != "false");
   if (mode_ == WorkerMode::FailingFast) {
     aResponse.status = kFailed;
     ledger_.End(vm, true);
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -63,6 +63,9 @@
   aServer.Get("/ledger", [&](const Request&, Response& aResponse) {
     aResponse.set_content(aPlatform.LedgerAsJson(), "application/json");
   });
+  aServer.Get("/totals", [&](const Request&, Response& aResponse) {
+    aResponse.set_content(aPlatform.LedgerTotals(), "text/plain");
+  });
   OnVm(aServer, "/reboot", [&](const auto& aVm, const Request& aRequest) {
     return aPlatform.Reboot(aVm,
                             std::stoull(aRequest.get_param_value("boots")));
