--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -16,6 +16,16 @@
       return "grants_returned_unused";
     case Counter::SlotsOverrun:
       return "slots_overrun";
+    case Counter::SlotsFreedOfLostEntries:
+      return "slots_freed_of_lost_entries";
+    case Counter::SlotsExpired:
+      return "slots_expired";
+    case Counter::TicketsCancelled:
+      return "tickets_cancelled";
+    case Counter::TicketsExpired:
+      return "tickets_expired";
+    case Counter::TicketsBlocked:
+      return "tickets_blocked";
     case Counter::RecordsCorrupt:
       return "records_corrupt";
     case Counter::RecordsUnknown:
@@ -32,6 +42,10 @@
       return "vm_lists_failed";
     case Counter::WorkersEjected:
       return "workers_ejected";
+    case Counter::WorkersProbed:
+      return "workers_probed";
+    case Counter::WorkersRecovered:
+      return "workers_recovered";
     case Counter::OwnerTakeovers:
       return "owner_takeovers";
     case Counter::ClockGaps:
--- /dev/null
+++ b/src/verbenawell/requests/FairQueue.cpp
@@ -0,0 +1,383 @@
+#include "verbenawell/requests/FairQueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+// What a ticket costs beside the body that its entry daemon keeps.
+constexpr ByteCount kTicketOverhead{ 512 };
+
+// Team names come from callers; idle teams beyond this number are forgotten.
+constexpr std::size_t kMaxIdleTeams = 512;
+
+// Long work holds at most this part of the slots, so that a burst of other
+// work finds free slots at once.
+constexpr std::uint32_t kLongPart = 2;
+
+ByteCount
+SizeOf(const QueuedTicket& aTicket)
+{
+  return aTicket.request_.head_.bodySize_ + kTicketOverhead;
+}
+
+ShareKey
+KeyOf(const QueuedTicket& aTicket)
+{
+  const RequestHead& head = aTicket.request_.head_;
+  return { head.service_, head.team_, head.urgency_ };
+}
+
+double
+PerWeight(SlotCount aHeld, ShareWeight aWeight)
+{
+  return static_cast<double>(aHeld.Value()) /
+         static_cast<double>(aWeight.Value());
+}
+
+SlotCount
+LongSlots(SlotCount aSlots)
+{
+  return SlotCount{ std::max(1U, aSlots.Value() / kLongPart) };
+}
+
+bool
+IsAtLimit(const TeamQueue& aTeam)
+{
+  return aTeam.terms_.limit_ != SlotCount{} &&
+         aTeam.held_ >= aTeam.terms_.limit_;
+}
+
+bool
+IsActive(const TeamQueue& aTeam)
+{
+  return aTeam.held_ != SlotCount{} || aTeam.HasWaiting();
+}
+
+} // namespace
+
+void
+FairQueue::SetSlots(SlotCount aSlots)
+{
+  slots_ = aSlots;
+}
+
+void
+FairQueue::SetTerms(const ShareKey& aKey, const ShareTerms& aTerms)
+{
+  if (Find(aKey) != nullptr) {
+    Open(aKey, aTerms);
+    Reorder(aKey);
+  }
+}
+
+std::vector<ShareKey>
+FairQueue::KnownTeams() const
+{
+  std::vector<ShareKey> known;
+  for (const auto& [service, queue] : services_) {
+    for (const auto& [team, state] : queue.teams_) {
+      known.push_back({ service, team });
+    }
+  }
+  return known;
+}
+
+bool
+FairQueue::HasRoom(const ShareKey& aKey, ByteCount aSize) const
+{
+  if (tickets_.size() >= bounds_.tickets_ ||
+      bytes_ + aSize + kTicketOverhead > bounds_.bytes_) {
+    return false;
+  }
+  const TeamQueue* team = Find(aKey);
+  const std::size_t own =
+    team == nullptr ? 0 : team->Of(aKey.urgency_).waiting_.size();
+  return own < bounds_.tickets_ - tickets_.size();
+}
+
+bool
+FairQueue::IsOverQuota(const ShareKey& aKey) const
+{
+  const TeamQueue* team = Find(aKey);
+  if (team == nullptr || !IsAtLimit(*team)) {
+    return false;
+  }
+  std::size_t waiting = 0;
+  for (const Urgency urgency :
+       { Urgency::Urgent, Urgency::Interactive, Urgency::Long }) {
+    waiting += team->Of(urgency).waiting_.size();
+  }
+  return waiting >= team->terms_.limit_.Value();
+}
+
+Duration
+FairQueue::ExpectedWait(const ShareKey& aKey) const
+{
+  const TeamQueue* team = Find(aKey);
+  if (team == nullptr) {
+    return Duration::zero();
+  }
+  double slots =
+    std::max(static_cast<double>(team->held_.Value()), FairSlots(aKey));
+  if (team->IsLong(aKey.urgency_)) {
+    slots = std::min(slots, static_cast<double>(LongSlots(slots_).Value()));
+  }
+  if (team->terms_.limit_ != SlotCount{}) {
+    slots = std::min(slots, static_cast<double>(team->terms_.limit_.Value()));
+  }
+  return team->ExpectedWait(aKey.urgency_, std::max(1.0, slots));
+}
+
+void
+FairQueue::Push(QueuedTicket aTicket, const ShareTerms& aTerms)
+{
+  const ShareKey key = KeyOf(aTicket);
+  const ByteCount size = SizeOf(aTicket);
+  bytes_ += size;
+  ++lastNumber_;
+  tickets_[aTicket.id_] = { key, lastNumber_, size };
+  deadlines_.emplace(aTicket.deadline_, aTicket.id_);
+  ClassQueue& queue = Open(key, aTerms).Of(key.urgency_);
+  queue.waiting_.emplace(lastNumber_, std::move(aTicket));
+  Reorder(key);
+}
+
+bool
+FairQueue::Remove(const TicketId& aTicket)
+{
+  const auto found = tickets_.find(aTicket);
+  if (found == tickets_.end()) {
+    return false;
+  }
+  const auto [key, number, size] = found->second;
+  ClassQueue& queue =
+    services_.at(key.service_).teams_.at(key.team_).Of(key.urgency_);
+  const auto waiting = queue.waiting_.find(number);
+  const bool wasFirst = waiting == queue.waiting_.begin();
+  deadlines_.erase({ waiting->second.deadline_, aTicket });
+  queue.waiting_.erase(waiting);
+  tickets_.erase(found);
+  bytes_ -= size;
+  if (wasFirst) {
+    Unblock(key);
+  }
+  Reorder(key);
+  ForgetIdleTeam(key);
+  return true;
+}
+
+std::optional<ShareKey>
+FairQueue::Next() const
+{
+  const bool longAllowed = IsLongAllowed();
+  const ServiceId* service = (longAllowed ? any_ : brief_).First();
+  if (service == nullptr) {
+    return {};
+  }
+  const ServiceQueue& queue = services_.at(*service);
+  const TeamId& team = *(longAllowed ? queue.any_ : queue.brief_).First();
+  return ShareKey{ *service,
+                   team,
+                   *queue.teams_.at(team).NextClass(longAllowed) };
+}
+
+const QueuedTicket&
+FairQueue::Head(const ShareKey& aKey) const
+{
+  return Find(aKey)->Of(aKey.urgency_).waiting_.begin()->second;
+}
+
+QueuedTicket
+FairQueue::Take(const ShareKey& aKey, TimePoint aNow, HeldShare& aHeld)
+{
+  QueuedTicket ticket = Head(aKey);
+  aHeld = Hold(aKey, ticket.request_.head_.declaredRunTime_, aNow);
+  Remove(ticket.id_);
+  return ticket;
+}
+
+HeldShare
+FairQueue::Adopt(const ShareKey& aKey, const ShareTerms& aTerms, TimePoint aNow)
+{
+  Open(aKey, aTerms);
+  return Hold(aKey, Duration::zero(), aNow);
+}
+
+HeldShare
+FairQueue::Hold(const ShareKey& aKey, Duration aDeclared, TimePoint aNow)
+{
+  ServiceQueue& service = services_[aKey.service_];
+  TeamQueue& team = service.teams_[aKey.team_];
+  HeldShare held{ aKey, team.IsLong(aKey.urgency_), aDeclared, {} };
+  held.charged_ = team.Of(aKey.urgency_).runTime_.Expect(aDeclared);
+  team.Charge(aKey.urgency_, held.charged_, aNow);
+  team.lastGrant_ = service.lastGrant_ = ++lastGrant_;
+  ++team.held_;
+  ++service.held_;
+  longHeld_ += SlotCount{ held.long_ ? 1U : 0U };
+  Reorder(aKey);
+  return held;
+}
+
+void
+FairQueue::Return(const HeldShare& aHeld,
+                  std::optional<Duration> aSeen,
+                  TimePoint aNow)
+{
+  const ShareKey& key = aHeld.key_;
+  ServiceQueue& service = services_.at(key.service_);
+  TeamQueue& team = service.teams_.at(key.team_);
+  if (aSeen) {
+    team.Of(key.urgency_).runTime_.Learn(aHeld.declared_, *aSeen);
+    team.Charge(key.urgency_, *aSeen - aHeld.charged_, aNow);
+  }
+  --team.held_;
+  --service.held_;
+  longHeld_ -= SlotCount{ aHeld.long_ ? 1U : 0U };
+  Reorder(key);
+  ForgetIdleTeam(key);
+}
+
+void
+FairQueue::Block(const ShareKey& aKey)
+{
+  blocked_.insert(aKey);
+  services_.at(aKey.service_).teams_.at(aKey.team_).Of(aKey.urgency_).blocked_ =
+    true;
+  Reorder(aKey);
+}
+
+void
+FairQueue::Unblock(const ShareKey& aKey)
+{
+  if (blocked_.erase(aKey) == 0) {
+    return;
+  }
+  services_.at(aKey.service_).teams_.at(aKey.team_).Of(aKey.urgency_).blocked_ =
+    false;
+  Reorder(aKey);
+}
+
+bool
+FairQueue::MayHoldMore(const ShareKey& aKey) const
+{
+  const TeamQueue& team = *Find(aKey);
+  return !IsAtLimit(team) && (IsLongAllowed() || !team.IsLong(aKey.urgency_));
+}
+
+const QueuedTicket*
+FairQueue::FirstExpired(TimePoint aNow) const
+{
+  if (deadlines_.empty() || deadlines_.begin()->first > aNow) {
+    return nullptr;
+  }
+  const auto& [key, number, size] = tickets_.at(deadlines_.begin()->second);
+  return &Find(key)->Of(key.urgency_).waiting_.at(number);
+}
+
+std::vector<TicketId>
+FairQueue::TicketsOf(const DaemonId& aEntry) const
+{
+  std::vector<TicketId> found;
+  for (const auto& [id, ticket] : tickets_) {
+    if (id.entry_ == aEntry) {
+      found.push_back(id);
+    }
+  }
+  std::ranges::sort(found);
+  return found;
+}
+
+const TeamQueue*
+FairQueue::Find(const ShareKey& aKey) const
+{
+  const auto service = services_.find(aKey.service_);
+  if (service == services_.end()) {
+    return nullptr;
+  }
+  const auto team = service->second.teams_.find(aKey.team_);
+  return team == service->second.teams_.end() ? nullptr : &team->second;
+}
+
+TeamQueue&
+FairQueue::Open(const ShareKey& aKey, const ShareTerms& aTerms)
+{
+  ServiceQueue& service = services_[aKey.service_];
+  service.weight_ = std::max(ShareWeight{ 1 }, aTerms.serviceWeight_);
+  TeamQueue& team = service.teams_[aKey.team_];
+  team.terms_ = aTerms;
+  team.terms_.teamWeight_ = std::max(ShareWeight{ 1 }, aTerms.teamWeight_);
+  return team;
+}
+
+bool
+FairQueue::IsLongAllowed() const
+{
+  return longHeld_ < LongSlots(slots_);
+}
+
+double
+FairQueue::FairSlots(const ShareKey& aKey) const
+{
+  const auto part = [](ShareWeight aOwn, ShareWeight aSum, ShareWeight aIn) {
+    return static_cast<double>(aOwn.Value()) /
+           static_cast<double>((aSum - aIn + aOwn).Value());
+  };
+  const ServiceQueue& service = services_.at(aKey.service_);
+  const TeamQueue& team = service.teams_.at(aKey.team_);
+  return static_cast<double>(slots_.Value()) *
+         part(service.weight_, activeServices_, service.counted_) *
+         part(team.terms_.teamWeight_, service.activeTeams_, team.counted_);
+}
+
+void
+FairQueue::Reorder(const ShareKey& aKey)
+{
+  ServiceQueue& service = services_.at(aKey.service_);
+  TeamQueue& team = service.teams_.at(aKey.team_);
+  CountActive(service, team);
+  const ShareLoad teamLoad{ PerWeight(team.held_, team.terms_.teamWeight_),
+                            team.lastGrant_ };
+  const bool limited = IsAtLimit(team);
+  const auto place = [&](bool aLongAllowed) {
+    return !limited && team.NextClass(aLongAllowed) ? std::optional{ teamLoad }
+                                                    : std::nullopt;
+  };
+  service.any_.Put(aKey.team_, place(true));
+  service.brief_.Put(aKey.team_, place(false));
+
+  const ShareLoad load{ PerWeight(service.held_, service.weight_),
+                        service.lastGrant_ };
+  const auto placeService = [&](const ShareOrder<TeamId>& aTeams) {
+    return aTeams.First() != nullptr ? std::optional{ load } : std::nullopt;
+  };
+  any_.Put(aKey.service_, placeService(service.any_));
+  brief_.Put(aKey.service_, placeService(service.brief_));
+}
+
+void
+FairQueue::CountActive(ServiceQueue& aService, TeamQueue& aTeam)
+{
+  aService.activeTeams_ -= aTeam.counted_;
+  aTeam.counted_ = IsActive(aTeam) ? aTeam.terms_.teamWeight_ : ShareWeight{};
+  aService.activeTeams_ += aTeam.counted_;
+  activeServices_ -= aService.counted_;
+  aService.counted_ =
+    aService.activeTeams_ != ShareWeight{} ? aService.weight_ : ShareWeight{};
+  activeServices_ += aService.counted_;
+}
+
+void
+FairQueue::ForgetIdleTeam(const ShareKey& aKey)
+{
+  ServiceQueue& service = services_.at(aKey.service_);
+  const auto team = service.teams_.find(aKey.team_);
+  if (service.teams_.size() > kMaxIdleTeams && !IsActive(team->second)) {
+    service.teams_.erase(team);
+  }
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/Grant.cpp
+++ b/src/verbenawell/requests/Grant.cpp
@@ -6,19 +6,43 @@
 
 namespace {
 
-AttemptId
+// An entry daemon ends an attempt at its caller's deadline. A release that is
+// not here this long afterwards was lost with a connection.
+constexpr Duration kReleaseGrace = std::chrono::seconds(5);
+
+/// Counts a grant that may put more attempts on a worker than it has slots.
+void
+CountOverrun(OwnerScope& aScope, const PoolQueue& aQueue, const VmId& aVm)
+{
+  const auto unconfirmed = aQueue.unconfirmed_.find(aVm);
+  if (unconfirmed == aQueue.unconfirmed_.end() ||
+      unconfirmed->second.until_ <= aScope.context_.now_) {
+    return;
+  }
+  const SlotCount slots = aScope.views_.fleet_.vms_.at(aVm).facts_.slots_;
+  if (aQueue.workers_.Running(aVm) + unconfirmed->second.count_ > slots) {
+    aScope.effects_.emplace_back(Count{ Counter::SlotsOverrun });
+  }
+}
+
+SlotKey
 ReserveSlot(OwnerScope& aScope,
             PoolQueue& aQueue,
             const QueuedTicket& aTicket,
+            const HeldShare& aShare,
             const VmId& aVm)
 {
-  OwnerState& owner = aScope.owner_;
-  ++owner.lastAttempt_;
-  ++aQueue.running_[aVm];
-  aQueue.granted_[owner.lastAttempt_] = { aTicket.id_,
-                                          aVm,
-                                          aScope.context_.now_ };
-  return owner.lastAttempt_;
+  const SlotKey key{ aQueue.term_, ++aScope.owner_.lastAttempt_ };
+  const TimePoint now = aScope.context_.now_;
+  const TimePoint expiresAt = aTicket.deadline_ + kReleaseGrace;
+  const Resources& size = aTicket.request_.head_.declared_;
+  const Endpoint& address = aScope.views_.fleet_.vms_.at(aVm).facts_.address_;
+  aQueue.granted_[key] = { aTicket.id_, aVm,    address, now,
+                           expiresAt,   aShare, size };
+  aQueue.expiries_.emplace(expiresAt, key);
+  aQueue.workers_.TakeSlot(aVm, size);
+  CountOverrun(aScope, aQueue, aVm);
+  return key;
 }
 
 } // namespace
@@ -27,34 +51,34 @@
 Grant(OwnerScope& aScope,
       const PoolId& aPool,
       PoolQueue& aQueue,
-      const QueuedTicket& aTicket,
-      const VmState& aWorker)
+      const ShareKey& aShare,
+      const VmId& aWorker)
 {
-  aScope.effects_.emplace_back(Observe{
-    LatencyMetric::QueueWait, aScope.context_.now_ - aTicket.queuedAt_ });
-  const AttemptId attempt =
-    ReserveSlot(aScope, aQueue, aTicket, aWorker.facts_.vm_);
+  HeldShare held;
+  const TimePoint now = aScope.context_.now_;
+  const QueuedTicket ticket = aQueue.queue_.Take(aShare, now, held);
+  aScope.effects_.emplace_back(
+    Observe{ LatencyMetric::QueueWait, now - ticket.queuedAt_ });
+  const SlotKey slot = ReserveSlot(aScope, aQueue, ticket, held, aWorker);
   // Precondition of sending: the intent of a request that is not idempotent
   // is committed. The slot stays reserved while the intent is appended.
-  SendGrant(aScope, aPool, aQueue, attempt, aWorker);
+  SendGrant(aScope, aPool, aQueue, slot);
 }
 
 void
 SendGrant(OwnerScope& aScope,
           const PoolId& aPool,
           const PoolQueue& aQueue,
-          AttemptId aAttempt,
-          const VmState& aWorker)
+          const SlotKey& aSlot)
 {
-  const GrantedSlot& slot = aQueue.granted_.at(aAttempt);
-  aScope.effects_.emplace_back(
-    SendPeer{ slot.ticket_.entry_,
-              SlotGrant{ slot.ticket_.key_,
-                         aAttempt,
-                         aPool,
-                         aQueue.term_,
-                         slot.vm_,
-                         aWorker.facts_.address_ } });
+  const GrantedSlot& slot = aQueue.granted_.at(aSlot);
+  aScope.effects_.emplace_back(SendPeer{ slot.ticket_.entry_,
+                                         SlotGrant{ slot.ticket_.key_,
+                                                    aSlot.attempt_,
+                                                    aPool,
+                                                    aSlot.term_,
+                                                    slot.vm_,
+                                                    slot.address_ } });
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/requests/Grant.h
+++ b/src/verbenawell/requests/Grant.h
@@ -5,22 +5,19 @@
 
 namespace verbenawell {
 
-struct VmState;
-
-/// Gives a slot of the worker to a ticket that has left the queue.
+/// Takes the first ticket of a share and gives it a slot of the worker.
 void
 Grant(OwnerScope& aScope,
       const PoolId& aPool,
       PoolQueue& aQueue,
-      const QueuedTicket& aTicket,
-      const VmState& aWorker);
+      const ShareKey& aShare,
+      const VmId& aWorker);
 
 /// Tells the entry daemon to run its request in the reserved slot.
 void
 SendGrant(OwnerScope& aScope,
           const PoolId& aPool,
           const PoolQueue& aQueue,
-          AttemptId aAttempt,
-          const VmState& aWorker);
+          const SlotKey& aSlot);
 
 } // namespace verbenawell
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/requests/OwnerScope.h"
+#include "verbenawell/requests/PoolWorkers.h"
 #include "verbenawell/requests/RequestsState.h"
 #include "verbenawell/requests/SlotAdmission.h"
 #include "verbenawell/requests/SlotGranting.h"
@@ -11,6 +12,9 @@
 
 namespace {
 
+// Deadlines and probes are acted on this late at most.
+constexpr Duration kOwnerInterval = std::chrono::milliseconds(100);
+
 class Reducer
 {
 public:
@@ -19,16 +23,50 @@
   {
   }
 
+  void operator()(const Started&)
+  {
+    scope_.effects_.emplace_back(SetTimer{ OwnerTick{}, kOwnerInterval });
+  }
+
+  void operator()(const TimerDue& aEvent)
+  {
+    if (!std::holds_alternative<OwnerTick>(aEvent.key_)) {
+      return;
+    }
+    for (auto& [id, queue] : scope_.owner_.pools_) {
+      ExpireTickets(scope_, queue);
+      ExpireSlots(scope_, id, queue);
+      ProbeWorkers(scope_, queue);
+    }
+    GrantInAllPools();
+    scope_.effects_.emplace_back(SetTimer{ OwnerTick{}, kOwnerInterval });
+  }
+
   void operator()(const FleetChanged& aEvent)
   {
     for (const Subject& subject : aEvent.subjects_) {
-      if (const auto* vm = std::get_if<VmId>(&subject)) {
-        ReportIfDrained(scope_, *vm);
-      }
+      std::visit(Overloaded{
+                   [&](const VmId& aVm) { SyncWorker(scope_, aVm); },
+                   [&](const TeamId& aTeam) { SyncTerms(aTeam); },
+                   [](const auto&) {},
+                 },
+                 subject);
     }
-    for (auto& [id, queue] : scope_.owner_.pools_) {
-      GrantFreeSlots(scope_, id, queue);
+    GrantInAllPools();
+  }
+
+  void operator()(const VmListRead& aEvent)
+  {
+    NoteListing(scope_, aEvent);
+    GrantInAllPools();
+  }
+
+  void operator()(const MembersChanged& aEvent)
+  {
+    for (const DaemonId& lost : aEvent.lost_) {
+      ForgetEntry(scope_, lost);
     }
+    GrantInAllPools();
   }
 
   void operator()(const PeerMessageReceived& aEvent)
@@ -50,6 +88,24 @@
   void operator()(const auto&) {}
 
 private:
+  void GrantInAllPools()
+  {
+    for (auto& [id, queue] : scope_.owner_.pools_) {
+      GrantFreeSlots(scope_, id, queue);
+    }
+  }
+
+  void SyncTerms(const TeamId& aTeam)
+  {
+    for (auto& [id, queue] : scope_.owner_.pools_) {
+      for (const ShareKey& known : queue.queue_.KnownTeams()) {
+        if (known.team_ == aTeam) {
+          queue.queue_.SetTerms(known, TermsOf(scope_, known));
+        }
+      }
+    }
+  }
+
   OwnerScope scope_;
 };
 
--- a/src/verbenawell/requests/OwnerState.h
+++ b/src/verbenawell/requests/OwnerState.h
@@ -1,31 +1,24 @@
 #pragma once
 
-#include "verbenawell/requests/Messages.h"
+#include "verbenawell/requests/FairQueue.h"
+#include "verbenawell/requests/WorkerHealth.h"
+#include "verbenawell/requests/WorkerIndex.h"
 
-#include <cstdint>
-#include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
-#include <vector>
+#include <unordered_set>
+#include <utility>
 
 namespace verbenawell {
 
-/// A request is known at its owner by its entry daemon and key.
-struct TicketId
+/// A granted slot; attempts of an earlier owner have an earlier term.
+struct SlotKey
 {
-  DaemonId entry_;
-  RequestKey key_;
-
-  auto operator<=>(const TicketId&) const = default;
-};
+  Term term_;
+  AttemptId attempt_;
 
-/// A slot request in the queue of a pool.
-struct QueuedTicket
-{
-  TicketId id_;
-  SlotRequest request_;
-  TimePoint queuedAt_;
-  TimePoint deadline_;
+  auto operator<=>(const SlotKey&) const = default;
 };
 
 /// A slot that has been granted and not released.
@@ -33,15 +26,32 @@
 {
   TicketId ticket_;
   VmId vm_;
+  Endpoint address_;
   TimePoint grantedAt_;
+  /// When the slot is freed although its release has not arrived.
+  TimePoint expiresAt_;
+  HeldShare share_;
+  Resources size_;
+};
+
+/// Slots freed without a release: their attempts may still run.
+struct UnconfirmedSlots
+{
+  SlotCount count_;
+  TimePoint until_;
 };
 
 struct PoolQueue
 {
   Term term_;
-  std::deque<QueuedTicket> waiting_;
-  std::unordered_map<AttemptId, GrantedSlot> granted_;
-  std::unordered_map<VmId, SlotCount> running_;
+  FairQueue queue_;
+  WorkerIndex workers_;
+  std::unordered_map<VmId, WorkerHealth> health_;
+  /// Workers whose health is not `Healthy`.
+  std::set<VmId> unhealthy_;
+  std::map<SlotKey, GrantedSlot> granted_;
+  std::set<std::pair<TimePoint, SlotKey>> expiries_;
+  std::map<VmId, UnconfirmedSlots> unconfirmed_;
 };
 
 /// Queues of the pools that this daemon owns.
@@ -49,6 +59,9 @@
 {
   std::map<PoolId, PoolQueue> pools_;
   AttemptId lastAttempt_;
+  /// VMs that the platform's list shows as leaving or not live. Kept here
+  /// because it must hold back new work without the log.
+  std::unordered_set<VmId> leaving_;
 };
 
 } // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -0,0 +1,231 @@
+#include "verbenawell/requests/PoolWorkers.h"
+
+#include "verbenawell/core/Overloaded.h"
+#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/membership/Ownership.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+namespace verbenawell {
+
+namespace {
+
+WorkerUse
+UseOf(const OwnerScope& aScope, const VmState& aVm)
+{
+  const bool leaving = aScope.owner_.leaving_.contains(aVm.facts_.vm_);
+  return { IsServing(aVm) && !leaving, !aVm.draining_ && !leaving };
+}
+
+bool
+TakesNoWork(const OwnerScope& aScope, const PoolId& aPool, const VmId& aVm)
+{
+  const FleetState& fleet = aScope.views_.fleet_;
+  const auto vm = fleet.vms_.find(aVm);
+  return vm == fleet.vms_.end() || vm->second.pool_ != aPool ||
+         !UseOf(aScope, vm->second).usable_;
+}
+
+/// Updates what depends on the number of usable slots.
+void
+NoteWorkersChanged(PoolQueue& aQueue)
+{
+  aQueue.queue_.SetSlots(aQueue.workers_.UsableSlots());
+  const std::set<ShareKey> blocked = aQueue.queue_.Blocked();
+  for (const ShareKey& key : blocked) {
+    aQueue.queue_.Unblock(key);
+  }
+}
+
+/// Takes a VM that now belongs elsewhere, or is gone, out of the pool.
+void
+RemoveWorker(OwnerScope& aScope,
+             const PoolId& aPool,
+             PoolQueue& aQueue,
+             const VmId& aVm)
+{
+  aQueue.workers_.Remove(aVm);
+  aQueue.health_.erase(aVm);
+  aQueue.unhealthy_.erase(aVm);
+  NoteWorkersChanged(aQueue);
+  ReportIfDrained(aScope, aPool, aVm);
+}
+
+/// Tells whether the pool's budgets hold with one worker less at work.
+bool
+MayEject(const OwnerScope& aScope, const PoolId& aPool, const PoolQueue& aQueue)
+{
+  const FleetState& fleet = aScope.views_.fleet_;
+  const auto pool = fleet.pools_.find(aPool);
+  if (pool == fleet.pools_.end()) {
+    return false;
+  }
+  VmCount least{ 1 };
+  for (const ServiceId& service : pool->second.services_) {
+    least = std::max(least, fleet.services_.at(service).budget_);
+  }
+  return aQueue.workers_.Serving() > least;
+}
+
+/// Empty where the outcome says nothing about the worker.
+std::optional<bool>
+IsFailure(const AttemptOutcome& aOutcome)
+{
+  constexpr int kServerError = 500;
+  return std::visit(
+    Overloaded{
+      [](const WholeAnswer& aAnswer) {
+        return std::optional{ aAnswer.status_ >= kServerError };
+      },
+      [](const OversizeAnswer&) { return std::optional<bool>{}; },
+      [](const Cancelled&) { return std::optional<bool>{}; },
+      [](const auto&) { return std::optional{ true }; },
+    },
+    aOutcome);
+}
+
+void
+ApplyHealth(OwnerScope& aScope,
+            PoolQueue& aQueue,
+            const VmId& aVm,
+            HealthChange aChange)
+{
+  switch (aChange) {
+    case HealthChange::None:
+      break;
+    case HealthChange::Ejected:
+      aScope.effects_.emplace_back(Count{ Counter::WorkersEjected });
+      break;
+    case HealthChange::Probed:
+      aScope.effects_.emplace_back(Count{ Counter::WorkersProbed });
+      break;
+    case HealthChange::Recovered:
+      aScope.effects_.emplace_back(Count{ Counter::WorkersRecovered });
+      break;
+  }
+  const WorkerHealth& health = aQueue.health_.at(aVm);
+  if (health.IsHealthy()) {
+    aQueue.unhealthy_.erase(aVm);
+  } else {
+    aQueue.unhealthy_.insert(aVm);
+  }
+  const VmState& vm = aScope.views_.fleet_.vms_.at(aVm);
+  aQueue.workers_.SetCap(aVm, health.Cap(vm.facts_.slots_));
+  NoteWorkersChanged(aQueue);
+}
+
+} // namespace
+
+PoolQueue&
+OpenPool(OwnerScope& aScope, const PoolId& aPool)
+{
+  const auto [entry, isNew] = aScope.owner_.pools_.try_emplace(aPool);
+  PoolQueue& queue = entry->second;
+  const FleetState& fleet = aScope.views_.fleet_;
+  if (const auto pool = fleet.pools_.find(aPool);
+      isNew && pool != fleet.pools_.end()) {
+    for (const VmId& id : pool->second.vms_) {
+      const VmState& vm = fleet.vms_.at(id);
+      queue.workers_.Put(vm.facts_, UseOf(aScope, vm));
+    }
+    NoteWorkersChanged(queue);
+  }
+  return queue;
+}
+
+void
+SyncWorker(OwnerScope& aScope, const VmId& aVm)
+{
+  const FleetState& fleet = aScope.views_.fleet_;
+  const auto vm = fleet.vms_.find(aVm);
+  const bool known = vm != fleet.vms_.end();
+  for (auto& [id, queue] : aScope.owner_.pools_) {
+    const bool belongs = known && vm->second.pool_ == id;
+    if (!belongs && queue.workers_.Contains(aVm)) {
+      RemoveWorker(aScope, id, queue, aVm);
+    } else if (belongs) {
+      queue.workers_.Put(vm->second.facts_, UseOf(aScope, vm->second));
+      NoteWorkersChanged(queue);
+    }
+  }
+  if (known) {
+    ReportIfDrained(aScope, vm->second.pool_, aVm);
+  }
+}
+
+void
+NoteListing(OwnerScope& aScope, const VmListRead& aList)
+{
+  std::unordered_set<VmId>& leaving = aScope.owner_.leaving_;
+  std::vector<VmId> changed;
+  std::unordered_set<VmId> now;
+  for (const VmListing& listing : aList.vms_) {
+    const VmId& vm = listing.facts_.vm_;
+    const bool leaves = listing.leaving_ || !listing.live_;
+    if (leaves) {
+      now.insert(vm);
+    }
+    if (leaves != leaving.contains(vm)) {
+      changed.push_back(vm);
+    }
+  }
+  leaving = std::move(now);
+  for (const VmId& vm : changed) {
+    SyncWorker(aScope, vm);
+  }
+}
+
+void
+ReportIfDrained(OwnerScope& aScope, const PoolId& aPool, const VmId& aVm)
+{
+  if (OwnerOfPool(aScope.views_.membership_, aPool) != aScope.context_.self_ ||
+      !TakesNoWork(aScope, aPool, aVm)) {
+    return;
+  }
+  const auto pool = aScope.owner_.pools_.find(aPool);
+  if (pool == aScope.owner_.pools_.end() ||
+      pool->second.workers_.Running(aVm) == SlotCount{}) {
+    aScope.effects_.emplace_back(Raise{ PoolDrained{ aPool, aVm } });
+  }
+}
+
+void
+RecordHealth(OwnerScope& aScope,
+             const PoolId& aPool,
+             PoolQueue& aQueue,
+             const VmId& aVm,
+             const AttemptOutcome& aOutcome)
+{
+  const std::optional<bool> failed = IsFailure(aOutcome);
+  const FleetState& fleet = aScope.views_.fleet_;
+  const auto vm = fleet.vms_.find(aVm);
+  if (!failed || vm == fleet.vms_.end() || vm->second.pool_ != aPool) {
+    return;
+  }
+  WorkerHealth& health = aQueue.health_[aVm];
+  const bool wasHealthy = health.IsHealthy();
+  const HealthChange change = health.Record(*failed,
+                                            MayEject(aScope, aPool, aQueue),
+                                            vm->second.facts_.slots_,
+                                            aScope.context_.now_);
+  if (!wasHealthy || !health.IsHealthy()) {
+    ApplyHealth(aScope, aQueue, aVm, change);
+  }
+}
+
+void
+ProbeWorkers(OwnerScope& aScope, PoolQueue& aQueue)
+{
+  const std::set<VmId> unhealthy = aQueue.unhealthy_;
+  for (const VmId& vm : unhealthy) {
+    const HealthChange change =
+      aQueue.health_.at(vm).Advance(aScope.context_.now_);
+    if (change != HealthChange::None) {
+      ApplyHealth(aScope, aQueue, vm, change);
+    }
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/QueuedTicket.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "verbenawell/core/Time.h"
+#include "verbenawell/requests/Messages.h"
+
+#include <cstddef>
+#include <functional>
+
+namespace verbenawell {
+
+/// A request is known at its owner by its entry daemon and key.
+struct TicketId
+{
+  DaemonId entry_;
+  RequestKey key_;
+
+  auto operator<=>(const TicketId&) const = default;
+};
+
+/// A slot request in the queue of a pool.
+struct QueuedTicket
+{
+  TicketId id_;
+  SlotRequest request_;
+  TimePoint queuedAt_;
+  TimePoint deadline_;
+};
+
+} // namespace verbenawell
+
+template<>
+struct std::hash<verbenawell::TicketId>
+{
+  std::size_t operator()(const verbenawell::TicketId& aId) const
+  {
+    constexpr std::size_t kKeyFactor = 0x9E3779B97F4A7C15ULL;
+    return std::hash<verbenawell::DaemonId>{}(aId.entry_) ^
+           (std::hash<verbenawell::RequestKey>{}(aId.key_) * kKeyFactor);
+  }
+};
--- /dev/null
+++ b/src/verbenawell/requests/RunTimeEstimate.cpp
@@ -0,0 +1,57 @@
+#include "verbenawell/requests/RunTimeEstimate.h"
+
+#include <algorithm>
+
+namespace verbenawell {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr Duration kUnknownRunTime = std::chrono::milliseconds(100);
+
+// About the last 16 runs decide.
+constexpr double kLearningRate = 1.0 / 16.0;
+
+// A single run far off the declaration must not turn the estimate around.
+constexpr double kLeastFactor = 0.1;
+constexpr double kMostFactor = 10.0;
+
+} // namespace
+
+Duration
+RunTimeEstimate::Expect(Duration aDeclared) const
+{
+  if (aDeclared > Duration::zero()) {
+    return std::chrono::duration_cast<Duration>(aDeclared * factor_);
+  }
+  return hasMean_ ? Mean() : kUnknownRunTime;
+}
+
+Duration
+RunTimeEstimate::Typical(Duration aDeclared) const
+{
+  return hasMean_ ? Mean() : Expect(aDeclared);
+}
+
+Duration
+RunTimeEstimate::Mean() const
+{
+  return std::chrono::duration_cast<Duration>(Seconds{ meanSeconds_ });
+}
+
+void
+RunTimeEstimate::Learn(Duration aDeclared, Duration aSeen)
+{
+  const double seen = Seconds{ aSeen }.count();
+  meanSeconds_ =
+    hasMean_ ? meanSeconds_ + kLearningRate * (seen - meanSeconds_) : seen;
+  hasMean_ = true;
+  if (aDeclared > Duration::zero()) {
+    const double ratio = std::clamp(
+      seen / Seconds{ aDeclared }.count(), kLeastFactor, kMostFactor);
+    factor_ += kLearningRate * (ratio - factor_);
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/ShareOrder.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace verbenawell {
+
+/// How much of a pool one of several competitors uses.
+struct ShareLoad
+{
+  /// Slots held per weight.
+  double perWeight_ = 0.0;
+  /// Number of the last grant; among equals the longest unserved is first.
+  std::uint64_t lastGrant_ = 0;
+
+  auto operator<=>(const ShareLoad&) const = default;
+};
+
+/// Orders competitors that can be served, the least loaded first.
+template<typename CompetitorId>
+class ShareOrder
+{
+public:
+  /// Places a competitor; without a load it cannot be served.
+  void Put(const CompetitorId& aId, std::optional<ShareLoad> aLoad)
+  {
+    if (const auto found = loads_.find(aId); found != loads_.end()) {
+      places_.erase({ found->second, aId });
+      loads_.erase(found);
+    }
+    if (aLoad) {
+      places_.insert({ *aLoad, aId });
+      loads_.emplace(aId, *aLoad);
+    }
+  }
+
+  /// The competitor to serve next; null where none can be served.
+  [[nodiscard]] const CompetitorId* First() const
+  {
+    return places_.empty() ? nullptr : &places_.begin()->second;
+  }
+
+private:
+  std::set<std::pair<ShareLoad, CompetitorId>> places_;
+  std::unordered_map<CompetitorId, ShareLoad> loads_;
+};
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/SlotAdmission.cpp
+++ b/src/verbenawell/requests/SlotAdmission.cpp
@@ -1,26 +1,77 @@
 #include "verbenawell/requests/SlotAdmission.h"
 
 #include "verbenawell/fleet/FleetState.h"
-#include "verbenawell/requests/OwnerState.h"
+#include "verbenawell/requests/PoolWorkers.h"
 #include "verbenawell/requests/SlotGranting.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace verbenawell {
 
 namespace {
 
-constexpr std::size_t kMaxWaiting = 4096;
-constexpr Duration kQueueFullRetryAfter = std::chrono::seconds(1);
+constexpr Duration kUrgentStart = std::chrono::milliseconds(1600);
+constexpr Duration kNoWorkerRetryAfter = std::chrono::seconds(2);
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(60);
 
 void
-Refuse(OwnerScope& aScope,
-       const DaemonId& aEntry,
-       RequestKey aKey,
-       const NotRun& aVerdict)
+Refuse(OwnerScope& aScope, const TicketId& aTicket, const NotRun& aVerdict)
 {
   aScope.effects_.emplace_back(
-    SendPeer{ aEntry, SlotRefusal{ aKey, aVerdict } });
+    SendPeer{ aTicket.entry_, SlotRefusal{ aTicket.key_, aVerdict } });
+}
+
+NotRun
+RetryLater(RefusalReason aReason, Duration aAfter)
+{
+  return { aReason, std::clamp(aAfter, kLeastRetryAfter, kMostRetryAfter) };
+}
+
+Duration
+LongestWait(const RequestHead& aHead)
+{
+  return aHead.urgency_ == Urgency::Urgent
+           ? std::min(aHead.deadline_, kUrgentStart)
+           : aHead.deadline_;
+}
+
+/// Refusal of a request that no worker of the pool will run.
+std::optional<NotRun>
+CheckWorkers(const WorkerIndex& aWorkers, const SlotRequest& aRequest)
+{
+  const Resources& size = aRequest.head_.declared_;
+  if (!aWorkers.MayEverServe({ size, aRequest.tried_ })) {
+    return NotRun{ RefusalReason::NoWorker, kNoWorkerRetryAfter };
+  }
+  if (!aWorkers.EverFits(size)) {
+    return NotRun{ RefusalReason::NeverFits };
+  }
+  return {};
+}
+
+/// Refusal of a request that the queue cannot take or serve in time.
+std::optional<NotRun>
+CheckQueue(const FairQueue& aQueue,
+           const ShareKey& aKey,
+           const RequestHead& aHead)
+{
+  const Duration wait = aQueue.ExpectedWait(aKey);
+  const Duration longest = LongestWait(aHead);
+  if (aHead.deadline_ <= Duration::zero()) {
+    return NotRun{ RefusalReason::Deadline };
+  }
+  if (aQueue.IsOverQuota(aKey)) {
+    return RetryLater(RefusalReason::Quota, wait);
+  }
+  if (!aQueue.HasRoom(aKey, aHead.bodySize_)) {
+    return RetryLater(RefusalReason::QueueFull, wait);
+  }
+  if (wait > longest) {
+    return RetryLater(RefusalReason::Deadline, wait - longest);
+  }
+  return {};
 }
 
 } // namespace
@@ -30,37 +81,80 @@
             const DaemonId& aEntry,
             const SlotRequest& aRequest)
 {
+  const RequestHead& head = aRequest.head_;
+  const TicketId ticket{ aEntry, aRequest.key_ };
   const FleetState& fleet = aScope.views_.fleet_;
-  const auto service = fleet.services_.find(aRequest.head_.service_);
+  const auto service = fleet.services_.find(head.service_);
   if (service == fleet.services_.end()) {
-    Refuse(
-      aScope, aEntry, aRequest.key_, NotRun{ RefusalReason::UnknownService });
+    Refuse(aScope, ticket, NotRun{ RefusalReason::UnknownService });
+    return;
+  }
+  const PoolId& pool = service->second.pool_;
+  PoolQueue& queue = OpenPool(aScope, pool);
+  if (queue.queue_.Contains(ticket)) {
+    // The entry daemon sent the ticket again and keeps its place.
+    return;
+  }
+  if (const auto refusal = CheckWorkers(queue.workers_, aRequest)) {
+    Refuse(aScope, ticket, *refusal);
     return;
   }
-  PoolQueue& queue = aScope.owner_.pools_[service->second.pool_];
-  if (queue.waiting_.size() >= kMaxWaiting) {
-    Refuse(aScope,
-           aEntry,
-           aRequest.key_,
-           NotRun{ RefusalReason::QueueFull, kQueueFullRetryAfter });
+  const ShareKey key{ head.service_, head.team_, head.urgency_ };
+  if (const auto refusal = CheckQueue(queue.queue_, key, head)) {
+    Refuse(aScope, ticket, *refusal);
     return;
   }
-  queue.waiting_.push_back({ { aEntry, aRequest.key_ },
-                             aRequest,
-                             aScope.context_.now_,
-                             aScope.context_.now_ + aRequest.head_.deadline_ });
-  GrantFreeSlots(aScope, service->second.pool_, queue);
+  const TimePoint now = aScope.context_.now_;
+  queue.queue_.Push({ ticket, aRequest, now, now + head.deadline_ },
+                    TermsOf(aScope, key));
+  GrantFreeSlots(aScope, pool, queue);
 }
 
 void
 WithdrawTicket(OwnerScope& aScope, const TicketId& aTicket, const PoolId& aPool)
 {
-  if (const auto found = aScope.owner_.pools_.find(aPool);
-      found != aScope.owner_.pools_.end()) {
-    std::erase_if(found->second.waiting_, [&](const QueuedTicket& aQueued) {
-      return aQueued.id_ == aTicket;
-    });
+  if (const auto pool = aScope.owner_.pools_.find(aPool);
+      pool != aScope.owner_.pools_.end() &&
+      pool->second.queue_.Remove(aTicket)) {
+    aScope.effects_.emplace_back(Count{ Counter::TicketsCancelled });
+    GrantFreeSlots(aScope, aPool, pool->second);
+  }
+}
+
+void
+ExpireTickets(OwnerScope& aScope, PoolQueue& aQueue)
+{
+  const RefusalReason reason = aQueue.workers_.Serving() == VmCount{}
+                                 ? RefusalReason::NoWorker
+                                 : RefusalReason::Deadline;
+  while (const QueuedTicket* expired =
+           aQueue.queue_.FirstExpired(aScope.context_.now_)) {
+    const TicketId id = expired->id_;
+    const RequestHead& head = expired->request_.head_;
+    const Duration wait =
+      aQueue.queue_.ExpectedWait({ head.service_, head.team_, head.urgency_ });
+    aScope.effects_.emplace_back(Count{ Counter::TicketsExpired });
+    Refuse(aScope, id, RetryLater(reason, wait));
+    aQueue.queue_.Remove(id);
+  }
+}
+
+ShareTerms
+TermsOf(const OwnerScope& aScope, const ShareKey& aKey)
+{
+  const FleetState& fleet = aScope.views_.fleet_;
+  ShareTerms terms;
+  // A service that needs more VMs by its budget has the larger share.
+  if (const auto service = fleet.services_.find(aKey.service_);
+      service != fleet.services_.end()) {
+    terms.serviceWeight_ = ShareWeight{ service->second.budget_.Value() };
+  }
+  if (const auto quota = fleet.quotas_.find({ aKey.team_, aKey.service_ });
+      quota != fleet.quotas_.end()) {
+    terms.teamWeight_ = quota->second.weight_;
+    terms.limit_ = quota->second.limit_;
   }
+  return terms;
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/requests/SlotAdmission.h
+++ b/src/verbenawell/requests/SlotAdmission.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "verbenawell/requests/Messages.h"
 #include "verbenawell/requests/OwnerScope.h"
+#include "verbenawell/requests/OwnerState.h"
 
 namespace verbenawell {
 
-struct TicketId;
-
 /// Queues a slot request, or refuses it with a typed reason.
 void
 AdmitTicket(OwnerScope& aScope,
@@ -19,4 +17,12 @@
                const TicketId& aTicket,
                const PoolId& aPool);
 
+/// Refuses the tickets whose deadlines have passed.
+void
+ExpireTickets(OwnerScope& aScope, PoolQueue& aQueue);
+
+/// Weights and limit of a team by its quota.
+ShareTerms
+TermsOf(const OwnerScope& aScope, const ShareKey& aKey);
+
 } // namespace verbenawell
--- a/src/verbenawell/requests/SlotGranting.cpp
+++ b/src/verbenawell/requests/SlotGranting.cpp
@@ -1,42 +1,24 @@
 #include "verbenawell/requests/SlotGranting.h"
 
-#include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/requests/Grant.h"
 
 #include <algorithm>
-#include <utility>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <vector>
 
 namespace verbenawell {
 
 namespace {
 
-const VmState*
-ChooseWorker(const OwnerScope& aScope,
-             const PoolId& aPool,
-             const PoolQueue& aQueue,
-             const QueuedTicket& aTicket)
+// Blocked requests looked at for each release, so that its cost is bounded.
+constexpr std::size_t kBlockedLooks = 8;
+
+WorkerNeed
+NeedOf(const QueuedTicket& aTicket)
 {
-  const FleetState& fleet = aScope.views_.fleet_;
-  const auto pool = fleet.pools_.find(aPool);
-  if (pool == fleet.pools_.end()) {
-    return nullptr;
-  }
-  const VmState* best = nullptr;
-  SlotCount bestRunning;
-  for (const VmId& id : pool->second.vms_) {
-    const VmState& vm = fleet.vms_.at(id);
-    const auto found = aQueue.running_.find(id);
-    const SlotCount running =
-      found == aQueue.running_.end() ? SlotCount{} : found->second;
-    const bool usable = IsServing(vm) && running < vm.facts_.slots_ &&
-                        std::ranges::find(aTicket.request_.tried_, id) ==
-                          aTicket.request_.tried_.end();
-    if (usable && (best == nullptr || running < bestRunning)) {
-      best = &vm;
-      bestRunning = running;
-    }
-  }
-  return best;
+  return { aTicket.request_.head_.declared_, aTicket.request_.tried_ };
 }
 
 } // namespace
@@ -44,16 +26,41 @@
 void
 GrantFreeSlots(OwnerScope& aScope, const PoolId& aPool, PoolQueue& aQueue)
 {
-  while (!aQueue.waiting_.empty()) {
-    const VmState* worker =
-      ChooseWorker(aScope, aPool, aQueue, aQueue.waiting_.front());
-    if (worker == nullptr) {
+  while (aQueue.workers_.HasFreeSlot()) {
+    const std::optional<ShareKey> share = aQueue.queue_.Next();
+    if (!share) {
       return;
     }
-    const QueuedTicket next = std::move(aQueue.waiting_.front());
-    aQueue.waiting_.pop_front();
-    Grant(aScope, aPool, aQueue, next, *worker);
+    const std::optional<VmId> worker = aQueue.workers_.Choose(
+      NeedOf(aQueue.queue_.Head(*share)), aScope.random_);
+    if (worker) {
+      Grant(aScope, aPool, aQueue, *share, *worker);
+    } else {
+      aScope.effects_.emplace_back(Count{ Counter::TicketsBlocked });
+      aQueue.queue_.Block(*share);
+    }
+  }
+}
+
+void
+GrantSlotsOf(OwnerScope& aScope,
+             const PoolId& aPool,
+             PoolQueue& aQueue,
+             const VmId& aVm)
+{
+  const std::set<ShareKey>& all = aQueue.queue_.Blocked();
+  std::vector<ShareKey> blocked;
+  std::copy_n(all.begin(),
+              std::min(all.size(), kBlockedLooks),
+              std::back_inserter(blocked));
+  for (const ShareKey& share : blocked) {
+    if (aQueue.queue_.MayHoldMore(share) &&
+        aQueue.workers_.HasPlace(aVm, NeedOf(aQueue.queue_.Head(share)))) {
+      aQueue.queue_.Unblock(share);
+      Grant(aScope, aPool, aQueue, share, aVm);
+    }
   }
+  GrantFreeSlots(aScope, aPool, aQueue);
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/requests/SlotGranting.h
+++ b/src/verbenawell/requests/SlotGranting.h
@@ -11,4 +11,12 @@
 void
 GrantFreeSlots(OwnerScope& aScope, const PoolId& aPool, PoolQueue& aQueue);
 
+/// Offers room that became free on a worker to the requests that did not fit
+/// before, and then to the queue.
+void
+GrantSlotsOf(OwnerScope& aScope,
+             const PoolId& aPool,
+             PoolQueue& aQueue,
+             const VmId& aVm);
+
 } // namespace verbenawell
--- a/src/verbenawell/requests/SlotReturn.cpp
+++ b/src/verbenawell/requests/SlotReturn.cpp
@@ -1,44 +1,146 @@
 #include "verbenawell/requests/SlotReturn.h"
 
+#include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
-#include "verbenawell/requests/OwnerState.h"
+#include "verbenawell/requests/PoolWorkers.h"
+#include "verbenawell/requests/SlotAdmission.h"
 #include "verbenawell/requests/SlotGranting.h"
 
+#include <optional>
+#include <vector>
+
 namespace verbenawell {
 
+namespace {
+
+// How long an attempt of a lost entry daemon may go on at its worker without
+// a caller.
+constexpr Duration kUnconfirmedWindow = std::chrono::seconds(2);
+
+// An attempt of an earlier owner ends within the longest deadline.
+constexpr Duration kAdoptedSlotTime = std::chrono::minutes(10);
+
+/// The run time to learn from; a failure says nothing about it.
+std::optional<Duration>
+RunTimeSeen(const AttemptOutcome& aOutcome, Duration aRunTime)
+{
+  constexpr int kServerError = 500;
+  return std::visit(
+    Overloaded{
+      [&](const WholeAnswer& aAnswer) {
+        return aAnswer.status_ < kServerError ? std::optional{ aRunTime }
+                                              : std::nullopt;
+      },
+      [&](const LateAnswer&) { return std::optional{ aRunTime }; },
+      [](const auto&) { return std::optional<Duration>{}; },
+    },
+    aOutcome);
+}
+
+GrantedSlot
+FreeSlot(OwnerScope& aScope,
+         PoolQueue& aQueue,
+         const SlotKey& aKey,
+         std::optional<Duration> aSeen)
+{
+  const auto found = aQueue.granted_.find(aKey);
+  GrantedSlot slot = std::move(found->second);
+  aQueue.granted_.erase(found);
+  aQueue.expiries_.erase({ slot.expiresAt_, aKey });
+  aQueue.workers_.ReturnSlot(slot.vm_, slot.size_);
+  aQueue.queue_.Return(slot.share_, aSeen, aScope.context_.now_);
+  return slot;
+}
+
+/// Frees a slot although its attempt may still run.
+void
+FreeUnconfirmed(OwnerScope& aScope,
+                const PoolId& aPool,
+                PoolQueue& aQueue,
+                const SlotKey& aKey,
+                Counter aCounter)
+{
+  const VmId vm = FreeSlot(aScope, aQueue, aKey, {}).vm_;
+  UnconfirmedSlots& unconfirmed = aQueue.unconfirmed_[vm];
+  ++unconfirmed.count_;
+  unconfirmed.until_ = aScope.context_.now_ + kUnconfirmedWindow;
+  aScope.effects_.emplace_back(Count{ aCounter });
+  ReportIfDrained(aScope, aPool, vm);
+  GrantSlotsOf(aScope, aPool, aQueue, vm);
+}
+
+} // namespace
+
 void
 ReleaseSlot(OwnerScope& aScope, const SlotRelease& aRelease)
 {
   const auto pool = aScope.owner_.pools_.find(aRelease.pool_);
-  if (pool == aScope.owner_.pools_.end()) {
+  const SlotKey key{ aRelease.term_, aRelease.attempt_ };
+  if (pool == aScope.owner_.pools_.end() ||
+      !pool->second.granted_.contains(key)) {
     return;
   }
   PoolQueue& queue = pool->second;
-  if (const auto slot = queue.granted_.find(aRelease.attempt_);
-      slot != queue.granted_.end()) {
-    --queue.running_[slot->second.vm_];
-    queue.granted_.erase(slot);
-  }
-  ReportIfDrained(aScope, aRelease.vm_);
-  GrantFreeSlots(aScope, pool->first, queue);
+  const auto seen = RunTimeSeen(aRelease.outcome_, aRelease.runTime_);
+  const VmId vm = FreeSlot(aScope, queue, key, seen).vm_;
+  RecordHealth(aScope, pool->first, queue, vm, aRelease.outcome_);
+  ReportIfDrained(aScope, pool->first, vm);
+  GrantSlotsOf(aScope, pool->first, queue, vm);
 }
 
 void
-ReportIfDrained(OwnerScope& aScope, const VmId& aVm)
+AdoptSlot(OwnerScope& aScope,
+          const PoolId& aPool,
+          const DaemonId& aEntry,
+          const ServiceId& aService,
+          const RunningAttempt& aRunning)
 {
-  const FleetState& fleet = aScope.views_.fleet_;
-  const auto found = fleet.vms_.find(aVm);
-  if (found == fleet.vms_.end() || IsServing(found->second)) {
+  PoolQueue& queue = OpenPool(aScope, aPool);
+  const SlotKey key{ aRunning.term_, aRunning.attempt_ };
+  if (queue.granted_.contains(key)) {
     return;
   }
-  const PoolId& poolId = found->second.pool_;
-  const auto pool = aScope.owner_.pools_.find(poolId);
-  const bool idle = pool == aScope.owner_.pools_.end() ||
-                    !pool->second.running_.contains(aVm) ||
-                    pool->second.running_.at(aVm) == SlotCount{};
-  if (idle) {
-    aScope.effects_.emplace_back(Raise{ PoolDrained{ poolId, aVm } });
+  const TimePoint now = aScope.context_.now_;
+  const ShareKey share{ aService, aRunning.team_, aRunning.urgency_ };
+  const HeldShare held = queue.queue_.Adopt(share, TermsOf(aScope, share), now);
+  const TimePoint expiresAt = now + kAdoptedSlotTime;
+  queue.granted_[key] = {
+    { aEntry, aRunning.key_ }, aRunning.vm_, {}, now, expiresAt, held, {}
+  };
+  queue.expiries_.emplace(expiresAt, key);
+  queue.workers_.TakeSlot(aRunning.vm_, {});
+}
+
+void
+ForgetEntry(OwnerScope& aScope, const DaemonId& aEntry)
+{
+  for (auto& [id, queue] : aScope.owner_.pools_) {
+    for (const TicketId& ticket : queue.queue_.TicketsOf(aEntry)) {
+      queue.queue_.Remove(ticket);
+    }
+    std::vector<SlotKey> lost;
+    for (const auto& [key, slot] : queue.granted_) {
+      if (slot.ticket_.entry_ == aEntry) {
+        lost.push_back(key);
+      }
+    }
+    for (const SlotKey& key : lost) {
+      FreeUnconfirmed(aScope, id, queue, key, Counter::SlotsFreedOfLostEntries);
+    }
+  }
+}
+
+void
+ExpireSlots(OwnerScope& aScope, const PoolId& aPool, PoolQueue& aQueue)
+{
+  const TimePoint now = aScope.context_.now_;
+  while (!aQueue.expiries_.empty() && aQueue.expiries_.begin()->first <= now) {
+    const SlotKey key = aQueue.expiries_.begin()->second;
+    FreeUnconfirmed(aScope, aPool, aQueue, key, Counter::SlotsExpired);
   }
+  std::erase_if(aQueue.unconfirmed_, [&](const auto& aEntry) {
+    return aEntry.second.until_ <= now;
+  });
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/requests/SlotReturn.h
+++ b/src/verbenawell/requests/SlotReturn.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "verbenawell/requests/Messages.h"
 #include "verbenawell/requests/OwnerScope.h"
+#include "verbenawell/requests/OwnerState.h"
 
 namespace verbenawell {
 
@@ -9,8 +9,20 @@
 void
 ReleaseSlot(OwnerScope& aScope, const SlotRelease& aRelease);
 
-/// Raises `PoolDrained` where the VM takes no new work and runs none.
+/// Counts a slot that an earlier owner granted and that is still in use.
 void
-ReportIfDrained(OwnerScope& aScope, const VmId& aVm);
+AdoptSlot(OwnerScope& aScope,
+          const PoolId& aPool,
+          const DaemonId& aEntry,
+          const ServiceId& aService,
+          const RunningAttempt& aRunning);
+
+/// Frees the slots and drops the tickets of an entry daemon that is lost.
+void
+ForgetEntry(OwnerScope& aScope, const DaemonId& aEntry);
+
+/// Frees slots whose releases were lost.
+void
+ExpireSlots(OwnerScope& aScope, const PoolId& aPool, PoolQueue& aQueue);
 
 } // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/WorkerIndex.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "verbenawell/core/Random.h"
+#include "verbenawell/fleet/VmFacts.h"
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace verbenawell {
+
+/// What the fleet and the platform say of a worker's use.
+struct WorkerUse
+{
+  /// New work may start on it.
+  bool usable_ = false;
+  /// It serves, or may serve again without an operator.
+  bool mayServe_ = false;
+
+  bool operator==(const WorkerUse&) const = default;
+};
+
+/// What a request needs of its worker.
+struct WorkerNeed
+{
+  Resources size_;
+  /// Workers that have failed the request.
+  std::vector<VmId> tried_;
+};
+
+/// Workers of a pool and what runs on them. Choosing a worker costs the same
+/// in a small and in a large pool.
+class WorkerIndex
+{
+public:
+  /// Adds a worker or updates what is known of it.
+  void Put(const VmFacts& aFacts, WorkerUse aUse);
+
+  /// Takes a worker out of the pool; what runs there is still counted.
+  void Remove(const VmId& aVm);
+
+  /// Limits the slots of a worker that is being ejected or readmitted.
+  void SetCap(const VmId& aVm, SlotCount aCap);
+
+  /// Counts what starts on a worker, also on one that is not in the pool.
+  void TakeSlot(const VmId& aVm, const Resources& aSize);
+  void ReturnSlot(const VmId& aVm, const Resources& aSize);
+
+  /// The less loaded of two random workers with a free slot where the request
+  /// fits; a retry prefers a rack and zone that have not failed it.
+  [[nodiscard]] std::optional<VmId> Choose(const WorkerNeed& aNeed,
+                                           Random& aRandom) const;
+
+  /// Tells whether a slot of this worker is free for the request.
+  [[nodiscard]] bool HasPlace(const VmId& aVm, const WorkerNeed& aNeed) const;
+
+  [[nodiscard]] bool HasFreeSlot() const;
+
+  /// Tells whether any worker is large enough, whatever runs there.
+  [[nodiscard]] bool EverFits(const Resources& aSize) const;
+
+  /// Tells whether a worker that has not failed the request serves or may.
+  [[nodiscard]] bool MayEverServe(const WorkerNeed& aNeed) const;
+
+  /// Tells whether the worker is in the pool, whatever its use.
+  [[nodiscard]] bool Contains(const VmId& aVm) const;
+
+  [[nodiscard]] SlotCount Running(const VmId& aVm) const;
+
+  /// Slots of usable workers, within their caps.
+  [[nodiscard]] SlotCount UsableSlots() const { return usableSlots_; }
+
+  /// Usable workers that are not ejected.
+  [[nodiscard]] VmCount Serving() const { return serving_; }
+
+private:
+  using Position = std::uint32_t;
+
+  static constexpr SlotCount kNoCap{
+    std::numeric_limits<std::uint32_t>::max()
+  };
+
+  struct Worker
+  {
+    VmFacts facts_;
+    WorkerUse use_;
+    bool inPool_ = true;
+    SlotCount cap_ = kNoCap;
+    SlotCount running_;
+    Resources reserved_;
+    /// Place in the list of workers with a free slot, if it has one.
+    std::optional<std::size_t> openAt_;
+  };
+
+  struct SizeCount
+  {
+    Resources size_;
+    std::uint32_t workers_ = 0;
+  };
+
+  Position Add(Worker aWorker);
+  template<typename Change>
+  void Update(Position aPosition, Change aChange);
+  void CountIn(Worker& aWorker, Position aPosition);
+  void CountOut(Worker& aWorker);
+  void CountSize(const Resources& aSize, bool aAdd);
+  void Erase(Position aPosition);
+
+  [[nodiscard]] const Worker* Find(const VmId& aVm) const;
+  [[nodiscard]] std::vector<Position>& OpenListOf(const Worker& aWorker);
+  [[nodiscard]] std::optional<Position> ChooseFrom(
+    const std::vector<Position>& aOpen,
+    const WorkerNeed& aNeed,
+    Random& aRandom) const;
+  [[nodiscard]] bool IsBetter(const Worker& aLeft,
+                              const Worker& aRight,
+                              const WorkerNeed& aNeed) const;
+  [[nodiscard]] int Nearness(const Worker& aWorker,
+                             const WorkerNeed& aNeed) const;
+
+  std::vector<Worker> workers_;
+  std::vector<Position> vacant_;
+  std::unordered_map<VmId, Position> positions_;
+  /// Workers with a free slot, apart by whether they have accelerators.
+  std::vector<Position> openPlain_;
+  std::vector<Position> openAccelerated_;
+  std::vector<SizeCount> sizes_;
+  SlotCount usableSlots_;
+  VmCount serving_;
+  std::uint32_t mayServe_ = 0;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/tests/unit/OwnerReducerTest.cpp
@@ -0,0 +1,291 @@
+#include "verbenawell/requests/OwnerReducer.h"
+
+#include "verbenawell/core/State.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+using namespace std::chrono_literals;
+
+const PoolId kPool{ "web" };
+const DaemonId kSelf{ "self" };
+const DaemonId kEntry{ "entry" };
+
+/// Drives the owner part of one daemon that owns one pool.
+class OwnerReducerTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    state_.membership_.members_[kSelf] = {};
+    state_.fleet_.pools_[kPool].services_.insert(ServiceId{ "slot" });
+    state_.fleet_.services_[ServiceId{ "slot" }] = { kPool, VmCount{ 1 } };
+  }
+
+  void AddVm(const std::string& aName, std::uint32_t aSlots = 8)
+  {
+    const VmId id{ aName };
+    VmState& vm = state_.fleet_.vms_[id];
+    vm.facts_.vm_ = id;
+    vm.facts_.slots_ = SlotCount{ aSlots };
+    vm.facts_.size_ = { Cores{ 4 }, Megabytes{ 1000 }, {} };
+    vm.pool_ = kPool;
+    state_.fleet_.pools_[kPool].vms_.insert(id);
+  }
+
+  Effects Send(const Event& aEvent)
+  {
+    Effects effects;
+    ReduceOwner(
+      state_.requests_, state_.View(), aEvent, { now_, {}, kSelf }, effects);
+    for (const Effect& effect : effects) {
+      if (const auto* send = std::get_if<SendPeer>(&effect)) {
+        if (const auto* grant = std::get_if<SlotGrant>(&send->message_)) {
+          grants_.push_back(*grant);
+        }
+      }
+    }
+    return effects;
+  }
+
+  Effects Ask(Urgency aUrgency = Urgency::Interactive,
+              Duration aDeadline = 10s,
+              const Resources& aSize = {})
+  {
+    SlotRequest request;
+    request.key_ = ++lastKey_;
+    request.head_.service_ = ServiceId{ "slot" };
+    request.head_.urgency_ = aUrgency;
+    request.head_.deadline_ = aDeadline;
+    request.head_.declared_ = aSize;
+    request.head_.declaredRunTime_ = 1s;
+    return Send(PeerMessageReceived{ kEntry, request });
+  }
+
+  Effects Release(const SlotGrant& aGrant, const AttemptOutcome& aOutcome)
+  {
+    return Send(PeerMessageReceived{ kEntry,
+                                     SlotRelease{ aGrant.key_,
+                                                  aGrant.attempt_,
+                                                  aGrant.pool_,
+                                                  aGrant.term_,
+                                                  aGrant.vm_,
+                                                  aOutcome,
+                                                  1s } });
+  }
+
+  Effects Tick() { return Send(TimerDue{ OwnerTick{} }); }
+
+  static std::optional<NotRun> Refusal(const Effects& aEffects)
+  {
+    for (const Effect& effect : aEffects) {
+      const auto* send = std::get_if<SendPeer>(&effect);
+      if (send == nullptr) {
+        continue;
+      }
+      if (const auto* refusal = std::get_if<SlotRefusal>(&send->message_)) {
+        return std::get<NotRun>(refusal->verdict_);
+      }
+    }
+    return {};
+  }
+
+  static std::optional<RefusalReason> ReasonOf(const Effects& aEffects)
+  {
+    const auto refusal = Refusal(aEffects);
+    return refusal ? std::optional{ refusal->reason_ } : std::nullopt;
+  }
+
+  static int Counted(const Effects& aEffects, Counter aCounter)
+  {
+    return static_cast<int>(
+      std::ranges::count_if(aEffects, [&](const Effect& aEffect) {
+        const auto* count = std::get_if<Count>(&aEffect);
+        return count != nullptr && count->key_ == CounterKey{ aCounter };
+      }));
+  }
+
+  static int Drained(const Effects& aEffects)
+  {
+    return static_cast<int>(
+      std::ranges::count_if(aEffects, [](const Effect& aEffect) {
+        const auto* raise = std::get_if<Raise>(&aEffect);
+        return raise != nullptr &&
+               std::holds_alternative<PoolDrained>(raise->event_);
+      }));
+  }
+
+  Effects ShowAsLeaving(const std::string& aVm)
+  {
+    VmListing listing;
+    listing.facts_.vm_ = VmId{ aVm };
+    listing.leaving_ = true;
+    return Send(VmListRead{ { listing } });
+  }
+
+  State state_;
+  TimePoint now_{ 100s };
+  RequestKey lastKey_;
+  std::vector<SlotGrant> grants_;
+};
+
+// Guards against work that no worker can ever run and that waits all the same.
+TEST_F(OwnerReducerTest, RefusesAtOnceWhatNothingWillServe)
+{
+  EXPECT_EQ(ReasonOf(Ask()), RefusalReason::NoWorker);
+  AddVm("vm1");
+  Send(FleetChanged{ { VmId{ "vm1" } } });
+  EXPECT_EQ(ReasonOf(Ask(Urgency::Long, 10s, { Cores{ 5 }, Megabytes{}, {} })),
+            RefusalReason::NeverFits);
+  EXPECT_EQ(ReasonOf(Ask(Urgency::Long, 0s)), RefusalReason::Deadline);
+}
+
+// Guards against a request that waits for ever while its workers are down.
+TEST_F(OwnerReducerTest, RefusesAtItsDeadlineWhatNoWorkerCameBackFor)
+{
+  AddVm("vm1");
+  state_.fleet_.vms_.at(VmId{ "vm1" }).down_ = true;
+  EXPECT_EQ(ReasonOf(Ask()), std::nullopt);
+  now_ += 10s;
+  const Effects effects = Tick();
+  EXPECT_EQ(ReasonOf(effects), RefusalReason::NoWorker);
+  EXPECT_EQ(Counted(effects, Counter::TicketsExpired), 1);
+}
+
+// Guards against urgent work that is accepted although it cannot start in
+// time, and against a refusal that does not say when to come back.
+TEST_F(OwnerReducerTest, RefusesWorkWhoseExpectedWaitIsTooLong)
+{
+  AddVm("vm1", 1);
+  Ask(Urgency::Urgent);
+  Ask(Urgency::Urgent);
+  Ask(Urgency::Urgent);
+  const auto refusal = Refusal(Ask(Urgency::Urgent));
+  ASSERT_TRUE(refusal);
+  EXPECT_EQ(refusal->reason_, RefusalReason::Deadline);
+  EXPECT_EQ(refusal->retryAfter_, 400ms);
+  EXPECT_EQ(ReasonOf(Ask(Urgency::Interactive)), std::nullopt);
+}
+
+// Guards against new work on a VM that the list shows as leaving, and against
+// a drain that is reported before the last attempt has ended or not at all.
+TEST_F(OwnerReducerTest, DrainsAVmThatIsShownAsLeaving)
+{
+  AddVm("vm1");
+  AddVm("vm2");
+  for (int i = 0; i < 16; ++i) {
+    Ask();
+  }
+  Ask();
+  EXPECT_EQ(grants_.size(), 16U);
+  EXPECT_EQ(Drained(ShowAsLeaving("vm1")), 0);
+  int left = 8;
+  const std::vector<SlotGrant> held = grants_;
+  for (const SlotGrant& grant : held) {
+    if (grant.vm_ == VmId{ "vm1" }) {
+      EXPECT_EQ(Drained(Release(grant, WholeAnswer{ 200, {} })),
+                --left == 0 ? 1 : 0);
+    }
+  }
+  EXPECT_EQ(grants_.size(), 16U);
+  state_.fleet_.vms_.at(VmId{ "vm1" }).draining_ = true;
+  EXPECT_EQ(Drained(Send(FleetChanged{ { VmId{ "vm1" } } })), 1);
+}
+
+// Guards against a daemon that reports VMs of other owners as drained.
+TEST_F(OwnerReducerTest, ReportsNoDrainInAPoolOfAnotherOwner)
+{
+  AddVm("vm1");
+  state_.membership_.members_.clear();
+  state_.membership_.members_[kEntry] = {};
+  EXPECT_EQ(Drained(ShowAsLeaving("vm1")), 0);
+}
+
+// Guards against slots that stay lost with their entry daemon.
+TEST_F(OwnerReducerTest, FreesTheSlotsOfALostEntry)
+{
+  AddVm("vm1", 2);
+  Ask();
+  Ask();
+  Ask();
+  const Effects effects = Send(MembersChanged{ {}, { kEntry } });
+  EXPECT_EQ(Counted(effects, Counter::SlotsFreedOfLostEntries), 2);
+  const Effects next = Ask();
+  EXPECT_EQ(Counted(next, Counter::SlotsOverrun), 1);
+  EXPECT_EQ(grants_.size(), 3U);
+  EXPECT_EQ(Drained(Release(grants_.front(), Cancelled{})), 0);
+  now_ += 2s;
+  Tick();
+  EXPECT_EQ(Counted(Ask(), Counter::SlotsOverrun), 0);
+}
+
+// Guards against a slot that stays taken because its release was lost.
+TEST_F(OwnerReducerTest, FreesASlotWhoseReleaseNeverCame)
+{
+  AddVm("vm1", 1);
+  Ask();
+  now_ += 14s;
+  EXPECT_EQ(Counted(Tick(), Counter::SlotsExpired), 0);
+  now_ += 1s;
+  EXPECT_EQ(Counted(Tick(), Counter::SlotsExpired), 1);
+}
+
+// Guards against work for a worker that fails everything, and against an
+// ejection that breaks the budget.
+TEST_F(OwnerReducerTest, EjectsAFailingWorkerWithinTheBudget)
+{
+  AddVm("vm1");
+  AddVm("vm2");
+  int ejected = 0;
+  for (int i = 0; i < 100; ++i) {
+    Ask();
+    ejected += Counted(Release(grants_.back(), WholeAnswer{ 500, {} }),
+                       Counter::WorkersEjected);
+  }
+  EXPECT_EQ(ejected, 1);
+  const VmId last = grants_.back().vm_;
+  Ask();
+  EXPECT_EQ(grants_.back().vm_, last);
+  now_ += 2s;
+  EXPECT_EQ(Counted(Tick(), Counter::WorkersProbed), 1);
+}
+
+// Guards against a cancelled ticket that is granted or a cancelled attempt
+// that counts against its worker.
+TEST_F(OwnerReducerTest, DropsACancelledTicketAtOnce)
+{
+  AddVm("vm1", 1);
+  AddVm("vm2", 1);
+  Ask();
+  Ask();
+  Ask();
+  const Effects effects =
+    Send(PeerMessageReceived{ kEntry, SlotCancel{ lastKey_, kPool } });
+  EXPECT_EQ(Counted(effects, Counter::TicketsCancelled), 1);
+  for (int i = 0; i < 20; ++i) {
+    Release(grants_.back(), Cancelled{});
+    Ask();
+  }
+  EXPECT_TRUE(state_.requests_.owner_.pools_.at(kPool).unhealthy_.empty());
+}
+
+// Guards against a request that fits nowhere now and blocks others, or that
+// is forgotten when there is room.
+TEST_F(OwnerReducerTest, GrantsABlockedRequestWhenThereIsRoom)
+{
+  AddVm("vm1");
+  const Resources most{ Cores{ 3 }, Megabytes{}, {} };
+  Ask(Urgency::Long, 10s, most);
+  EXPECT_EQ(Counted(Ask(Urgency::Long, 10s, most), Counter::TicketsBlocked), 1);
+  Ask(Urgency::Urgent);
+  EXPECT_EQ(grants_.size(), 2U);
+  Release(grants_.front(), WholeAnswer{ 200, {} });
+  EXPECT_EQ(grants_.size(), 3U);
+}
+
+} // namespace
+} // namespace verbenawell
