--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -51,8 +51,14 @@
                            MembersChanged,
                            FleetChanged,
                            AppendWanted,
+                           AppendGivenUp,
+                           StreamWanted,
+                           StreamUnwanted,
+                           StreamCaughtUp,
+                           StreamGap,
                            StreamAdvanced,
                            RecordSettled,
+                           DrainQuery,
                            PoolDrained>;
 
 } // namespace verbenawell
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -27,6 +27,8 @@
   LogReadsFailed,
   LogAppendsFailed,
   LogAppendsSettledByReading,
+  LogAppendsGivenUp,
+  LogGaps,
   VmListsFailed,
   WorkersEjected,
   WorkersProbed,
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -85,6 +85,11 @@
       aEvent.message_);
   }
 
+  void operator()(const DrainQuery& aEvent)
+  {
+    ReportIfDrained(scope_, aEvent.pool_, aEvent.vm_);
+  }
+
   void operator()(const auto&) {}
 
 private:
--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -16,7 +16,8 @@
 UseOf(const OwnerScope& aScope, const VmState& aVm)
 {
   const bool leaving = aScope.owner_.leaving_.contains(aVm.facts_.vm_);
-  return { IsServing(aVm) && !leaving, !aVm.draining_ && !leaving };
+  const bool stays = !aVm.draining_ && aVm.movingTo_.IsEmpty() && !leaving;
+  return { IsServing(aVm) && !leaving, stays };
 }
 
 bool
