--- /dev/null
+++ b/bench/ExactMoves.cpp
@@ -0,0 +1,80 @@
+#include "ExactMoves.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace verbenawell::bench {
+
+namespace {
+
+/// Pool of each serving VM, in the order of the VMs.
+using Assignments = std::vector<PoolId>;
+
+Assignments
+ReadAssignments(const FleetState& aFleet)
+{
+  std::map<VmId, PoolId> sorted;
+  for (const auto& [id, vm] : aFleet.vms_) {
+    if (IsServing(vm)) {
+      sorted[id] = vm.pool_;
+    }
+  }
+  Assignments assignments;
+  for (const auto& [id, pool] : sorted) {
+    assignments.push_back(pool);
+  }
+  return assignments;
+}
+
+std::size_t
+CountMissing(const FleetState& aFleet, const Assignments& aAssignments)
+{
+  std::size_t missing = 0;
+  for (const auto& [id, pool] : aFleet.pools_) {
+    std::size_t serving = 0;
+    for (const PoolId& assigned : aAssignments) {
+      serving += assigned == id ? 1 : 0;
+    }
+    const std::size_t budget = LargestBudget(aFleet, pool).Value();
+    missing += budget > serving ? budget - serving : 0;
+  }
+  return missing;
+}
+
+} // namespace
+
+std::size_t
+MissingVms(const FleetState& aFleet)
+{
+  return CountMissing(aFleet, ReadAssignments(aFleet));
+}
+
+std::size_t
+SearchLeastMoves(const FleetState& aFleet)
+{
+  const Assignments start = ReadAssignments(aFleet);
+  std::set<Assignments> seen{ start };
+  std::deque<std::pair<Assignments, std::size_t>> open{ { start, 0 } };
+  while (!open.empty()) {
+    const auto [current, moves] = std::move(open.front());
+    open.pop_front();
+    if (CountMissing(aFleet, current) == 0) {
+      return moves;
+    }
+    for (std::size_t vm = 0; vm < current.size(); ++vm) {
+      for (const auto& [pool, state] : aFleet.pools_) {
+        Assignments next = current;
+        next[vm] = pool;
+        if (seen.insert(next).second) {
+          open.emplace_back(std::move(next), moves + 1);
+        }
+      }
+    }
+  }
+  return 0;
+}
+
+} // namespace verbenawell::bench
--- /dev/null
+++ b/bench/PlannerBench.cpp
@@ -0,0 +1,281 @@
+#include "verbenawell/core/Random.h"
+#include "verbenawell/planner/SparePlan.h"
+#include "verbenawell/planner/WavePlan.h"
+
+#include "ExactMoves.h"
+#include "PlannerFleet.h"
+#include "Row.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <gflags/gflags.h>
+
+DEFINE_uint64(seed, 1, "seed of the fleets and failures");
+
+namespace {
+
+using namespace verbenawell;
+using namespace verbenawell::bench;
+using Clock = std::chrono::steady_clock;
+
+std::uint32_t
+SumOf(const std::vector<std::uint32_t>& aBudgets)
+{
+  std::uint32_t sum = 0;
+  for (const std::uint32_t budget : aBudgets) {
+    sum += budget;
+  }
+  return sum;
+}
+
+/// Least VMs above `aBudget` that leave it after the loss of the largest of
+/// evenly filled zones.
+std::uint32_t
+LeastSpares(std::uint32_t aBudget, std::uint32_t aZones)
+{
+  std::uint32_t total = aBudget;
+  while (total - (total + aZones - 1) / aZones < aBudget) {
+    ++total;
+  }
+  return total - aBudget;
+}
+
+void
+MeasureBufferCost(const std::string& aName, const FleetShape& aShape)
+{
+  constexpr double kBound = 1.05;
+  const auto zones = static_cast<std::uint32_t>(aShape.zones_);
+  const Placement placement =
+    PlaceFromNothing(MakeVms(aShape), MakeDemands(aShape));
+  const double least = LeastSpares(SumOf(aShape.budgets_), zones);
+  double perPool = 0;
+  for (const std::uint32_t budget : aShape.budgets_) {
+    perPool += LeastSpares(budget, zones);
+  }
+  const auto spares =
+    static_cast<double>(placement.spares_.size()) + placement.missing_.Value();
+  Print({ "buffer_cost/" + aName,
+          spares / least,
+          "ratio",
+          perPool / least,
+          kBound,
+          FLAGS_seed,
+          placement.spares_.size() });
+}
+
+/// VMs whose pool differs between the fleet and a placement from nothing.
+std::size_t
+MovesOfNewPlacement(const FleetState& aFleet, const FleetShape& aShape)
+{
+  std::vector<VmFacts> serving;
+  for (const VmFacts& vm : MakeVms(aShape)) {
+    if (IsServing(aFleet.vms_.at(vm.vm_))) {
+      serving.push_back(vm);
+    }
+  }
+  const Placement placement = PlaceFromNothing(serving, MakeDemands(aShape));
+  std::map<VmId, PoolId> target;
+  for (const Assignment& assignment : placement.pools_) {
+    target[assignment.vm_] = assignment.pool_;
+  }
+  std::size_t moves = 0;
+  for (const VmFacts& vm : serving) {
+    const auto found = target.find(vm.vm_);
+    const PoolId pool =
+      found == target.end() ? PoolId{ "spare" } : found->second;
+    moves += pool == aFleet.vms_.at(vm.vm_).pool_ ? 0 : 1;
+  }
+  return moves;
+}
+
+void
+MeasureMoves(const std::string& aName, const FleetShape& aShape, bool aExact)
+{
+  constexpr double kBound = 1.1;
+  constexpr int kRounds = 50;
+  Random random{ FLAGS_seed };
+  std::size_t ours = 0;
+  std::size_t fromNothing = 0;
+  std::size_t least = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    PlannedFleet fleet{ aShape };
+    const std::uint64_t failures = 1 + random.Below(3);
+    for (std::uint64_t failure = 0; failure < failures; ++failure) {
+      const auto vm = random.Below(static_cast<std::uint64_t>(aShape.vms_));
+      fleet.Record(VmDown{ VmId{ "vm" + std::to_string(vm) } });
+    }
+    const auto plan = PlanRefills(fleet.Index(), PoolId{ "spare" }, {});
+    ours += plan.size();
+    fromNothing += MovesOfNewPlacement(fleet.Fleet(), aShape);
+    least +=
+      aExact ? SearchLeastMoves(fleet.Fleet()) : MissingVms(fleet.Fleet());
+  }
+  const auto divisor = static_cast<double>(std::max<std::size_t>(least, 1));
+  Print({ "vm_moves/" + aName,
+          static_cast<double>(ours) / divisor,
+          "ratio",
+          static_cast<double>(fromNothing) / divisor,
+          kBound,
+          FLAGS_seed,
+          least });
+}
+
+/// Rounds of reboots of one wave, all reboots of a round taking equally long.
+std::size_t
+RunWave(PlannedFleet& aFleet, const WaveId& aId)
+{
+  std::size_t rounds = 0;
+  while (true) {
+    const WaveState& wave = aFleet.Fleet().waves_.at(aId);
+    const auto order = OrderStops(aFleet.Fleet(), wave);
+    if (order.empty()) {
+      return rounds;
+    }
+    std::vector<VmId> stopped;
+    std::size_t allowed =
+      StopsAllowed(aFleet.Fleet(), wave, aFleet.Index().SpareCount());
+    for (std::size_t at = 0; at < std::min(allowed, order.size()); ++at) {
+      if (aFleet.Record(ReserveStop{ aId, order[at] })) {
+        stopped.push_back(order[at]);
+      }
+    }
+    if (stopped.empty()) {
+      const auto borrowed =
+        PlanRefills(aFleet.Index(), PoolId{ "spare" }, { wave.pool_ });
+      if (borrowed.empty()) {
+        return 0;
+      }
+      aFleet.Record(MoveVm{ borrowed[0].vm_, borrowed[0].to_ });
+      continue;
+    }
+    for (const VmId& vm : stopped) {
+      aFleet.Record(FinishStop{ aId, vm, BootCount{ 2 } });
+    }
+    ++rounds;
+  }
+}
+
+// The forced chain: with every serving VM above the budget stopping at once,
+// as many rounds as the pool's VMs need.
+void
+MeasureRollout(const std::string& aName, const FleetShape& aShape)
+{
+  constexpr double kBound = 1.2;
+  std::size_t ours = 0;
+  std::size_t forced = 0;
+  std::size_t oneByOne = 0;
+  for (std::size_t pool = 0; pool < aShape.budgets_.size(); ++pool) {
+    PlannedFleet fleet{ aShape };
+    // The users' pools have about four VMs more than their budgets.
+    for (const auto& [zone, vms] : std::map{ fleet.Index().Spares() }) {
+      if (!vms.empty()) {
+        fleet.Record(MoveVm{ *vms.begin(), PoolOf(pool) });
+      }
+    }
+    const auto size = fleet.Fleet().pools_.at(PoolOf(pool)).vms_.size();
+    const std::size_t slack = size - aShape.budgets_[pool];
+    const WaveId wave{ "w" };
+    fleet.Record(StartWave{ wave, PoolOf(pool), {} });
+    ours = std::max(ours, RunWave(fleet, wave));
+    forced = std::max(forced, (size + slack - 1) / slack);
+    oneByOne = std::max(oneByOne, size);
+  }
+  Print({ "rollout_time/" + aName,
+          static_cast<double>(ours) / static_cast<double>(forced),
+          "ratio",
+          static_cast<double>(oneByOne) / static_cast<double>(forced),
+          kBound,
+          FLAGS_seed,
+          ours });
+}
+
+double
+Nanoseconds(Clock::duration aTime)
+{
+  return static_cast<double>(
+    std::chrono::duration_cast<std::chrono::nanoseconds>(aTime).count());
+}
+
+/// One failure and its repair, planned with the kept index and with one built
+/// anew for each change.
+void
+MeasureDecision(int aVms, int aPools, int aZones)
+{
+  constexpr double kBoundNs = 5e6;
+  constexpr int kChanges = 200;
+  const FleetShape shape = ShapeOfSize(aVms, aPools, aZones);
+  PlannedFleet fleet{ shape };
+  Random random{ FLAGS_seed };
+  Clock::duration kept{};
+  Clock::duration rebuilt{};
+  std::size_t moves = 0;
+  for (int change = 0; change < kChanges; ++change) {
+    const VmId vm{ "vm" + std::to_string(
+                            random.Below(static_cast<std::uint64_t>(aVms))) };
+    const auto began = Clock::now();
+    if (change % 2 == 0) {
+      fleet.Record(VmDown{ vm });
+    } else {
+      fleet.Record(VmUp{ vm, BootCount{ 2 } });
+    }
+    moves += PlanRefills(fleet.Index(), PoolId{ "spare" }, {}).size();
+    const auto planned = Clock::now();
+    FleetIndex index;
+    index.Rebuild(fleet.Fleet());
+    moves += PlanRefills(index, PoolId{ "spare" }, {}).size();
+    kept += planned - began;
+    rebuilt += Clock::now() - planned;
+  }
+  Print({ "decide_ns/placement/" + std::to_string(aVms),
+          Nanoseconds(kept) / kChanges,
+          "ns",
+          Nanoseconds(rebuilt) / kChanges,
+          kBoundNs,
+          FLAGS_seed,
+          moves });
+}
+
+void
+MeasurePlacementFromNothing(int aVms, int aPools, int aZones)
+{
+  constexpr double kBoundNs = 1e9;
+  const FleetShape shape = ShapeOfSize(aVms, aPools, aZones);
+  const auto vms = MakeVms(shape);
+  const auto began = Clock::now();
+  const Placement placement = PlaceFromNothing(vms, MakeDemands(shape));
+  const double took = Nanoseconds(Clock::now() - began);
+  Print({ "decide_ns/placement-from-nothing/" + std::to_string(aVms),
+          took,
+          "ns",
+          took,
+          kBoundNs,
+          FLAGS_seed,
+          placement.pools_.size() });
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  MeasureBufferCost("dalkom", DalkomShape());
+  MeasureBufferCost("hoang-phuc", HoangPhucShape());
+  MeasureBufferCost("500", ShapeOfSize(500, 10, 8));
+  MeasureBufferCost("3500", ShapeOfSize(3500, 36, 16));
+  MeasureMoves("exact-small", { 8, 2, 2, { 2, 2 } }, true);
+  MeasureMoves("dalkom", DalkomShape(), false);
+  MeasureMoves("hoang-phuc", HoangPhucShape(), false);
+  MeasureRollout("dalkom", DalkomShape());
+  MeasureRollout("hoang-phuc", HoangPhucShape());
+  MeasureDecision(50, 5, 4);
+  MeasureDecision(500, 10, 8);
+  MeasureDecision(3500, 36, 16);
+  MeasurePlacementFromNothing(50, 5, 4);
+  MeasurePlacementFromNothing(500, 10, 8);
+  MeasurePlacementFromNothing(3500, 36, 16);
+}
--- /dev/null
+++ b/bench/PlannerFleet.cpp
@@ -0,0 +1,104 @@
+#include "PlannerFleet.h"
+
+#include "verbenawell/fleet/Fold.h"
+
+#include <string>
+#include <utility>
+
+namespace verbenawell::bench {
+
+FleetShape
+DalkomShape()
+{
+  return { 50, 4, 4, { 6, 7, 8, 7, 9 } };
+}
+
+FleetShape
+HoangPhucShape()
+{
+  return { 50, 4, 4, { 8, 7, 7, 8, 8 } };
+}
+
+FleetShape
+ShapeOfSize(int aVms, int aPools, int aZones)
+{
+  // Three quarters of the VMs are asked for by budgets.
+  const int perPool = aVms * 3 / (4 * aPools);
+  FleetShape shape{ aVms, aZones, 4, {} };
+  shape.budgets_.assign(static_cast<std::size_t>(aPools),
+                        static_cast<std::uint32_t>(perPool));
+  return shape;
+}
+
+std::vector<VmFacts>
+MakeVms(const FleetShape& aShape)
+{
+  std::vector<VmFacts> vms;
+  for (int number = 0; number < aShape.vms_; ++number) {
+    VmFacts facts;
+    const int zone = number % aShape.zones_;
+    const int rack = number / aShape.zones_ / aShape.vmsPerRack_;
+    facts.vm_ = VmId{ "vm" + std::to_string(number) };
+    facts.zone_ = ZoneId{ "z" + std::to_string(zone) };
+    facts.rack_ =
+      RackId{ "z" + std::to_string(zone) + "-k" + std::to_string(rack) };
+    facts.size_ = { Cores{ 64 }, Megabytes{ 262'144 }, Accelerators{} };
+    facts.slots_ = SlotCount{ 8 };
+    facts.boots_ = BootCount{ 1 };
+    vms.push_back(facts);
+  }
+  return vms;
+}
+
+PoolId
+PoolOf(std::size_t aNumber)
+{
+  return PoolId{ "p" + std::to_string(aNumber) };
+}
+
+std::vector<PoolDemand>
+MakeDemands(const FleetShape& aShape)
+{
+  std::vector<PoolDemand> demands;
+  for (std::size_t pool = 0; pool < aShape.budgets_.size(); ++pool) {
+    demands.push_back(
+      { PoolOf(pool), VmCount{ aShape.budgets_[pool] }, Resources{} });
+  }
+  return demands;
+}
+
+PlannedFleet::PlannedFleet(const FleetShape& aShape)
+{
+  Record(DefinePool{ PoolId{ "spare" }, true });
+  for (const VmFacts& vm : MakeVms(aShape)) {
+    Record(VmSeen{ vm });
+  }
+  for (const PoolDemand& demand : MakeDemands(aShape)) {
+    Record(DefinePool{ demand.pool_, false });
+  }
+  const Placement placement =
+    PlaceFromNothing(MakeVms(aShape), MakeDemands(aShape));
+  for (const Assignment& assignment : placement.pools_) {
+    Record(MoveVm{ assignment.vm_, assignment.pool_ });
+  }
+  for (const PoolDemand& demand : MakeDemands(aShape)) {
+    Record(DefineService{
+      ServiceId{ demand.pool_.Value() }, demand.pool_, demand.budget_ });
+  }
+}
+
+bool
+PlannedFleet::Record(FleetChange aChange)
+{
+  FleetRecord record;
+  const Offset offset = fleet_.through_ + Offset{ 1 };
+  record.id_ = RecordId{ std::to_string(offset.Value()) };
+  record.change_ = std::move(aChange);
+  const FoldOutcome outcome = Apply(fleet_, offset, record);
+  for (const Subject& subject : outcome.changed_) {
+    index_.Update(fleet_, subject);
+  }
+  return outcome.refusal_.empty();
+}
+
+} // namespace verbenawell::bench
