--- a/src/verbenawell/core/Effect.h
+++ b/src/verbenawell/core/Effect.h
@@ -104,6 +104,12 @@
   CounterKey key_;
 };
 
+struct SetGauge
+{
+  Gauge gauge_ = Gauge::FleetOffset;
+  std::uint64_t value_ = 0;
+};
+
 struct Observe
 {
   LatencyMetric metric_;
@@ -156,6 +162,7 @@
                             AnswerOperator,
                             SetTimer,
                             Count,
+                            SetGauge,
                             Observe,
                             LogLine,
                             SetReady,
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -116,7 +116,10 @@
                  timers_.Subscribe(aTimer.key_, aTimer.after_);
                },
                [&](const Count& aCount) { metrics_.Increment(aCount.key_); },
-               [&](const Observe& aObserve) {
+               [&](const SetGauge& aGauge) {
+        metrics_.Set(aGauge.gauge_, aGauge.value_);
+      },
+      [&](const Observe& aObserve) {
                  metrics_.Record(aObserve.metric_, aObserve.value_);
                },
                [&](const LogLine& aLine) { WriteLogLine(aLine); },
--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -72,12 +72,24 @@
       return "peer_connections_replaced";
     case Counter::CallersRefusedBusy:
       return "callers_refused_busy";
+    case Counter::ControlBytes:
+      return "control_bytes";
     case Counter::CallerFramesInvalid:
       return "caller_frames_invalid";
   }
   return "invalid";
 }
 
+std::string_view
+ToString(Gauge aGauge)
+{
+  switch (aGauge) {
+    case Gauge::FleetOffset:
+      return "fleet_offset";
+  }
+  return "invalid";
+}
+
 std::string_view
 ToString(LatencyMetric aMetric)
 {
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -45,6 +45,8 @@
   PeerConnectionsReplaced,
   CallersRefusedBusy,
   CallerFramesInvalid,
+  /// Bytes sent and received for control: peers, log and VM list.
+  ControlBytes,
 };
 
 std::string_view
@@ -54,6 +56,15 @@
 using CounterKey =
   std::variant<Counter, RefusalReason, UnknownReason, RetryReason>;
 
+/// Figures that go up and down.
+enum class Gauge : std::uint8_t
+{
+  /// Offset of the configuration in force.
+  FleetOffset,
+};
+
+std::string_view ToString(Gauge aGauge);
+
 /// Durations whose distribution is recorded.
 enum class LatencyMetric : std::uint8_t
 {
--- a/src/verbenawell/metrics/Metrics.cpp
+++ b/src/verbenawell/metrics/Metrics.cpp
@@ -61,17 +61,24 @@
 // "not counted".
 Metrics::Metrics()
 {
-  AddZeros(counters_, Counter::CallerFramesInvalid);
+  AddZeros(counters_, Counter::ControlBytes);
   AddZeros(counters_, RefusalReason::RetriesExhausted);
   AddZeros(counters_, UnknownReason::AlreadyStarted);
   AddZeros(counters_, RetryReason::WorkerRefused);
 }
 
 void
-Metrics::Increment(const CounterKey& aKey)
+Metrics::Increment(const CounterKey& aKey, std::uint64_t aBy)
 {
   const std::lock_guard lock{ mutex_ };
-  ++counters_[aKey];
+  counters_[aKey] += aBy;
+}
+
+void
+Metrics::Set(Gauge aGauge, std::uint64_t aValue)
+{
+  const std::lock_guard lock{ mutex_ };
+  gauges_[aGauge] = aValue;
 }
 
 void
@@ -93,6 +100,9 @@
   for (const auto& [key, value] : counters_) {
     out << MetricName(key) << ' ' << value << '\n';
   }
+  for (const auto& [gauge, value] : gauges_) {
+    out << "verbenawell_" << ToString(gauge) << ' ' << value << '\n';
+  }
   for (const auto& [metric, latency] : latencies_) {
     const std::string name =
       "verbenawell_" + std::string(ToString(metric)) + "_seconds";
--- a/src/verbenawell/metrics/Metrics.h
+++ b/src/verbenawell/metrics/Metrics.h
@@ -23,7 +23,8 @@
 public:
   Metrics();
 
-  void Increment(const CounterKey& aKey);
+  void Increment(const CounterKey& aKey, std::uint64_t aBy = 1);
+  void Set(Gauge aGauge, std::uint64_t aValue);
   void Record(LatencyMetric aMetric, Duration aValue);
 
   /// All metrics in the text exposition format.
@@ -49,6 +50,7 @@
 
   mutable std::mutex mutex_;
   std::map<CounterKey, std::uint64_t> counters_;
+  std::map<Gauge, std::uint64_t> gauges_;
   std::map<LatencyMetric, Latency> latencies_;
 };
 
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -9,14 +9,17 @@
 using verbenawell::VmListing;
 
 Platform::Platform(const std::vector<VmListing>& aVms,
-                   std::chrono::milliseconds aRebootTime)
+                   std::chrono::milliseconds aRebootTime,
+                   bool aWorkers)
   : rebootTime_(aRebootTime)
 {
   for (const VmListing& listing : aVms) {
     Vm& vm = vms_[listing.facts_.vm_.Value()];
     vm.listing_ = listing;
     vm.worker_ = std::make_unique<Worker>(listing, ledger_);
-    vm.worker_->Boot();
+    if (aWorkers) {
+      vm.worker_->Boot();
+    }
   }
   booter_ = std::thread([this] { BootDueVms(); });
 }
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -22,7 +22,8 @@
 {
 public:
   Platform(const std::vector<verbenawell::VmListing>& aVms,
-           std::chrono::milliseconds aRebootTime);
+           std::chrono::milliseconds aRebootTime,
+           bool aWorkers);
   ~Platform();
 
   [[nodiscard]] std::string ListAsJson();
