Measure floods and the choice of a worker

Cause: the shares, the slots kept free of long work and the early refusal were not measured. The expected wait counts half of the borrowed slots; placing a worker looks up no name.

--- /dev/null
+++ b/bench/DecideBench.cpp
@@ -0,0 +1,106 @@
+#include "verbenawell/requests/WorkerIndex.h"
+
+#include "Row.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+DEFINE_uint64(seed, 1, "seed of the worker choice");
+
+namespace verbenawell::bench {
+namespace {
+
+constexpr std::uint32_t kSlots = 8;
+constexpr int kDecisions = 20000;
+
+VmId
+NameOf(std::uint32_t aNumber)
+{
+  return VmId{ "vm" + std::to_string(aNumber) };
+}
+
+/// Runs one kind of decision many times; returns nanoseconds for each.
+template<typename Decide>
+double
+NanosecondsOf(Decide aDecide)
+{
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kDecisions; ++i) {
+    aDecide();
+  }
+  const std::chrono::duration<double, std::nano> taken =
+    std::chrono::steady_clock::now() - start;
+  return taken.count() / kDecisions;
+}
+
+/// Choice, reservation and return of a slot with half of the slots taken.
+double
+MeasureIndex(std::uint32_t aWorkers)
+{
+  WorkerIndex index;
+  Random random{ FLAGS_seed };
+  for (std::uint32_t i = 0; i < aWorkers; ++i) {
+    VmFacts facts;
+    facts.vm_ = NameOf(i);
+    facts.slots_ = SlotCount{ kSlots };
+    index.Put(facts, { true, true });
+  }
+  const WorkerNeed need;
+  std::vector<VmId> held;
+  for (std::uint32_t i = 0; i < aWorkers * kSlots / 2; ++i) {
+    held.push_back(*index.Choose(need, random));
+    index.TakeSlot(held.back(), {});
+  }
+  return NanosecondsOf([&] {
+    VmId& slot = held[random.Below(held.size())];
+    index.ReturnSlot(slot, {});
+    slot = *index.Choose(need, random);
+    index.TakeSlot(slot, {});
+  });
+}
+
+/// The same with a look at every worker.
+double
+MeasureScan(std::uint32_t aWorkers)
+{
+  struct Worker
+  {
+    VmId vm_;
+    SlotCount running_;
+  };
+  std::vector<Worker> workers;
+  Random random{ FLAGS_seed };
+  for (std::uint32_t i = 0; i < aWorkers; ++i) {
+    workers.push_back({ NameOf(i), SlotCount{ kSlots / 2 } });
+  }
+  return NanosecondsOf([&] {
+    --workers[random.Below(workers.size())].running_;
+    const auto least = std::ranges::min_element(
+      workers, {}, [](const Worker& aWorker) { return aWorker.running_; });
+    ++least->running_;
+  });
+}
+
+} // namespace
+} // namespace verbenawell::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace verbenawell::bench;
+  gflags::SetUsageMessage("measures the choice of a worker");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  for (const std::uint32_t workers : { 50U, 500U, 3500U }) {
+    Print({ "decide_ns/routing/" + std::to_string(workers),
+            MeasureIndex(workers),
+            "ns",
+            MeasureScan(workers),
+            {},
+            FLAGS_seed,
+            kDecisions });
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/FloodBench.cpp
@@ -0,0 +1,156 @@
+#include "FloodRun.h"
+#include "Row.h"
+
+#include <algorithm>
+
+#include <gflags/gflags.h>
+
+DEFINE_uint64(seed, 1, "seed of the demand and of the worker choice");
+
+namespace verbenawell::bench {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Bounds from the measures of the design page.
+constexpr double kGoodputBound = 0.99;
+constexpr double kP99Bound = 1.2;
+constexpr double kUrgentBound = 1.6;
+
+// Long work declares this deadline, in seconds; what finishes starts before.
+constexpr double kLongBound = 600.0;
+
+double
+Longest(const std::vector<double>& aWaits)
+{
+  return aWaits.empty() ? 0.0 : *std::ranges::max_element(aWaits);
+}
+
+double
+Part(std::uint64_t aPart, std::uint64_t aWhole)
+{
+  return static_cast<double>(aPart) /
+         static_cast<double>(std::max<std::uint64_t>(1, aWhole));
+}
+
+struct Comparison
+{
+  RunResult quiet_;
+  RunResult flooded_;
+};
+
+void
+PrintRows(const std::string& aSuffix,
+          const Comparison& aOwner,
+          const Comparison& aFifo,
+          const RunResult& aStrict)
+{
+  const auto row = [&](const std::string& aName,
+                       double aValue,
+                       const std::string& aUnit,
+                       double aBaseline,
+                       std::optional<double> aBound,
+                       std::uint64_t aCount) {
+    Print({ aName + aSuffix,
+            aValue,
+            aUnit,
+            aBaseline,
+            aBound,
+            FLAGS_seed,
+            aCount });
+  };
+  const auto goodput = [](const Comparison& aRuns) {
+    return Part(aRuns.flooded_.otherFinished_, aRuns.quiet_.otherFinished_);
+  };
+  const auto latency = [](const Comparison& aRuns) {
+    return P99(aRuns.flooded_.otherLatency_) / P99(aRuns.quiet_.otherLatency_);
+  };
+  const RunResult& flooded = aOwner.flooded_;
+  row("flood_goodput_kept",
+      goodput(aOwner),
+      "ratio",
+      goodput(aFifo),
+      kGoodputBound,
+      aOwner.quiet_.otherFinished_);
+  row("flood_p99_ratio",
+      latency(aOwner),
+      "ratio",
+      latency(aFifo),
+      kP99Bound,
+      flooded.otherLatency_.size());
+  row("urgent_start_p99",
+      P99(flooded.urgentWait_),
+      "s",
+      P99(aFifo.flooded_.urgentWait_),
+      kUrgentBound,
+      flooded.urgentWait_.size());
+  row("longwork_finishes",
+      Longest(flooded.otherLongWait_),
+      "s",
+      Longest(aStrict.otherLongWait_),
+      kLongBound,
+      flooded.otherLong_);
+  row("longwork_finished_part",
+      Part(flooded.otherLongFinished_, flooded.otherLong_),
+      "ratio",
+      Part(aStrict.otherLongFinished_, aStrict.otherLong_),
+      1.0,
+      flooded.otherLong_);
+  row("longwork_dropped_after_accepted",
+      static_cast<double>(flooded.longDropped_),
+      "requests",
+      static_cast<double>(aStrict.longDropped_),
+      0.0,
+      flooded.otherLong_);
+  row("flood_finished",
+      static_cast<double>(flooded.floodFinished_),
+      "requests",
+      static_cast<double>(aFifo.flooded_.floodFinished_),
+      {},
+      flooded.floodFinished_);
+}
+
+std::vector<Flood>
+MakeFloods()
+{
+  const TeamId own{ "flood" };
+  const TeamId shared{ "team0" };
+  constexpr double kWrong = 10.0;
+  return {
+    { "long-flood", Urgency::Long, own },
+    { "urgent-flood", Urgency::Urgent, own },
+    { "long-flood-in-one-team", Urgency::Long, shared },
+    { "urgent-flood-in-one-team", Urgency::Urgent, shared },
+    { "urgent-flood-10x-run-time", Urgency::Urgent, own, kWrong },
+  };
+}
+
+void
+Measure(const UserProfile& aProfile)
+{
+  for (const Flood& flood : MakeFloods()) {
+    const auto quiet = MakeJobs(aProfile, flood, false, FLAGS_seed);
+    const auto flooded = MakeJobs(aProfile, flood, true, FLAGS_seed);
+    const auto compare = [&](const Policy& aPolicy) {
+      return Comparison{ Run(aPolicy, quiet), Run(aPolicy, flooded) };
+    };
+    PrintRows("/" + aProfile.name_ + "/" + flood.name_,
+              compare(OwnerPolicy{ FLAGS_seed }),
+              compare(PlainPolicy{ false }),
+              Run(PlainPolicy{ true }, flooded));
+  }
+}
+
+} // namespace
+} // namespace verbenawell::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace std::chrono_literals;
+  gflags::SetUsageMessage("measures floods against queues without a policy");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  verbenawell::bench::Measure({ "dalkom", 100ms, 200ms, 8s });
+  verbenawell::bench::Measure({ "hoang-phuc", 40ms, 80ms, 15s });
+  return 0;
+}
--- /dev/null
+++ b/bench/Row.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace verbenawell::bench {
+
+/// One measure, printed as one JSON object per line.
+struct Row
+{
+  std::string name_;
+  double value_ = 0.0;
+  std::string unit_;
+  double baseline_ = 0.0;
+  std::optional<double> bound_;
+  std::uint64_t seed_ = 0;
+  std::uint64_t count_ = 0;
+};
+
+inline void
+Print(const Row& aRow)
+{
+  using Json = nlohmann::ordered_json;
+  const bool comparable = aRow.baseline_ != 0.0;
+  const Json json{
+    { "name", aRow.name_ },
+    { "value", aRow.value_ },
+    { "unit", aRow.unit_ },
+    { "baseline", aRow.baseline_ },
+    { "ratio",
+      comparable ? Json(aRow.value_ / aRow.baseline_) : Json(nullptr) },
+    { "bound", aRow.bound_ ? Json(*aRow.bound_) : Json(nullptr) },
+    { "seed", aRow.seed_ },
+    { "n", aRow.count_ },
+  };
+  std::cout << json.dump() << std::endl;
+}
+
+} // namespace verbenawell::bench
--- a/src/verbenawell/requests/FairQueue.cpp
+++ b/src/verbenawell/requests/FairQueue.cpp
@@ -13,6 +13,9 @@
 // Team names come from callers; idle teams beyond this number are forgotten.
 constexpr std::size_t kMaxIdleTeams = 512;
 
+// Part of the slots beyond its fair share that a team is expected to keep.
+constexpr double kBorrowedPart = 0.5;
+
 // Long work holds at most this part of the slots, so that a burst of other
 // work finds free slots at once.
 constexpr std::uint32_t kLongPart = 2;
@@ -120,8 +123,10 @@
   if (team == nullptr) {
     return Duration::zero();
   }
-  double slots =
-    std::max(static_cast<double>(team->held_.Value()), FairSlots(aKey));
+  // Slots beyond the fair share may be asked back while the ticket waits.
+  const double fair = FairSlots(aKey);
+  const double borrowed = static_cast<double>(team->held_.Value()) - fair;
+  double slots = fair + std::max(0.0, borrowed) * kBorrowedPart;
   if (team->IsLong(aKey.urgency_)) {
     slots = std::min(slots, static_cast<double>(LongSlots(slots_).Value()));
   }
--- a/src/verbenawell/requests/WorkerIndex.cpp
+++ b/src/verbenawell/requests/WorkerIndex.cpp
@@ -138,10 +138,16 @@
 WorkerIndex::HasPlace(const VmId& aVm, const WorkerNeed& aNeed) const
 {
   const Worker* worker = Find(aVm);
-  return worker != nullptr && worker->openAt_ &&
-         FitsWithin(Sum(worker->reserved_, aNeed.size_),
-                    worker->facts_.size_) &&
-         !WasTried(aNeed, aVm);
+  return worker != nullptr && HasPlace(*worker, aNeed);
+}
+
+bool
+WorkerIndex::HasPlace(const Worker& aWorker, const WorkerNeed& aNeed)
+{
+  return aWorker.openAt_ &&
+         FitsWithin(Sum(aWorker.reserved_, aNeed.size_),
+                    aWorker.facts_.size_) &&
+         !WasTried(aNeed, aWorker.facts_.vm_);
 }
 
 bool
@@ -297,7 +303,7 @@
   int candidates = 0;
   const auto consider = [&](Position aPosition) {
     const Worker& worker = workers_[aPosition];
-    if (!HasPlace(worker.facts_.vm_, aNeed)) {
+    if (!HasPlace(worker, aNeed)) {
       return;
     }
     ++candidates;
--- a/src/verbenawell/requests/WorkerIndex.h
+++ b/src/verbenawell/requests/WorkerIndex.h
@@ -108,6 +108,8 @@
   void CountSize(const Resources& aSize, bool aAdd);
   void Erase(Position aPosition);
 
+  [[nodiscard]] static bool HasPlace(const Worker& aWorker,
+                                     const WorkerNeed& aNeed);
   [[nodiscard]] const Worker* Find(const VmId& aVm) const;
   [[nodiscard]] std::vector<Position>& OpenListOf(const Worker& aWorker);
   [[nodiscard]] std::optional<Position> ChooseFrom(
