Connect the daemons and keep a view of the members

Cause: SendPeer, ConnectPeer and DisconnectPeer had no transport, and the view of the members held this daemon only.

Membership pings, suspects, refutes and forgets members; ownership needs a majority that has held for 500 ms. A pause of over 1 s or news of the own death starts a new run, which gives up ownership. SIGTERM marks a daemon as leaving, and as left when it is idle.

--- /dev/null
+++ b/src/verbenawell/adapters/PeerTransport.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "verbenawell/adapters/EventSink.h"
+#include "verbenawell/adapters/PeerIdentity.h"
+#include "verbenawell/core/Effect.h"
+#include "verbenawell/metrics/Metrics.h"
+
+#include <chrono>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace verbenawell {
+
+class PeerInbound;
+class PeerOutbound;
+
+/// Carries messages between daemons over HTTP/2, one connection a direction
+/// and one stream a channel. Delivery is not guaranteed: what cannot be sent
+/// is dropped, and senders have their own time-outs. Runs on the core's
+/// thread.
+class PeerTransport
+{
+public:
+  PeerTransport(PeerIdentity aIdentity,
+                asio::io_context& aIo,
+                Metrics& aMetrics,
+                EventSink aSink);
+  ~PeerTransport();
+
+  /// Listens; throws `std::system_error` where the address cannot be used.
+  void Start();
+  void Stop();
+
+  void Run(const ConnectPeer& aEffect);
+  void Run(const DisconnectPeer& aEffect);
+  void Run(const SendPeer& aEffect);
+  void Run(const SendEndpoint& aEffect);
+
+private:
+  using Clock = std::chrono::steady_clock;
+
+  void Accept();
+  void Admit(asio::ip::tcp::socket aSocket);
+  void ScheduleCheck();
+  void Check();
+  void Send(const Endpoint& aAddress, const PeerMessage& aMessage);
+
+  PeerIdentity identity_;
+  asio::io_context& io_;
+  Metrics& metrics_;
+  EventSink sink_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer timer_;
+  Clock::time_point checkedAt_;
+  bool acceptPaused_ = false;
+  std::unordered_map<DaemonId, Endpoint> addresses_;
+  std::map<Endpoint, std::shared_ptr<PeerOutbound>> outbound_;
+  std::list<std::shared_ptr<PeerInbound>> inbound_;
+};
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/adapters/internal/PeerOutbound.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "verbenawell/adapters/PeerIdentity.h"
+#include "verbenawell/adapters/internal/Http2Connection.h"
+#include "verbenawell/adapters/internal/PeerChannel.h"
+#include "verbenawell/metrics/Metrics.h"
+
+#include <array>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+namespace verbenawell {
+
+/// Sends messages to one address. Connects when there is something to send,
+/// and again after a failure.
+class PeerOutbound : public std::enable_shared_from_this<PeerOutbound>
+{
+public:
+  using Clock = Http2Connection::Clock;
+
+  PeerOutbound(asio::io_context& aIo,
+               const PeerIdentity& aIdentity,
+               Endpoint aAddress,
+               Metrics& aMetrics);
+
+  /// Queues an encoded message; drops it where the peer cannot be reached.
+  void Send(PeerChannel aChannel, std::string_view aMessage);
+
+  /// Pings the peer, replaces a silent connection, gives up a slow connect.
+  void Tick(Clock::time_point aNow);
+
+  /// Nothing has been sent for a while; the connection can be closed.
+  [[nodiscard]] bool IsUnused(Clock::time_point aNow) const;
+
+  void ForgiveSilence();
+  void Close();
+
+private:
+  struct Channel
+  {
+    std::deque<std::string> frames_;
+    /// Bytes of the first frame that are with the session already.
+    std::size_t sent_ = 0;
+    std::int32_t stream_ = 0;
+  };
+
+  void Connect();
+  bool OpenSocket();
+  void OnConnected(asio::ip::tcp::socket aSocket);
+  void OpenStreams();
+  void OnHeader(std::string_view aName, std::string_view aValue);
+  void Fail(std::string_view aReason);
+  void ClearQueues();
+  static ssize_t ReadFrames(nghttp2_session* aSession,
+                            std::int32_t aStream,
+                            std::uint8_t* aBuffer,
+                            std::size_t aSize,
+                            std::uint32_t* aFlags,
+                            nghttp2_data_source* aSource,
+                            void* aConnection);
+
+  asio::io_context& io_;
+  const PeerIdentity& identity_;
+  Endpoint address_;
+  Metrics& metrics_;
+  std::array<Channel, kPeerChannels> channels_;
+  std::size_t queuedBytes_ = 0;
+  /// Set from the start of a connect until it has succeeded or failed.
+  std::shared_ptr<asio::ip::tcp::socket> connecting_;
+  std::shared_ptr<Http2Connection> connection_;
+  Clock::time_point connectBegan_;
+  Clock::time_point nextConnect_;
+  Clock::time_point usedAt_;
+  Clock::time_point pingedAt_;
+  std::chrono::milliseconds backoff_;
+  /// A refusal or failure is logged once until the peer answers again.
+  bool failureLogged_ = false;
+};
+
+} // namespace verbenawell
--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -162,16 +162,25 @@
            aValue.peerAddress_,
            aValue.zone_,
            aValue.region_,
-           aValue.fleetOffset_);
+           aValue.fleetOffset_,
+           aValue.run_,
+           aValue.leaving_);
 }
 
-template<typename Archive, OneOf<Ping, Ack> T>
+template<typename Archive, OneOf<Ping> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
   aArchive(aValue.sequence_, aValue.updates_);
 }
 
+template<typename Archive, OneOf<Ack> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.sequence_, aValue.updates_, aValue.about_);
+}
+
 template<typename Archive, OneOf<PingRequest> T>
 void
 Fields(Archive& aArchive, T& aValue)
--- a/src/verbenawell/core/Effect.h
+++ b/src/verbenawell/core/Effect.h
@@ -62,6 +62,13 @@
   DaemonId peer_;
 };
 
+/// Sends to an address whose daemon is not known or no longer a member.
+struct SendEndpoint
+{
+  Endpoint to_;
+  PeerMessage message_;
+};
+
 struct ReadLog
 {
   StreamId stream_;
@@ -149,6 +156,7 @@
                             SendPeer,
                             ConnectPeer,
                             DisconnectPeer,
+                            SendEndpoint,
                             ReadLog,
                             AppendLog,
                             ReadVmList,
--- a/src/verbenawell/core/Endpoint.h
+++ b/src/verbenawell/core/Endpoint.h
@@ -15,4 +15,10 @@
   auto operator<=>(const Endpoint&) const = default;
 };
 
+inline std::string
+ToString(const Endpoint& aEndpoint)
+{
+  return aEndpoint.host_ + ":" + std::to_string(aEndpoint.port_);
+}
+
 } // namespace verbenawell
--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -20,6 +20,10 @@
 struct StopRequested
 {};
 
+/// This daemon is asked to stop and no request is left here.
+struct Finished
+{};
+
 struct TimerDue
 {
   TimerKey key_;
@@ -59,6 +63,7 @@
                            StreamAdvanced,
                            RecordSettled,
                            DrainQuery,
-                           PoolDrained>;
+                           PoolDrained,
+                           Finished>;
 
 } // namespace verbenawell
--- a/src/verbenawell/core/Units.h
+++ b/src/verbenawell/core/Units.h
@@ -28,6 +28,10 @@
 /// Grows with every restart or refuted suspicion of a daemon.
 using Incarnation = Quantity<struct IncarnationTag, std::uint64_t>;
 
+/// Grows with every start of a daemon and every rejoin after a pause: what the
+/// daemon held in an earlier run is lost.
+using MemberRun = Quantity<struct MemberRunTag, std::uint64_t>;
+
 /// Grows with every boot of a VM.
 using BootCount = Quantity<struct BootCountTag, std::uint64_t>;
 
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kLastMessagesTime{ 50 };
+
 TimePoint
 MonotonicNow()
 {
@@ -35,9 +37,11 @@
   MemberUpdate self;
   self.daemon_ = aSettings.daemon_;
   // Calendar time makes the incarnation of a replaced daemon a higher one.
-  self.incarnation_ = Incarnation{ static_cast<std::uint64_t>(
-    WallNow().time_since_epoch().count()) };
-  self.peerAddress_ = aSettings.peers_.listen_;
+  const auto now =
+    static_cast<std::uint64_t>(WallNow().time_since_epoch().count());
+  self.incarnation_ = Incarnation{ now };
+  self.run_ = MemberRun{ now };
+  self.peerAddress_ = aSettings.peers_.advertise_;
   self.zone_ = aSettings.zone_;
   self.region_ = aSettings.region_;
   return self;
@@ -45,7 +49,7 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings& aSettings, std::string aOperatorToken)
+Daemon::Daemon(const Settings& aSettings, Tokens aTokens)
   : settings_(aSettings)
   , work_(asio::make_work_guard(io_))
   , signals_(io_, SIGTERM, SIGINT)
@@ -56,15 +60,30 @@
              metrics_,
              [this](Event aEvent) { Post(std::move(aEvent)); })
   , operators_(aSettings.operators_,
-               std::move(aOperatorToken),
+               std::move(aTokens.operators_),
                metrics_,
                [this](Event aEvent) { Post(std::move(aEvent)); })
   , log_(aSettings.platform_.log_,
          [this](Event aEvent) { Post(std::move(aEvent)); })
   , platform_(aSettings.platform_.vmList_,
               [this](Event aEvent) { Post(std::move(aEvent)); })
+  , peers_({ aSettings.cluster_,
+             std::move(aTokens.peers_),
+             aSettings.daemon_,
+             aSettings.peers_.listen_ },
+           io_,
+           metrics_,
+           [this](Event aEvent) { Post(std::move(aEvent)); })
+  , exitTimer_(io_)
 {
   state_.membership_.self_ = DescribeSelf(aSettings);
+  state_.membership_.random_ = Random{ std::random_device{}() };
+  for (const Endpoint& seed : aSettings.peers_.seeds_) {
+    if (seed != aSettings.peers_.listen_ &&
+        seed != aSettings.peers_.advertise_) {
+      state_.membership_.seeds_.push_back(seed);
+    }
+  }
   state_.requests_.random_ = Random{ std::random_device{}() };
   state_.log_.random_ = Random{ std::random_device{}() };
 }
@@ -78,6 +97,7 @@
     }
   });
   operators_.Start();
+  peers_.Start();
   callers_.Start();
   Post(Started{});
   io_.run();
@@ -120,20 +140,29 @@
                  metrics_.Record(aObserve.metric_, aObserve.value_);
                },
                [&](const LogLine& aLine) { WriteLogLine(aLine); },
-               [&](const Exit&) { Stop(); },
-               // There is no transport to other daemons yet.
-               [](const SendPeer&) {},
-               [](const ConnectPeer&) {},
-               [](const DisconnectPeer&) {},
+               [&](const Exit&) { StopAfterLastMessages(); },
+               [&](const SendPeer& aSend) { peers_.Run(aSend); },
+               [&](const SendEndpoint& aSend) { peers_.Run(aSend); },
+               [&](const ConnectPeer& aConnect) { peers_.Run(aConnect); },
+               [&](const DisconnectPeer& aPeer) { peers_.Run(aPeer); },
                // Applied within `Reduce`.
                [](const Raise&) {},
              },
              aEffect);
 }
 
+// The other daemons learn that this one has left.
+void
+Daemon::StopAfterLastMessages()
+{
+  exitTimer_.expires_after(kLastMessagesTime);
+  exitTimer_.async_wait([this](const std::error_code&) { Stop(); });
+}
+
 void
 Daemon::Stop()
 {
+  peers_.Stop();
   callers_.Stop();
   operators_.Stop();
   timers_.Stop();
--- a/src/verbenawell/daemon/Daemon.h
+++ b/src/verbenawell/daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "verbenawell/adapters/CallerListener.h"
 #include "verbenawell/adapters/LogClient.h"
 #include "verbenawell/adapters/OperatorListener.h"
+#include "verbenawell/adapters/PeerTransport.h"
 #include "verbenawell/adapters/PlatformClient.h"
 #include "verbenawell/adapters/TimerService.h"
 #include "verbenawell/core/State.h"
@@ -14,14 +15,22 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 
 namespace verbenawell {
 
+/// Secrets read from the files that the settings name.
+struct Tokens
+{
+  std::string operators_;
+  std::string peers_;
+};
+
 /// Wires the reducer to its adapters. Events are applied on one thread.
 class Daemon
 {
 public:
-  Daemon(const Settings& aSettings, std::string aOperatorToken);
+  Daemon(const Settings& aSettings, Tokens aTokens);
 
   /// Serves until SIGTERM or SIGINT and until what runs has finished.
   void Run();
@@ -30,6 +39,7 @@
   void Post(Event aEvent);
   void Apply(const Event& aEvent);
   void Execute(const Effect& aEffect);
+  void StopAfterLastMessages();
   void Stop();
 
   Settings settings_;
@@ -43,6 +53,8 @@
   OperatorListener operators_;
   LogClient log_;
   PlatformClient platform_;
+  PeerTransport peers_;
+  asio::steady_timer exitTimer_;
 };
 
 } // namespace verbenawell
--- a/src/verbenawell/daemon/main.cpp
+++ b/src/verbenawell/daemon/main.cpp
@@ -21,14 +21,16 @@
 {
   const verbenawell::Settings settings =
     verbenawell::LoadSettings(FLAGS_config);
-  const std::string token =
-    verbenawell::LoadToken(settings.operators_.tokenFile_);
+  const verbenawell::Tokens tokens{
+    verbenawell::LoadToken(settings.operators_.tokenFile_),
+    verbenawell::LoadToken(settings.peers_.tokenFile_)
+  };
   if (FLAGS_check) {
     std::cout << FLAGS_config << ": no faults\n";
     return EXIT_SUCCESS;
   }
   verbenawell::ConfigureLogOutput(settings.logOutput_, settings.daemon_);
-  verbenawell::Daemon daemon{ settings, token };
+  verbenawell::Daemon daemon{ settings, tokens };
   daemon.Run();
   return EXIT_SUCCESS;
 }
--- /dev/null
+++ b/src/verbenawell/membership/Majority.cpp
@@ -0,0 +1,92 @@
+#include "verbenawell/membership/Majority.h"
+
+#include "verbenawell/membership/MemberUpdates.h"
+#include "verbenawell/membership/MembershipLimits.h"
+#include "verbenawell/membership/MembershipState.h"
+
+#include <algorithm>
+
+namespace verbenawell {
+
+namespace {
+
+bool
+IsSilentTarget(const MembershipState& aMembership,
+               const DaemonId& aMember,
+               TimePoint aNow)
+{
+  return std::ranges::find(aMembership.targets_, aMember) !=
+           aMembership.targets_.end() &&
+         SilenceOf(aMembership, aMember, aNow) > kSuspectAfter;
+}
+
+// With many members only a few are heard directly. They are a random sample:
+// where most of them are silent, most members are, long before the news of
+// each one's death.
+bool
+MostTargetsSilent(const MembershipState& aMembership, TimePoint aNow)
+{
+  const auto silent =
+    std::ranges::count_if(aMembership.targets_, [&](const DaemonId& aTarget) {
+      return IsSilentTarget(aMembership, aTarget, aNow);
+    });
+  return 2 * static_cast<std::size_t>(silent) > aMembership.targets_.size();
+}
+
+std::size_t
+CountSeedsAndSelf(const MembershipState& aMembership)
+{
+  const auto others =
+    std::ranges::count_if(aMembership.seeds_, [&](const Endpoint& aSeed) {
+      return aSeed != aMembership.self_.peerAddress_;
+    });
+  return static_cast<std::size_t>(others) + 1;
+}
+
+} // namespace
+
+bool
+HearsMajority(const MembershipState& aMembership, const Context& aContext)
+{
+  std::size_t known = 0;
+  std::size_t heard = 0;
+  bool hearsLowest = false;
+  for (const auto& [id, member] : aMembership.members_) {
+    if (!member.counts_) {
+      continue;
+    }
+    const bool isHeard =
+      id == aContext.self_ || (IsActive(member.latest_) &&
+                               !IsSilentTarget(aMembership, id, aContext.now_));
+    hearsLowest = known == 0 ? isHeard : hearsLowest;
+    ++known;
+    heard += isHeard ? 1 : 0;
+  }
+  const std::size_t expected =
+    aMembership.joined_ ? known
+                        : std::max(known, CountSeedsAndSelf(aMembership));
+  if (2 * heard == expected) {
+    return known == expected && hearsLowest;
+  }
+  return 2 * heard > expected &&
+         !(aMembership.targets_.size() < known / 2 &&
+           MostTargetsSilent(aMembership, aContext.now_));
+}
+
+void
+UpdateElectorate(MembershipState& aMembership, const Context& aContext)
+{
+  for (auto& [id, member] : aMembership.members_) {
+    const MemberUpdate& latest = member.latest_;
+    if (IsActive(latest)) {
+      member.counts_ = true;
+    } else if (latest.status_ == MemberStatus::Left) {
+      member.counts_ = false;
+    } else if (aMembership.hasMajority_) {
+      member.counts_ = member.counts_ &&
+                       aContext.now_ - member.changedAt_ <= kCountsAfterDeath;
+    }
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/membership/MemberUpdates.cpp
@@ -0,0 +1,217 @@
+#include "verbenawell/membership/MemberUpdates.h"
+
+#include "verbenawell/membership/MembershipLimits.h"
+#include "verbenawell/membership/MembershipState.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace verbenawell {
+
+namespace {
+
+// Each piece of news is sent this many times per doubling of the members;
+// with several messages a period it reaches all with high probability.
+constexpr std::uint32_t kTellFactor = 4;
+
+bool
+Supersedes(const MemberUpdate& aNew, const MemberUpdate& aOld)
+{
+  if (aNew.incarnation_ != aOld.incarnation_) {
+    return aNew.incarnation_ > aOld.incarnation_;
+  }
+  return aNew.status_ > aOld.status_;
+}
+
+void
+AddMember(MembershipState& aMembership,
+          const MemberUpdate& aUpdate,
+          const Context& aContext,
+          ViewChange& aChange)
+{
+  if (!IsActive(aUpdate) || aMembership.members_.size() >= kMaxMembers) {
+    return;
+  }
+  aMembership.members_[aUpdate.daemon_] = { aUpdate,
+                                            aContext.now_,
+                                            aContext.now_ };
+  TellOthers(aMembership, aUpdate.daemon_);
+  aChange.members_.joined_.push_back(aUpdate.daemon_);
+  aChange.moved_.push_back(aUpdate);
+}
+
+void
+ReportDifference(const MemberUpdate& aOld,
+                 const MemberUpdate& aNew,
+                 ViewChange& aChange)
+{
+  const bool was = IsActive(aOld);
+  const bool is = IsActive(aNew);
+  const bool replaced = was && is && aOld.run_ != aNew.run_;
+  if (was && (!is || replaced)) {
+    aChange.members_.lost_.push_back(aNew.daemon_);
+  }
+  if (is && (!was || replaced)) {
+    aChange.members_.joined_.push_back(aNew.daemon_);
+  }
+  if (is && (!was || aOld.peerAddress_ != aNew.peerAddress_)) {
+    aChange.moved_.push_back(aNew);
+  }
+  aChange.owners_ = aChange.owners_ || aOld.leaving_ != aNew.leaving_;
+}
+
+void
+Replace(MembershipState& aMembership,
+        Member& aMember,
+        const MemberUpdate& aUpdate,
+        const Context& aContext,
+        ViewChange& aChange)
+{
+  if (aMember.latest_.status_ != aUpdate.status_) {
+    aMember.changedAt_ = aContext.now_;
+  }
+  if (!IsActive(aMember.latest_) && IsActive(aUpdate)) {
+    aMember.heardAt_ = aContext.now_;
+  }
+  ReportDifference(aMember.latest_, aUpdate, aChange);
+  const Offset offset =
+    aMember.latest_.run_ == aUpdate.run_
+      ? std::max(aMember.latest_.fleetOffset_, aUpdate.fleetOffset_)
+      : aUpdate.fleetOffset_;
+  aMember.latest_ = aUpdate;
+  aMember.latest_.fleetOffset_ = offset;
+  TellOthers(aMembership, aUpdate.daemon_);
+}
+
+bool
+IsTarget(const MembershipState& aMembership, const DaemonId& aMember)
+{
+  return std::ranges::find(aMembership.targets_, aMember) !=
+         aMembership.targets_.end();
+}
+
+void
+ExpireMember(MembershipState& aMembership,
+             Member& aMember,
+             const Context& aContext,
+             ViewChange& aChange)
+{
+  MemberUpdate update = aMember.latest_;
+  if (update.status_ == MemberStatus::Alive &&
+      IsTarget(aMembership, update.daemon_) &&
+      SilenceOf(aMembership, update.daemon_, aContext.now_) > kSuspectAfter) {
+    update.status_ = MemberStatus::Suspect;
+  } else if (update.status_ == MemberStatus::Suspect &&
+             aContext.now_ - aMember.changedAt_ > kDeadAfter) {
+    update.status_ = MemberStatus::Dead;
+  } else {
+    return;
+  }
+  Replace(aMembership, aMember, update, aContext, aChange);
+}
+
+} // namespace
+
+void
+MergeUpdate(MembershipState& aMembership,
+            const MemberUpdate& aUpdate,
+            const Context& aContext,
+            ViewChange& aChange)
+{
+  if (aUpdate.daemon_ == aContext.self_) {
+    const MemberUpdate& self = aMembership.self_;
+    if (Supersedes(aUpdate, self)) {
+      aChange.accusation_ = aUpdate;
+    }
+    return;
+  }
+  const auto found = aMembership.members_.find(aUpdate.daemon_);
+  if (found == aMembership.members_.end()) {
+    AddMember(aMembership, aUpdate, aContext, aChange);
+    return;
+  }
+  Member& member = found->second;
+  if (Supersedes(aUpdate, member.latest_)) {
+    Replace(aMembership, member, aUpdate, aContext, aChange);
+  } else if (aUpdate.incarnation_ == member.latest_.incarnation_) {
+    member.latest_.fleetOffset_ =
+      std::max(member.latest_.fleetOffset_, aUpdate.fleetOffset_);
+  }
+}
+
+void
+ExpireMembers(MembershipState& aMembership,
+              const Context& aContext,
+              ViewChange& aChange)
+{
+  for (auto& [id, member] : aMembership.members_) {
+    if (id != aContext.self_) {
+      ExpireMember(aMembership, member, aContext, aChange);
+    }
+  }
+  std::erase_if(aMembership.members_, [&](const auto& aEntry) {
+    return !IsActive(aEntry.second.latest_) &&
+           aContext.now_ - aEntry.second.changedAt_ > kForgetAfter;
+  });
+}
+
+void
+TellOthers(MembershipState& aMembership, const DaemonId& aMember)
+{
+  const auto doublings =
+    static_cast<std::uint32_t>(std::bit_width(aMembership.members_.size()));
+  aMembership.members_.at(aMember).tellLeft_ = kTellFactor * (doublings + 1);
+}
+
+Duration
+SilenceOf(const MembershipState& aMembership,
+          const DaemonId& aMember,
+          TimePoint aNow)
+{
+  return aNow - std::max(aMembership.members_.at(aMember).heardAt_,
+                         aMembership.listeningSince_);
+}
+
+std::vector<MemberUpdate>
+TakeUpdates(MembershipState& aMembership, const DaemonId& aTo)
+{
+  auto& members = aMembership.members_;
+  std::vector<MemberUpdate> updates{ aMembership.self_ };
+  if (const auto found = members.find(aTo);
+      found != members.end() &&
+      found->second.latest_.status_ != MemberStatus::Alive) {
+    updates.push_back(found->second.latest_);
+  }
+  for (auto& [id, member] : members) {
+    if (updates.size() >= kMaxUpdates) {
+      break;
+    }
+    if (member.tellLeft_ > 0 && id != aMembership.self_.daemon_ && id != aTo) {
+      --member.tellLeft_;
+      updates.push_back(member.latest_);
+    }
+  }
+  // One entry in turn repairs the views that news has missed.
+  auto refresh = members.upper_bound(aMembership.nextRefresh_);
+  if (refresh == members.end()) {
+    refresh = members.begin();
+  }
+  if (refresh != members.end()) {
+    aMembership.nextRefresh_ = refresh->first;
+    updates.push_back(refresh->second.latest_);
+  }
+  return updates;
+}
+
+std::vector<MemberUpdate>
+AllUpdates(const MembershipState& aMembership)
+{
+  std::vector<MemberUpdate> updates;
+  updates.reserve(aMembership.members_.size());
+  for (const auto& [id, member] : aMembership.members_) {
+    updates.push_back(member.latest_);
+  }
+  return updates;
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/membership/MembershipEvents.h
+++ b/src/verbenawell/membership/MembershipEvents.h
@@ -6,7 +6,11 @@
 
 namespace verbenawell {
 
-/// The set of members that may own pools has changed.
+/// The members, or what each may own, have changed. A member that was replaced
+/// or paused is both in `lost_` and in `joined_`: what it held is void. This
+/// daemon itself is in `lost_` when it must give up what it owns, and in
+/// `joined_` when it may own again. Both lists are empty when only owners have
+/// changed, because a member began to leave.
 struct MembersChanged
 {
   std::vector<DaemonId> joined_;
--- /dev/null
+++ b/src/verbenawell/membership/MembershipLimits.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "verbenawell/core/Time.h"
+
+#include <cstddef>
+
+namespace verbenawell {
+
+inline constexpr Duration kPingInterval = std::chrono::milliseconds(250);
+
+/// Silence after which others are asked to ping a member.
+inline constexpr Duration kIndirectPingAfter = std::chrono::milliseconds(500);
+
+inline constexpr Duration kSuspectAfter = std::chrono::milliseconds(1000);
+
+/// Time that a suspect has to refute it.
+inline constexpr Duration kDeadAfter = std::chrono::milliseconds(500);
+
+/// A gap between ticks above this is a pause of this process, in which others
+/// may have declared it dead.
+inline constexpr Duration kClockGap = std::chrono::milliseconds(1000);
+
+/// How long a dead member still counts for the majority.
+inline constexpr Duration kCountsAfterDeath = std::chrono::seconds(10);
+
+/// A majority must hold for this time before this daemon owns anything: two
+/// ping periods, in which the other members' views arrive.
+inline constexpr Duration kSettleTime = std::chrono::milliseconds(500);
+
+/// How long dead members are remembered, so that old news does not revive
+/// them, and pinged, so that both sides of a partition meet again.
+inline constexpr Duration kForgetAfter = std::chrono::minutes(10);
+
+/// Up to this many other members, each daemon pings all others.
+inline constexpr std::size_t kFewMembers = 8;
+
+/// Above it, each daemon pings one member in each of several random rings, so
+/// that its traffic does not grow with their number and each member is
+/// watched by as many others.
+inline constexpr std::size_t kRings = 3;
+
+inline constexpr std::size_t kIndirectHelpers = 3;
+inline constexpr std::size_t kMaxUpdates = 12;
+inline constexpr std::size_t kMaxRelayed = 64;
+inline constexpr std::size_t kMaxMembers = 4096;
+
+/// Every so many ticks a dead member and an unheard seed are pinged.
+inline constexpr std::size_t kRetryTicks = 4;
+
+} // namespace verbenawell
--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -1,6 +1,18 @@
 #include "verbenawell/membership/MembershipReducer.h"
 
+#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/log/LogState.h"
+#include "verbenawell/log/Streams.h"
+#include "verbenawell/membership/Majority.h"
+#include "verbenawell/membership/MemberUpdates.h"
+#include "verbenawell/membership/MembershipLimits.h"
 #include "verbenawell/membership/MembershipState.h"
+#include "verbenawell/membership/PingTargets.h"
+#include "verbenawell/membership/Pings.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
 
 namespace verbenawell {
 
@@ -10,9 +22,11 @@
 {
 public:
   Reducer(MembershipState& aMembership,
+          const Views& aViews,
           const Context& aContext,
           Effects& aEffects)
     : membership_(aMembership)
+    , views_(aViews)
     , context_(aContext)
     , effects_(aEffects)
   {
@@ -20,14 +34,270 @@
 
   void operator()(const Started&)
   {
-    membership_.members_[context_.self_] = { membership_.self_, context_.now_ };
-    effects_.emplace_back(Raise{ MembersChanged{ { context_.self_ }, {} } });
+    membership_.hasMajority_ = false;
+    membership_.settled_ = false;
+    membership_.tickedAt_ = context_.now_;
+    membership_.listeningSince_ = context_.now_;
+    membership_.members_[context_.self_] = { membership_.self_,
+                                             context_.now_,
+                                             context_.now_ };
+    PublishSelf();
+    UpdateMajority();
+    effects_.emplace_back(SetTimer{ MembershipTick{}, kPingInterval });
+    PingSeeds(membership_, effects_);
+  }
+
+  void operator()(const StopRequested&)
+  {
+    if (std::exchange(membership_.self_.leaving_, true)) {
+      return;
+    }
+    ++membership_.self_.incarnation_;
+    PublishSelf();
+    membership_.owners_.clear();
+    effects_.emplace_back(Raise{ MembersChanged{} });
+  }
+
+  void operator()(const Finished&)
+  {
+    if (!IsActive(membership_.self_)) {
+      return;
+    }
+    membership_.self_.status_ = MemberStatus::Left;
+    PublishSelf();
+    PingTargets(membership_, effects_);
+    effects_.emplace_back(Exit{});
+  }
+
+  void operator()(const TimerDue& aEvent)
+  {
+    if (!std::holds_alternative<MembershipTick>(aEvent.key_)) {
+      return;
+    }
+    membership_.tickedAt_ = context_.now_;
+    ++membership_.ticks_;
+    ShowFleetOffset();
+    ViewChange change;
+    ExpireMembers(membership_, context_, change);
+    Adopt(change);
+    PingTargets(membership_, effects_);
+    AskOthersToPing(membership_, context_, effects_);
+    PingUnheard(membership_, effects_);
+    UpdateMajority();
+    effects_.emplace_back(SetTimer{ MembershipTick{}, kPingInterval });
+  }
+
+  void operator()(const PeerMessageReceived& aEvent)
+  {
+    if (aEvent.from_ == context_.self_) {
+      return;
+    }
+    MarkHeard(aEvent.from_);
+    if (const auto* ping = std::get_if<Ping>(&aEvent.message_)) {
+      AnswerPing(aEvent.from_, *ping);
+    } else if (const auto* ack = std::get_if<Ack>(&aEvent.message_)) {
+      TakeAck(aEvent.from_, *ack);
+    } else if (const auto* request =
+                 std::get_if<PingRequest>(&aEvent.message_)) {
+      RelayPing(membership_, aEvent.from_, *request, context_, effects_);
+    }
   }
 
   void operator()(const auto&) {}
 
+  /// A paused daemon may have been declared dead and its pools taken over.
+  /// Every event checks for a pause, because the timer may come last.
+  void RejoinAfterPause()
+  {
+    effects_.emplace_back(Count{ Counter::ClockGaps });
+    Log(
+      LogLevel::Warning,
+      "paused",
+      { { "milliseconds",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           context_.now_ - membership_.tickedAt_)
+                           .count()) } });
+    membership_.tickedAt_ = context_.now_;
+    membership_.listeningSince_ = context_.now_;
+    Rejoin({});
+  }
+
 private:
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  void Log(LogLevel aLevel, std::string aEvent, Fields aFields)
+  {
+    effects_.emplace_back(
+      LogLine{ aLevel, std::move(aEvent), std::move(aFields) });
+  }
+
+  /// Makes the change of this daemon's own entry known.
+  void PublishSelf()
+  {
+    membership_.members_[context_.self_].latest_ = membership_.self_;
+  }
+
+  void ShowFleetOffset()
+  {
+    membership_.self_.fleetOffset_ = views_.fleet_.through_;
+    PublishSelf();
+  }
+
+  /// Starts a new run, which holds nothing of the earlier one.
+  void Rejoin(const MemberUpdate& aKnown)
+  {
+    MemberUpdate& self = membership_.self_;
+    const auto now =
+      static_cast<std::uint64_t>(context_.wallNow_.time_since_epoch().count());
+    self.incarnation_ =
+      std::max({ self.incarnation_, aKnown.incarnation_, Incarnation{ now } });
+    ++self.incarnation_;
+    self.run_ = std::max({ self.run_, aKnown.run_, MemberRun{ now } });
+    ++self.run_;
+    PublishSelf();
+    GiveUpOwnership();
+    membership_.hasMajority_ = false;
+  }
+
+  void GiveUpOwnership()
+  {
+    if (std::exchange(membership_.settled_, false)) {
+      membership_.owners_.clear();
+      effects_.emplace_back(Raise{ MembersChanged{ {}, { context_.self_ } } });
+    }
+    SetReadiness();
+  }
+
+  void MarkHeard(const DaemonId& aFrom)
+  {
+    if (const auto found = membership_.members_.find(aFrom);
+        found != membership_.members_.end()) {
+      found->second.heardAt_ = context_.now_;
+    }
+  }
+
+  void Merge(const std::vector<MemberUpdate>& aUpdates)
+  {
+    ViewChange change;
+    for (const MemberUpdate& update : aUpdates) {
+      MergeUpdate(membership_, update, context_, change);
+    }
+    Adopt(change);
+    if (change.accusation_) {
+      Refute(*change.accusation_);
+    }
+  }
+
+  void AnswerPing(const DaemonId& aFrom, const Ping& aPing)
+  {
+    const bool isNew = !membership_.members_.contains(aFrom);
+    Merge(aPing.updates_);
+    effects_.emplace_back(SendPeer{
+      aFrom,
+      Ack{ aPing.sequence_,
+           isNew ? AllUpdates(membership_) : TakeUpdates(membership_, aFrom),
+           {} } });
+  }
+
+  void TakeAck(const DaemonId& aFrom, const Ack& aAck)
+  {
+    Merge(aAck.updates_);
+    MarkHeard(aAck.about_.IsEmpty() ? aFrom : aAck.about_);
+    AnswerRelayed(membership_, aFrom, effects_);
+  }
+
+  /// Another member doubts this daemon, or holds an entry of an earlier run.
+  void Refute(const MemberUpdate& aKnown)
+  {
+    MemberUpdate& self = membership_.self_;
+    const bool givenUp = !IsActive(aKnown) && aKnown.run_ == self.run_;
+    if (givenUp || aKnown.run_ > self.run_) {
+      Log(LogLevel::Warning, "declared-dead", {});
+      membership_.listeningSince_ = context_.now_;
+      Rejoin(aKnown);
+      return;
+    }
+    self.incarnation_ = aKnown.incarnation_ + Incarnation{ 1 };
+    PublishSelf();
+  }
+
+  /// Passes a change of the view on to the other modules and the transport.
+  void Adopt(ViewChange& aChange)
+  {
+    const MembersChanged& members = aChange.members_;
+    for (const DaemonId& lost : members.lost_) {
+      if (const auto found = membership_.members_.find(lost);
+          found == membership_.members_.end() ||
+          !IsActive(found->second.latest_)) {
+        effects_.emplace_back(DisconnectPeer{ lost });
+      }
+      Log(LogLevel::Warning, "member-lost", { { "member", lost.Value() } });
+    }
+    for (const MemberUpdate& moved : aChange.moved_) {
+      effects_.emplace_back(ConnectPeer{ moved.daemon_, moved.peerAddress_ });
+    }
+    for (const DaemonId& joined : members.joined_) {
+      Log(LogLevel::Info, "member-joined", { { "member", joined.Value() } });
+    }
+    if (members.lost_.empty() && members.joined_.empty() && !aChange.owners_) {
+      return;
+    }
+    membership_.owners_.clear();
+    membership_.targets_ = ChoosePingTargets(membership_);
+    effects_.emplace_back(Raise{ members });
+  }
+
+  void UpdateMajority()
+  {
+    UpdateElectorate(membership_, context_);
+    const bool had = membership_.hasMajority_;
+    membership_.hasMajority_ = HearsMajority(membership_, context_);
+    if (membership_.hasMajority_ != had) {
+      membership_.majoritySince_ = context_.now_;
+      Log(membership_.hasMajority_ ? LogLevel::Info : LogLevel::Warning,
+          membership_.hasMajority_ ? "majority-heard" : "majority-lost",
+          {});
+    }
+    if (!membership_.hasMajority_) {
+      GiveUpOwnership();
+    } else if (!membership_.settled_ && HasSettled()) {
+      membership_.settled_ = true;
+      membership_.joined_ = true;
+      membership_.owners_.clear();
+      effects_.emplace_back(Raise{ MembersChanged{ { context_.self_ }, {} } });
+    }
+    SetReadiness();
+  }
+
+  /// A daemon without seeds waits for nobody.
+  [[nodiscard]] bool HasSettled() const
+  {
+    const bool alone =
+      membership_.seeds_.empty() && membership_.members_.size() == 1;
+    return alone || context_.now_ - membership_.majoritySince_ >= kSettleTime;
+  }
+
+  /// State from a peer is enough while the log does not answer.
+  [[nodiscard]] bool IsFleetLoaded() const
+  {
+    const auto fleet = views_.log_.streams_.find(FleetStream());
+    const bool caughtUp =
+      fleet != views_.log_.streams_.end() && fleet->second.caughtUp_;
+    return caughtUp ||
+           (!LogAnswers(views_.log_) && views_.fleet_.through_ > Offset{});
+  }
+
+  void SetReadiness()
+  {
+    const bool ready = membership_.hasMajority_ && membership_.settled_ &&
+                       !membership_.self_.leaving_ && IsFleetLoaded();
+    if (ready != std::exchange(membership_.ready_, ready)) {
+      effects_.emplace_back(SetReady{ ready });
+    }
+  }
+
   MembershipState& membership_;
+  const Views& views_;
   const Context& context_;
   Effects& effects_;
 };
@@ -36,12 +306,18 @@
 
 void
 ReduceMembership(MembershipState& aMembership,
-                 const Views&,
+                 const Views& aViews,
                  const Event& aEvent,
                  const Context& aContext,
                  Effects& aEffects)
 {
-  std::visit(Reducer{ aMembership, aContext, aEffects }, aEvent);
+  Reducer reducer{ aMembership, aViews, aContext, aEffects };
+  const bool running = !std::holds_alternative<Started>(aEvent) &&
+                       aMembership.tickedAt_ != TimePoint{};
+  if (running && aContext.now_ - aMembership.tickedAt_ > kClockGap) {
+    reducer.RejoinAfterPause();
+  }
+  std::visit(reducer, aEvent);
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/membership/Messages.h
+++ b/src/verbenawell/membership/Messages.h
@@ -28,6 +28,9 @@
   RegionId region_;
   /// Offset of the fleet stream in force at the daemon.
   Offset fleetOffset_;
+  MemberRun run_;
+  /// The daemon finishes its requests and owns nothing any more.
+  bool leaving_ = false;
 };
 
 /// Asks a member for an `Ack`; carries membership changes.
@@ -41,6 +44,9 @@
 {
   std::uint64_t sequence_ = 0;
   std::vector<MemberUpdate> updates_;
+  /// The member that was heard on behalf of the receiver; empty in an answer
+  /// of the pinged member itself.
+  DaemonId about_;
 };
 
 /// Asks a third member to ping `target_` because it does not answer here.
--- a/src/verbenawell/membership/Ownership.cpp
+++ b/src/verbenawell/membership/Ownership.cpp
@@ -8,17 +8,21 @@
 
 namespace verbenawell {
 
+namespace {
+
+// Far above the number of pools; bounds what unknown names can add.
+constexpr std::size_t kMaxCachedOwners = 4096;
+
 DaemonId
-OwnerOf(const MembershipState& aMembership, std::string_view aKey)
+ComputeOwner(const MembershipState& aMembership, std::string_view aKey)
 {
   DaemonId best;
   std::uint64_t bestScore = 0;
+  const std::uint64_t seed = XXH64(aKey.data(), aKey.size(), 0);
   for (const auto& [id, member] : aMembership.members_) {
-    const MemberStatus status = member.latest_.status_;
-    if (status == MemberStatus::Dead || status == MemberStatus::Left) {
+    if (!IsActive(member.latest_) || member.latest_.leaving_) {
       continue;
     }
-    const std::uint64_t seed = XXH64(aKey.data(), aKey.size(), 0);
     const std::uint64_t score =
       XXH64(id.Value().data(), id.Value().size(), seed);
     if (best.IsEmpty() || score > bestScore) {
@@ -29,6 +33,26 @@
   return best;
 }
 
+} // namespace
+
+DaemonId
+OwnerOf(const MembershipState& aMembership, std::string_view aKey)
+{
+  if (!aMembership.hasMajority_ || !aMembership.settled_) {
+    return {};
+  }
+  auto& owners = aMembership.owners_;
+  std::string key{ aKey };
+  if (const auto found = owners.find(key); found != owners.end()) {
+    return found->second;
+  }
+  if (owners.size() >= kMaxCachedOwners) {
+    owners.clear();
+  }
+  return owners.emplace(std::move(key), ComputeOwner(aMembership, aKey))
+    .first->second;
+}
+
 DaemonId
 OwnerOfPool(const MembershipState& aMembership, const PoolId& aPool)
 {
--- a/src/verbenawell/membership/Ownership.h
+++ b/src/verbenawell/membership/Ownership.h
@@ -8,8 +8,11 @@
 
 struct MembershipState;
 
-/// Chooses the live member that owns a key, by rendezvous hashing: a member
-/// that joins or leaves changes the owner of its own keys only.
+/// Chooses the member that owns a key, by rendezvous hashing: a member that
+/// joins or leaves changes the owner of its own keys only. Empty while this
+/// daemon does not hear a majority of the members, or not for long enough: its
+/// view may then name another owner than the majority's view does. Costs one
+/// look-up, and one hash a member after a change of the members.
 DaemonId
 OwnerOf(const MembershipState& aMembership, std::string_view aKey);
 
--- /dev/null
+++ b/src/verbenawell/membership/Pings.cpp
@@ -0,0 +1,163 @@
+#include "verbenawell/membership/Pings.h"
+
+#include "verbenawell/membership/MemberUpdates.h"
+#include "verbenawell/membership/MembershipLimits.h"
+#include "verbenawell/membership/MembershipState.h"
+
+#include <algorithm>
+
+namespace verbenawell {
+
+namespace {
+
+void
+SendPing(MembershipState& aMembership, const DaemonId& aTo, Effects& aEffects)
+{
+  aEffects.emplace_back(SendPeer{
+    aTo, Ping{ ++aMembership.lastSequence_, TakeUpdates(aMembership, aTo) } });
+}
+
+void
+PingAddress(MembershipState& aMembership,
+            const Endpoint& aAddress,
+            Effects& aEffects)
+{
+  aEffects.emplace_back(SendEndpoint{
+    aAddress,
+    Ping{ ++aMembership.lastSequence_, TakeUpdates(aMembership, {}) } });
+}
+
+bool
+IsSilent(const MembershipState& aMembership,
+         const DaemonId& aMember,
+         TimePoint aNow)
+{
+  return SilenceOf(aMembership, aMember, aNow) >= kIndirectPingAfter;
+}
+
+bool
+IsAddressOfMember(const MembershipState& aMembership, const Endpoint& aAddress)
+{
+  return std::ranges::any_of(aMembership.members_, [&](const auto& aEntry) {
+    const MemberUpdate& latest = aEntry.second.latest_;
+    return IsActive(latest) && latest.peerAddress_ == aAddress;
+  });
+}
+
+/// Addresses at which a daemon may be that is not an active member.
+std::vector<Endpoint>
+FindUnheardAddresses(const MembershipState& aMembership)
+{
+  std::vector<Endpoint> addresses;
+  for (const auto& [id, member] : aMembership.members_) {
+    if (member.latest_.status_ == MemberStatus::Dead) {
+      addresses.push_back(member.latest_.peerAddress_);
+    }
+  }
+  for (const Endpoint& seed : aMembership.seeds_) {
+    if (!IsAddressOfMember(aMembership, seed)) {
+      addresses.push_back(seed);
+    }
+  }
+  return addresses;
+}
+
+} // namespace
+
+void
+PingTargets(MembershipState& aMembership, Effects& aEffects)
+{
+  for (const DaemonId& target : aMembership.targets_) {
+    SendPing(aMembership, target, aEffects);
+  }
+}
+
+void
+AskOthersToPing(MembershipState& aMembership,
+                const Context& aContext,
+                Effects& aEffects)
+{
+  const std::vector<DaemonId>& targets = aMembership.targets_;
+  for (const DaemonId& silent : targets) {
+    if (!IsSilent(aMembership, silent, aContext.now_)) {
+      continue;
+    }
+    const std::size_t first = aMembership.random_.Below(targets.size());
+    std::size_t asked = 0;
+    for (std::size_t step = 0;
+         step < targets.size() && asked < kIndirectHelpers;
+         ++step) {
+      const DaemonId& helper = targets[(first + step) % targets.size()];
+      if (!IsSilent(aMembership, helper, aContext.now_)) {
+        aEffects.emplace_back(SendPeer{
+          helper, PingRequest{ ++aMembership.lastSequence_, silent } });
+        ++asked;
+      }
+    }
+  }
+}
+
+void
+RelayPing(MembershipState& aMembership,
+          const DaemonId& aFrom,
+          const PingRequest& aRequest,
+          const Context& aContext,
+          Effects& aEffects)
+{
+  std::erase_if(aMembership.relayed_, [&](const RelayedPing& aRelayed) {
+    return aContext.now_ - aRelayed.at_ > kSuspectAfter;
+  });
+  if (!aMembership.members_.contains(aRequest.target_) ||
+      aMembership.relayed_.size() >= kMaxRelayed) {
+    return;
+  }
+  aMembership.relayed_.push_back(
+    { aFrom, aRequest.target_, aRequest.sequence_, aContext.now_ });
+  SendPing(aMembership, aRequest.target_, aEffects);
+}
+
+void
+AnswerRelayed(MembershipState& aMembership,
+              const DaemonId& aMember,
+              Effects& aEffects)
+{
+  const auto isAnswered = [&](const RelayedPing& aRelayed) {
+    return aRelayed.target_ == aMember;
+  };
+  for (const RelayedPing& relayed : aMembership.relayed_) {
+    if (isAnswered(relayed)) {
+      aEffects.emplace_back(
+        SendPeer{ relayed.requester_, Ack{ relayed.sequence_, {}, aMember } });
+    }
+  }
+  std::erase_if(aMembership.relayed_, isAnswered);
+}
+
+void
+PingSeeds(MembershipState& aMembership, Effects& aEffects)
+{
+  for (const Endpoint& seed : aMembership.seeds_) {
+    if (!IsAddressOfMember(aMembership, seed)) {
+      PingAddress(aMembership, seed, aEffects);
+    }
+  }
+}
+
+void
+PingUnheard(MembershipState& aMembership, Effects& aEffects)
+{
+  if (!aMembership.settled_) {
+    PingSeeds(aMembership, aEffects);
+  }
+  if (aMembership.ticks_ % kRetryTicks != 0) {
+    return;
+  }
+  const std::vector<Endpoint> addresses = FindUnheardAddresses(aMembership);
+  if (!addresses.empty()) {
+    PingAddress(aMembership,
+                addresses[aMembership.random_.Below(addresses.size())],
+                aEffects);
+  }
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -56,6 +56,8 @@
       return "peer_frames_invalid";
     case Counter::PeerConnectionsReplaced:
       return "peer_connections_replaced";
+    case Counter::PeerMessagesDropped:
+      return "peer_messages_dropped";
     case Counter::CallersRefusedBusy:
       return "callers_refused_busy";
     case Counter::CallerFramesInvalid:
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -36,6 +36,7 @@
   PeerUnauthorized,
   PeerFramesInvalid,
   PeerConnectionsReplaced,
+  PeerMessagesDropped,
   CallersRefusedBusy,
   CallerFramesInvalid,
 };
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -286,7 +286,7 @@
   void ExitIfIdle()
   {
     if (requests_.stopping_ && entry_.requests_.empty()) {
-      effects_.emplace_back(Exit{});
+      effects_.emplace_back(Raise{ Finished{} });
     }
   }
 
--- a/src/verbenawell/settings/LoadSettings.cpp
+++ b/src/verbenawell/settings/LoadSettings.cpp
@@ -42,6 +42,9 @@
   settings.operators_.tokenFile_ = operators.at("tokenFile").get<std::string>();
   const json& peers = aJson.at("peers");
   settings.peers_.listen_ = ReadEndpoint(peers.at("listen"));
+  settings.peers_.advertise_ = peers.contains("advertise")
+                                 ? ReadEndpoint(peers.at("advertise"))
+                                 : settings.peers_.listen_;
   settings.peers_.tokenFile_ = peers.at("tokenFile").get<std::string>();
   for (const json& seed : peers.at("seeds")) {
     settings.peers_.seeds_.push_back(ReadEndpoint(seed));
--- a/src/verbenawell/settings/Settings.h
+++ b/src/verbenawell/settings/Settings.h
@@ -27,6 +27,8 @@
 struct PeerSettings
 {
   Endpoint listen_;
+  /// Where other daemons connect, if that is not `listen_`.
+  Endpoint advertise_;
   std::string tokenFile_;
   std::vector<Endpoint> seeds_;
 };
