Spread news of many members and watch new ones from now

Cause: with 200 members that join at once, one view still lacked a member after 20 s, because news went out in the order of ids; and a member that was watched anew counted as silent since it had joined.

Change: the news that fewest messages have carried goes first; silence counts from the start of the watch.

--- a/src/verbenawell/membership/MemberUpdates.cpp
+++ b/src/verbenawell/membership/MemberUpdates.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <functional>
 
 namespace verbenawell {
 
@@ -83,6 +84,27 @@
   TellOthers(aMembership, aUpdate.daemon_);
 }
 
+/// The entries that fewest messages have carried yet: when many members join at
+/// once, none of them waits until the news of the others is spent.
+std::vector<Member*>
+FreshestNews(MembershipState& aMembership, const DaemonId& aTo)
+{
+  std::vector<Member*> news;
+  for (auto& [id, member] : aMembership.members_) {
+    if (member.tellLeft_ > 0 && id != aMembership.self_.daemon_ && id != aTo) {
+      news.push_back(&member);
+    }
+  }
+  if (news.size() > kMaxNews) {
+    std::ranges::nth_element(
+      news, news.begin() + kMaxNews, std::greater{}, [](const Member* aMember) {
+        return aMember->tellLeft_;
+      });
+    news.resize(kMaxNews);
+  }
+  return news;
+}
+
 bool
 IsTarget(const MembershipState& aMembership, const DaemonId& aMember)
 {
@@ -182,14 +204,9 @@
       found->second.latest_.status_ != MemberStatus::Alive) {
     updates.push_back(found->second.latest_);
   }
-  for (auto& [id, member] : members) {
-    if (updates.size() >= kMaxUpdates) {
-      break;
-    }
-    if (member.tellLeft_ > 0 && id != aMembership.self_.daemon_ && id != aTo) {
-      --member.tellLeft_;
-      updates.push_back(member.latest_);
-    }
+  for (Member* member : FreshestNews(aMembership, aTo)) {
+    --member->tellLeft_;
+    updates.push_back(member->latest_);
   }
   // One entry in turn repairs the views that news has missed.
   auto refresh = members.upper_bound(aMembership.nextRefresh_);
--- a/src/verbenawell/membership/MembershipLimits.h
+++ b/src/verbenawell/membership/MembershipLimits.h
@@ -40,7 +40,8 @@
 inline constexpr std::size_t kRings = 3;
 
 inline constexpr std::size_t kIndirectHelpers = 3;
-inline constexpr std::size_t kMaxUpdates = 12;
+/// Changes of other members that one message carries.
+inline constexpr std::size_t kMaxNews = 10;
 inline constexpr std::size_t kMaxRelayed = 64;
 inline constexpr std::size_t kMaxMembers = 4096;
 
--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -243,10 +243,22 @@
       return;
     }
     membership_.owners_.clear();
-    membership_.targets_ = ChoosePingTargets(membership_);
+    WatchTargets();
     effects_.emplace_back(Raise{ members });
   }
 
+  /// A member that was not watched before has not been silent.
+  void WatchTargets()
+  {
+    const std::vector<DaemonId> before =
+      std::exchange(membership_.targets_, ChoosePingTargets(membership_));
+    for (const DaemonId& target : membership_.targets_) {
+      if (std::ranges::find(before, target) == before.end()) {
+        MarkHeard(target);
+      }
+    }
+  }
+
   void UpdateMajority()
   {
     UpdateElectorate(membership_, context_);
--- /dev/null
+++ b/tests/unit/MembershipTest.cpp
@@ -0,0 +1,266 @@
+#include "verbenawell/core/Reduce.h"
+#include "verbenawell/core/State.h"
+#include "verbenawell/membership/Ownership.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+
+namespace {
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+constexpr Duration kStep = 250ms;
+
+/// Daemons that exchange messages without delay, in virtual time.
+class Network
+{
+public:
+  explicit Network(std::size_t aSize)
+  {
+    for (std::size_t index = 0; index < aSize; ++index) {
+      Restart(index);
+    }
+  }
+
+  static DaemonId Name(std::size_t aIndex)
+  {
+    return DaemonId{ "d" + std::to_string(aIndex) };
+  }
+
+  State& At(std::size_t aIndex) { return states_[Name(aIndex)]; }
+
+  void Restart(std::size_t aIndex)
+  {
+    const DaemonId id = Name(aIndex);
+    State& state = states_[id] = {};
+    MemberUpdate& self = state.membership_.self_;
+    self.daemon_ = id;
+    self.peerAddress_ = { "127.0.0.1", static_cast<std::uint16_t>(aIndex + 1) };
+    self.incarnation_ = Incarnation{ Milliseconds() };
+    self.run_ = MemberRun{ Milliseconds() };
+    state.membership_.random_ = Random{ aIndex };
+    if (aIndex > 0) {
+      state.membership_.seeds_ = { { "127.0.0.1", 1 } };
+    }
+    Apply(id, Started{});
+  }
+
+  void Pause(std::size_t aIndex, bool aPaused)
+  {
+    if (aPaused) {
+      paused_.insert(Name(aIndex));
+    } else {
+      paused_.erase(Name(aIndex));
+    }
+  }
+
+  /// Messages between these daemons and the others are lost.
+  void Separate(std::set<DaemonId> aSide) { side_ = std::move(aSide); }
+
+  void Run(Duration aTime)
+  {
+    for (const TimePoint end = now_ + aTime; now_ < end;) {
+      now_ += kStep;
+      for (const auto& [id, state] : states_) {
+        if (!paused_.contains(id)) {
+          Apply(id, TimerDue{ MembershipTick{} });
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] std::vector<MembersChanged> TakeChanges(std::size_t aIndex)
+  {
+    return std::exchange(changes_[Name(aIndex)], {});
+  }
+  [[nodiscard]] std::size_t Sent(std::size_t aIndex)
+  {
+    return sent_[Name(aIndex)];
+  }
+
+private:
+  struct Delivery
+  {
+    DaemonId to_;
+    Event event_;
+  };
+
+  [[nodiscard]] std::uint64_t Milliseconds() const
+  {
+    return static_cast<std::uint64_t>(now_.time_since_epoch() / 1ms);
+  }
+
+  void Apply(const DaemonId& aTo, const Event& aEvent)
+  {
+    std::deque<Delivery> queue{ { aTo, aEvent } };
+    while (!queue.empty()) {
+      const Delivery next = std::move(queue.front());
+      queue.pop_front();
+      const Context context{
+        now_, WallTime{ std::chrono::milliseconds(Milliseconds()) }, next.to_
+      };
+      for (const Effect& effect :
+           Reduce(states_.at(next.to_), next.event_, context)) {
+        Deliver(next.to_, effect, queue);
+      }
+    }
+  }
+
+  void Deliver(const DaemonId& aFrom,
+               const Effect& aEffect,
+               std::deque<Delivery>& aQueue)
+  {
+    if (const auto* send = std::get_if<SendPeer>(&aEffect)) {
+      Queue(aFrom, send->to_, send->message_, aQueue);
+    } else if (const auto* to = std::get_if<SendEndpoint>(&aEffect)) {
+      Queue(aFrom, Name(to->to_.port_ - 1U), to->message_, aQueue);
+    } else if (const auto* line = std::get_if<LogLine>(&aEffect)) {
+      Note(aFrom, *line);
+    }
+  }
+
+  void Note(const DaemonId& aAt, const LogLine& aLine)
+  {
+    if (aLine.event_ == "member-lost") {
+      changes_[aAt].push_back({ {}, { DaemonId{ aLine.fields_[0].second } } });
+    } else if (aLine.event_ == "member-joined") {
+      changes_[aAt].push_back({ { DaemonId{ aLine.fields_[0].second } }, {} });
+    }
+  }
+
+  void Queue(const DaemonId& aFrom,
+             const DaemonId& aTo,
+             const PeerMessage& aMessage,
+             std::deque<Delivery>& aQueue)
+  {
+    ++sent_[aFrom];
+    if (states_.contains(aTo) && !paused_.contains(aTo) &&
+        side_.contains(aFrom) == side_.contains(aTo)) {
+      aQueue.push_back({ aTo, PeerMessageReceived{ aFrom, aMessage } });
+    }
+  }
+
+  TimePoint now_{ 100s };
+  std::map<DaemonId, State> states_;
+  std::set<DaemonId> paused_;
+  std::set<DaemonId> side_;
+  std::map<DaemonId, std::vector<MembersChanged>> changes_;
+  std::map<DaemonId, std::size_t> sent_;
+};
+
+std::set<DaemonId>
+ActiveMembers(const State& aState)
+{
+  std::set<DaemonId> active;
+  for (const auto& [id, member] : aState.membership_.members_) {
+    if (IsActive(member.latest_)) {
+      active.insert(id);
+    }
+  }
+  return active;
+}
+
+} // namespace
+
+// Guards against views that never agree, and so against two owners.
+TEST(Membership, AllDaemonsAgreeOnTheOwnerOfAKey)
+{
+  for (const std::size_t size : { 1U, 3U, 9U, 60U }) {
+    Network network{ size };
+    network.Run(10s);
+    const DaemonId owner = OwnerOf(network.At(0).membership_, "pool/p");
+    EXPECT_FALSE(owner.IsEmpty()) << size;
+    for (std::size_t index = 0; index < size; ++index) {
+      EXPECT_EQ(ActiveMembers(network.At(index)).size(), size);
+      EXPECT_EQ(OwnerOf(network.At(index).membership_, "pool/p"), owner);
+    }
+  }
+}
+
+// Guards against slots that a dead daemon holds for longer than 2 s.
+TEST(Membership, ASilentDaemonIsLostWithinTwoSeconds)
+{
+  Network network{ 5 };
+  network.Run(5s);
+  network.Pause(4, true);
+  network.Run(2s);
+  for (std::size_t index = 0; index < 4; ++index) {
+    EXPECT_FALSE(ActiveMembers(network.At(index)).contains(Network::Name(4)));
+  }
+}
+
+// Guards against a daemon that acts as an owner after a pause in which another
+// one took over.
+TEST(Membership, APausedDaemonOwnsNothingUntilItHasRejoined)
+{
+  Network network{ 3 };
+  network.Run(5s);
+  const MemberRun before = network.At(1).membership_.self_.run_;
+  network.Pause(1, true);
+  network.Run(3s);
+  network.Pause(1, false);
+  network.Run(kStep);
+  EXPECT_TRUE(OwnerOf(network.At(1).membership_, "pool/p").IsEmpty());
+  EXPECT_GT(network.At(1).membership_.self_.run_, before);
+  network.Run(3s);
+  EXPECT_FALSE(OwnerOf(network.At(1).membership_, "pool/p").IsEmpty());
+  EXPECT_EQ(ActiveMembers(network.At(0)).size(), 3U);
+}
+
+// Guards against an owner on each side of a partition, also after the time in
+// which a majority forgets the dead.
+TEST(Membership, TheMinoritySideOwnsNothingForMinutes)
+{
+  Network network{ 5 };
+  network.Run(5s);
+  network.Separate({ Network::Name(0), Network::Name(1) });
+  network.Run(2s);
+  EXPECT_TRUE(OwnerOf(network.At(0).membership_, "pool/p").IsEmpty());
+  EXPECT_FALSE(OwnerOf(network.At(4).membership_, "pool/p").IsEmpty());
+  network.Run(120s);
+  EXPECT_TRUE(OwnerOf(network.At(0).membership_, "pool/p").IsEmpty());
+  network.Separate({});
+  network.Run(5s);
+  EXPECT_EQ(OwnerOf(network.At(0).membership_, "pool/p"),
+            OwnerOf(network.At(4).membership_, "pool/p"));
+  EXPECT_FALSE(OwnerOf(network.At(0).membership_, "pool/p").IsEmpty());
+}
+
+// Guards against slots of a replaced daemon that nobody frees.
+TEST(Membership, AReplacedDaemonIsLostAndJoined)
+{
+  Network network{ 3 };
+  network.Run(5s);
+  static_cast<void>(network.TakeChanges(0));
+  network.Restart(2);
+  network.Run(1s);
+  const auto changes = network.TakeChanges(0);
+  EXPECT_TRUE(std::ranges::any_of(changes, [](const MembersChanged& aChange) {
+    return !aChange.lost_.empty() && aChange.lost_[0] == Network::Name(2);
+  }));
+  EXPECT_TRUE(ActiveMembers(network.At(0)).contains(Network::Name(2)));
+}
+
+// Guards against control traffic that grows with the number of members.
+TEST(Membership, MessagesOfADaemonDoNotGrowWithTheMembers)
+{
+  Network network{ 200 };
+  network.Run(20s);
+  EXPECT_EQ(ActiveMembers(network.At(7)).size(), 200U);
+  const std::size_t before = network.Sent(7);
+  network.Run(10s);
+  // Three pings and about three answers each 250 ms; the rings may give a
+  // member more watchers than another, so twice that is allowed.
+  EXPECT_LE(network.Sent(7) - before, 2U * 6U * 40U);
+}
+
+} // namespace verbenawell
