--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -43,6 +43,7 @@
   PeerUnauthorized,
   PeerFramesInvalid,
   PeerConnectionsReplaced,
+  PeerMessagesDropped,
   CallersRefusedBusy,
   CallerFramesInvalid,
   /// Bytes sent and received for control: peers, log and VM list.
