--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -57,14 +57,20 @@
                CutAnswer,
                LateAnswer,
                OversizeAnswer,
-               Cancelled,
-               StateRequest> T>
+               Cancelled> T>
 void
 Fields(Archive& aArchive, T&)
 {
   aArchive();
 }
 
+template<typename Archive, OneOf<StateRequest> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.from_);
+}
+
 template<typename Archive, OneOf<NotRun> T>
 void
 Fields(Archive& aArchive, T& aValue)
@@ -354,7 +360,8 @@
            aValue.index_,
            aValue.count_,
            aValue.checksum_,
-           aValue.bytes_);
+           aValue.bytes_,
+           aValue.at_);
 }
 
 template<typename Archive, OneOf<CorruptRecord> T>
--- a/src/verbenawell/core/Effect.h
+++ b/src/verbenawell/core/Effect.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -77,6 +78,19 @@
   RecordBody body_;
 };
 
+/// Encodes a copy of the fold; answered by `SnapshotEncoded`.
+struct EncodeSnapshot
+{
+  std::shared_ptr<const FleetState> fleet_;
+};
+
+/// Answered by `SnapshotDecoded`.
+struct DecodeSnapshot
+{
+  SnapshotSource source_ = SnapshotSource::Log;
+  std::shared_ptr<const std::string> bytes_;
+};
+
 struct ReadVmList
 {};
 
@@ -151,6 +165,8 @@
                             DisconnectPeer,
                             ReadLog,
                             AppendLog,
+                            EncodeSnapshot,
+                            DecodeSnapshot,
                             ReadVmList,
                             RebootVm,
                             AnswerOperator,
--- a/src/verbenawell/core/TimerKey.h
+++ b/src/verbenawell/core/TimerKey.h
@@ -30,6 +30,12 @@
   bool operator==(const AppendExpiry&) const = default;
 };
 
+/// Asks peers for the state while the log has not given it.
+struct StateTransfer
+{
+  bool operator==(const StateTransfer&) const = default;
+};
+
 struct VmListPoll
 {
   bool operator==(const VmListPoll&) const = default;
@@ -63,6 +69,7 @@
                               LogPoll,
                               LogFlush,
                               AppendExpiry,
+                              StateTransfer,
                               VmListPoll,
                               OwnerTick,
                               EntryTick,
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -63,9 +63,11 @@
          [this](Event aEvent) { Post(std::move(aEvent)); })
   , platform_(aSettings.platform_.vmList_,
               [this](Event aEvent) { Post(std::move(aEvent)); })
+  , snapshots_([this](Event aEvent) { Post(std::move(aEvent)); })
 {
   state_.membership_.self_ = DescribeSelf(aSettings);
   state_.requests_.random_ = Random{ std::random_device{}() };
+  state_.log_.snapshots_.retention_ = aSettings.platform_.logRetention_;
   state_.log_.random_ = Random{ std::random_device{}() };
 }
 
@@ -108,6 +110,8 @@
                [&](const RefuseCaller& aRefuse) { callers_.Run(aRefuse); },
                [&](const ReadLog& aRead) { log_.Run(aRead); },
                [&](const AppendLog& aAppend) { log_.Run(aAppend); },
+               [&](const EncodeSnapshot& aEncode) { snapshots_.Run(aEncode); },
+               [&](const DecodeSnapshot& aDecode) { snapshots_.Run(aDecode); },
                [&](const ReadVmList& aRead) { platform_.Run(aRead); },
                [&](const RebootVm& aReboot) { platform_.Run(aReboot); },
                [&](const AnswerOperator& aAnswer) { operators_.Run(aAnswer); },
--- a/src/verbenawell/daemon/Daemon.h
+++ b/src/verbenawell/daemon/Daemon.h
@@ -4,6 +4,7 @@
 #include "verbenawell/adapters/LogClient.h"
 #include "verbenawell/adapters/OperatorListener.h"
 #include "verbenawell/adapters/PlatformClient.h"
+#include "verbenawell/adapters/SnapshotWorker.h"
 #include "verbenawell/adapters/TimerService.h"
 #include "verbenawell/core/State.h"
 #include "verbenawell/metrics/Metrics.h"
@@ -43,6 +44,7 @@
   OperatorListener operators_;
   LogClient log_;
   PlatformClient platform_;
+  SnapshotWorker snapshots_;
 };
 
 } // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/fleet/DescribeChange.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "verbenawell/fleet/FleetRecord.h"
+
+#include <string>
+
+namespace verbenawell {
+
+/// The change as one line that a person reads.
+std::string
+DescribeChange(const FleetChange& aChange);
+
+} // namespace verbenawell
--- a/src/verbenawell/fleet/FleetReducer.cpp
+++ b/src/verbenawell/fleet/FleetReducer.cpp
@@ -5,7 +5,10 @@
 #include "verbenawell/log/Streams.h"
 #include "verbenawell/membership/Ownership.h"
 
+#include <algorithm>
+#include <iterator>
 #include <string>
+#include <utility>
 
 namespace verbenawell {
 
@@ -48,6 +51,29 @@
     effects_.emplace_back(Raise{ std::move(changed) });
   }
 
+  void operator()(const StreamCaughtUp& aEvent)
+  {
+    if (aEvent.stream_ == FleetStream()) {
+      fleet_.loaded_ = true;
+    }
+  }
+
+  // The fold never goes back: an accepted configuration stays in force.
+  void operator()(const FleetReplaced& aEvent)
+  {
+    if (aEvent.fleet_->through_ < fleet_.through_) {
+      return;
+    }
+    FleetChanged changed{ ListSubjects(fleet_) };
+    const bool loaded =
+      fleet_.loaded_ || aEvent.source_ == SnapshotSource::Peer;
+    fleet_ = *aEvent.fleet_;
+    fleet_.loaded_ = loaded;
+    std::ranges::copy(ListSubjects(fleet_),
+                      std::back_inserter(changed.subjects_));
+    effects_.emplace_back(Raise{ std::move(changed) });
+  }
+
   void operator()(const VmListRead& aEvent)
   {
     if (!OwnsFleetRecords(views_.membership_, context_.self_) ||
@@ -75,16 +101,17 @@
 
   void Fold(const LogRecord& aRecord, FleetChanged& aChanged)
   {
+    if (aRecord.offset_ <= fleet_.through_) {
+      return;
+    }
     const auto* record = std::get_if<FleetRecord>(&aRecord.body_);
     if (record == nullptr) {
       fleet_.through_ = aRecord.offset_;
-      effects_.emplace_back(Count{ Counter::RecordsCorrupt });
+      NoteCorrupt(aRecord);
       return;
     }
     FoldOutcome outcome = Apply(fleet_, aRecord.offset_, *record);
-    if (!outcome.refusal_.empty()) {
-      effects_.emplace_back(Count{ Counter::RecordsRefused });
-    }
+    Measure(*record, outcome);
     aChanged.subjects_.insert(aChanged.subjects_.end(),
                               outcome.changed_.begin(),
                               outcome.changed_.end());
@@ -92,6 +119,35 @@
       record->id_, aRecord.offset_, std::move(outcome.refusal_) } });
   }
 
+  void NoteCorrupt(const LogRecord& aRecord)
+  {
+    const auto* corrupt = std::get_if<CorruptRecord>(&aRecord.body_);
+    effects_.emplace_back(Count{ Counter::RecordsCorrupt });
+    effects_.emplace_back(
+      LogLine{ LogLevel::Error,
+               "record-corrupt",
+               { { "stream", FleetStream().Value() },
+                 { "offset", std::to_string(aRecord.offset_.Value()) },
+                 { "reason",
+                   corrupt != nullptr ? corrupt->reason_
+                                      : "a record of another stream" } } });
+  }
+
+  void Measure(const FleetRecord& aRecord, const FoldOutcome& aOutcome)
+  {
+    if (std::holds_alternative<UnknownChange>(aRecord.change_)) {
+      effects_.emplace_back(Count{ Counter::RecordsUnknown });
+    } else if (!aOutcome.refusal_.empty()) {
+      effects_.emplace_back(Count{ Counter::RecordsRefused });
+    } else if (fleet_.loaded_) {
+      // Records read while catching up are older than this daemon.
+      effects_.emplace_back(
+        Observe{ LatencyMetric::ConfigurationAge,
+                 std::max<Duration>(context_.wallNow_ - aRecord.at_,
+                                    Duration::zero()) });
+    }
+  }
+
   /// Appends what the list says and the fold does not. The record id names
   /// the fact and the offset it was compared with, so that a difference seen
   /// again before its record arrives is the same append.
--- a/src/verbenawell/fleet/FleetState.cpp
+++ b/src/verbenawell/fleet/FleetState.cpp
@@ -23,12 +23,39 @@
 }
 
 VmCount
-CountServing(const FleetState& aFleet, const PoolState& aPool)
+CountServing(const FleetState&, const PoolState& aPool)
 {
-  const auto serving = std::ranges::count_if(aPool.vms_, [&](const VmId& aId) {
-    return IsServing(aFleet.vms_.at(aId));
-  });
-  return VmCount{ static_cast<std::uint32_t>(serving) };
+  return aPool.serving_;
+}
+
+void
+IndexPools(FleetState& aFleet)
+{
+  for (auto& [id, pool] : aFleet.pools_) {
+    pool.vms_.clear();
+    pool.services_.clear();
+    pool.serving_ = VmCount{};
+  }
+  for (const auto& [id, vm] : aFleet.vms_) {
+    PoolState& pool = aFleet.pools_.at(vm.pool_);
+    pool.vms_.insert(id);
+    pool.serving_ += VmCount{ IsServing(vm) ? 1U : 0U };
+  }
+  for (const auto& [id, service] : aFleet.services_) {
+    aFleet.pools_.at(service.pool_).services_.insert(id);
+  }
+}
+
+std::vector<Subject>
+ListSubjects(const FleetState& aFleet)
+{
+  std::vector<Subject> subjects;
+  subjects.reserve(aFleet.provenance_.size());
+  for (const auto& [subject, provenance] : aFleet.provenance_) {
+    subjects.push_back(subject);
+  }
+  std::ranges::sort(subjects);
+  return subjects;
 }
 
 PoolId
--- a/src/verbenawell/fleet/FleetState.h
+++ b/src/verbenawell/fleet/FleetState.h
@@ -3,16 +3,27 @@
 #include "verbenawell/fleet/FleetRecord.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
+#include <vector>
 
 namespace verbenawell {
 
+/// One change of a subject.
+struct HistoryEntry
+{
+  Offset offset_;
+  OperatorId author_;
+  WallTime at_;
+  /// The change in the words of the operators' language.
+  std::string text_;
+};
+
 /// Who changed a subject last, and what the change replaced.
 struct Provenance
 {
@@ -20,6 +31,16 @@
   Offset previous_;
   OperatorId author_;
   WallTime at_;
+  /// The latest changes, the oldest first.
+  std::vector<HistoryEntry> history_;
+};
+
+/// What became of a record.
+struct RecordOutcome
+{
+  Offset offset_;
+  /// Empty where the record took effect.
+  std::string refusal_;
 };
 
 struct PoolState
@@ -27,6 +48,8 @@
   bool spare_ = false;
   std::set<VmId> vms_;
   std::set<ServiceId> services_;
+  /// VMs of `vms_` that serve; kept with each change of a VM.
+  VmCount serving_;
 };
 
 struct ServiceState
@@ -85,9 +108,18 @@
   std::map<SettingId, std::string> settings_;
   std::map<WaveId, WaveState> waves_;
   std::unordered_map<Subject, Provenance, SubjectHash> provenance_;
-  /// Ids of the latest records, so that a record appended twice counts once.
-  std::unordered_set<RecordId> recentIds_;
+  /// Subjects that were removed, the oldest first; a bounded number of them
+  /// keeps its provenance.
+  std::deque<Subject> removed_;
+  /// A bounded number of ended waves is kept, the oldest first.
+  std::deque<WaveId> endedWaves_;
+  /// The latest records, so that a record appended twice counts once and the
+  /// outcome of a record inside a snapshot is known.
+  std::unordered_map<RecordId, RecordOutcome> recent_;
   std::deque<RecordId> recentOrder_;
+  /// The state is the log's or a peer's, not the empty one of a daemon that
+  /// has just started. A fact of this daemon, not a part of the fold.
+  bool loaded_ = false;
 };
 
 /// Tells whether the VM can run requests and is not about to stop.
@@ -98,6 +130,15 @@
 VmCount
 CountServing(const FleetState& aFleet, const PoolState& aPool);
 
+/// Derives the members, services and serving counts of the pools from the VMs
+/// and services.
+void
+IndexPools(FleetState& aFleet);
+
+/// Every subject that has a version, in their order.
+std::vector<Subject>
+ListSubjects(const FleetState& aFleet);
+
 /// The pool that receives new VMs; empty where none is defined.
 PoolId
 FindSparePool(const FleetState& aFleet);
--- /dev/null
+++ b/src/verbenawell/fleet/internal/Applier.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "verbenawell/fleet/FleetState.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace verbenawell::fold {
+
+using Refusal = std::optional<std::string>;
+
+std::string
+DescribeVm(const VmId& aVm);
+
+/// Applies one change, or returns the reason for a refusal and changes
+/// nothing. Reads nothing but the state and the change.
+class Applier
+{
+public:
+  Applier(FleetState& aFleet, std::vector<Subject>& aChanged)
+    : fleet_(aFleet)
+    , changed_(aChanged)
+  {
+  }
+
+  Refusal operator()(const DefinePool& aChange);
+  Refusal operator()(const RemovePool& aChange);
+  Refusal operator()(const DefineService& aChange);
+  Refusal operator()(const RemoveService& aChange);
+  Refusal operator()(const SetQuota& aChange);
+  Refusal operator()(const SetSetting& aChange);
+  Refusal operator()(const UnknownChange& aChange);
+  Refusal operator()(const VmSeen& aChange);
+  Refusal operator()(const VmDown& aChange);
+  Refusal operator()(const VmUp& aChange);
+  Refusal operator()(const VmGone& aChange);
+  Refusal operator()(const MoveVm& aChange);
+  Refusal operator()(const DrainVm& aChange);
+  Refusal operator()(const UndrainVm& aChange);
+  Refusal operator()(const StartWave& aChange);
+  Refusal operator()(const ReserveStop& aChange);
+  Refusal operator()(const FinishStop& aChange);
+  Refusal operator()(const FailStop& aChange);
+  Refusal operator()(const PauseWave& aChange);
+  Refusal operator()(const ResumeWave& aChange);
+  Refusal operator()(const EndWave& aChange);
+
+private:
+  [[nodiscard]] bool HasOtherSparePool(const PoolId& aPool) const;
+
+  /// Tells whether the pool's services can do with one serving VM less.
+  [[nodiscard]] bool LeavesBudgets(const PoolId& aPool) const;
+
+  /// Changes a VM and keeps the serving counts of its pools.
+  template<typename Change>
+  void Edit(VmState& aVm, Change aChange)
+  {
+    if (IsServing(aVm)) {
+      --fleet_.pools_.at(aVm.pool_).serving_;
+    }
+    aChange(aVm);
+    if (IsServing(aVm)) {
+      ++fleet_.pools_.at(aVm.pool_).serving_;
+    }
+  }
+
+  template<typename Change>
+  Refusal ChangeVm(const VmId& aVm, Change aChange)
+  {
+    const auto found = fleet_.vms_.find(aVm);
+    if (found == fleet_.vms_.end()) {
+      return "no " + DescribeVm(aVm);
+    }
+    Edit(found->second, aChange);
+    changed_.emplace_back(aVm);
+    return {};
+  }
+
+  template<typename Change>
+  Refusal ChangeWave(const WaveId& aWave, Change aChange)
+  {
+    const auto found = fleet_.waves_.find(aWave);
+    if (found == fleet_.waves_.end()) {
+      return "no wave \"" + aWave.Value() + "\"";
+    }
+    if (found->second.ended_) {
+      return "wave \"" + aWave.Value() + "\" has ended";
+    }
+    aChange(found->second);
+    changed_.emplace_back(aWave);
+    return {};
+  }
+
+  Refusal EndStop(const WaveId& aWave, const VmId& aVm, StopStatus aStatus);
+  void NoteStop(const WaveId& aWave, const VmId& aVm);
+  void NoteRemoval(const Subject& aSubject);
+
+  FleetState& fleet_;
+  std::vector<Subject>& changed_;
+};
+
+} // namespace verbenawell::fold
--- a/src/verbenawell/log/AppendReducer.cpp
+++ b/src/verbenawell/log/AppendReducer.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/log/AppendReducer.h"
 
+#include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/log/LogState.h"
 
 #include <algorithm>
@@ -93,6 +94,18 @@
 
   void operator()(const RecordSettled& aEvent) { Settle(aEvent.id_); }
 
+  // A snapshot holds the outcome of records that are not read any more.
+  void operator()(const FleetReplaced& aEvent)
+  {
+    for (const auto& [id, append] : log_.pending_) {
+      if (const auto found = aEvent.fleet_->recent_.find(id);
+          found != aEvent.fleet_->recent_.end()) {
+        const auto& [offset, refusal] = found->second;
+        effects_.emplace_back(Raise{ RecordSettled{ id, offset, refusal } });
+      }
+    }
+  }
+
   void operator()(const TimerDue& aEvent)
   {
     if (!std::holds_alternative<AppendExpiry>(aEvent.key_)) {
--- a/src/verbenawell/log/LogEvents.h
+++ b/src/verbenawell/log/LogEvents.h
@@ -2,11 +2,15 @@
 
 #include "verbenawell/log/LogRecord.h"
 
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace verbenawell {
 
+struct FleetState;
+
 struct LogRead
 {
   StreamId stream_;
@@ -96,6 +100,34 @@
   std::vector<LogRecord> records_;
 };
 
+/// Where a snapshot came from.
+enum class SnapshotSource : std::uint8_t
+{
+  Log,
+  Peer,
+};
+
+struct SnapshotEncoded
+{
+  Offset through_;
+  std::shared_ptr<const std::string> bytes_;
+};
+
+struct SnapshotDecoded
+{
+  SnapshotSource source_ = SnapshotSource::Log;
+  /// Empty where the bytes do not decode.
+  std::shared_ptr<const FleetState> fleet_;
+  std::string reason_;
+};
+
+/// A newer fold of the fleet stream replaces the one in force.
+struct FleetReplaced
+{
+  SnapshotSource source_ = SnapshotSource::Log;
+  std::shared_ptr<const FleetState> fleet_;
+};
+
 /// The fold of the fleet stream has accepted or refused a record.
 struct RecordSettled
 {
--- a/src/verbenawell/log/LogRecord.h
+++ b/src/verbenawell/log/LogRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
 #include "verbenawell/core/Units.h"
 #include "verbenawell/fleet/FleetRecord.h"
 
@@ -41,6 +42,8 @@
   /// Checksum of the whole snapshot.
   std::uint64_t checksum_ = 0;
   std::string bytes_;
+  /// When the snapshot was encoded.
+  WallTime at_;
 };
 
 /// A record that cannot be decoded; it is skipped and counted.
--- a/src/verbenawell/log/LogReducer.cpp
+++ b/src/verbenawell/log/LogReducer.cpp
@@ -2,7 +2,8 @@
 
 #include "verbenawell/log/AppendReducer.h"
 #include "verbenawell/log/ReadReducer.h"
-#include "verbenawell/log/Streams.h"
+#include "verbenawell/log/SnapshotReducer.h"
+#include "verbenawell/log/SpreadReducer.h"
 
 namespace verbenawell {
 
@@ -13,12 +14,11 @@
           const Context& aContext,
           Effects& aEffects)
 {
-  if (std::holds_alternative<Started>(aEvent)) {
-    aEffects.emplace_back(Raise{ StreamWanted{ FleetStream(), Offset{ 1 } } });
-  }
   // Appends come first: they compare the page with reads started before it.
   ReduceAppends(aLog, aViews, aEvent, aContext, aEffects);
   ReduceReads(aLog, aViews, aEvent, aContext, aEffects);
+  ReduceSnapshots(aLog, aViews, aEvent, aContext, aEffects);
+  ReduceSpread(aLog, aViews, aEvent, aContext, aEffects);
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/log/LogState.h
+++ b/src/verbenawell/log/LogState.h
@@ -3,12 +3,17 @@
 #include "verbenawell/core/Random.h"
 #include "verbenawell/core/Time.h"
 #include "verbenawell/log/LogRecord.h"
+#include "verbenawell/log/Snapshot.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace verbenawell {
 
@@ -50,11 +55,48 @@
   std::size_t appends_ = 0;
 };
 
+enum class SnapshotPhase : std::uint8_t
+{
+  Idle,
+  /// Reads the snapshots stream for the newest one.
+  Searching,
+  /// Waits for the newest one to be decoded.
+  Loading,
+  /// Reads the snapshots stream to see whether a new one is still due.
+  Checking,
+  /// Waits for the fold to be encoded.
+  Encoding,
+  /// Waits for the chunks to be read back.
+  Writing,
+};
+
+struct SnapshotState
+{
+  Duration retention_ = std::chrono::hours(24);
+  TimePoint startedAt_;
+  SnapshotPhase phase_ = SnapshotPhase::Idle;
+  TimePoint phaseSince_;
+  SnapshotCollector fromLog_;
+  SnapshotCollector fromPeers_;
+  /// Oldest record and end of the fleet stream in the log.
+  Offset keptFirst_;
+  Offset keptNext_;
+  /// The snapshot encoded last, for peers that ask.
+  Offset encodedThrough_;
+  std::shared_ptr<const std::string> encoded_;
+  bool encoding_ = false;
+  std::vector<DaemonId> requesters_;
+};
+
 /// Position in each stream that is followed, and appends on their way.
 struct LogState
 {
   std::map<StreamId, StreamState> streams_;
   std::unordered_map<RecordId, PendingAppend> pending_;
+  SnapshotState snapshots_;
+  /// The latest records of the fleet stream, for peers that lack them.
+  std::deque<LogRecord> tail_;
+  TimePoint askedPeerAt_;
   Random random_;
 };
 
--- a/src/verbenawell/log/Messages.h
+++ b/src/verbenawell/log/Messages.h
@@ -14,9 +14,12 @@
   std::vector<LogRecord> records_;
 };
 
-/// Asks a peer for the fold of the fleet stream.
+/// Asks a peer for the fleet stream from an offset on: it answers with the
+/// records where it still holds them, else with its fold.
 struct StateRequest
-{};
+{
+  Offset from_;
+};
 
 /// One part of the fold, in the same form as a snapshot.
 struct StateChunk
--- a/src/verbenawell/log/ReadReducer.cpp
+++ b/src/verbenawell/log/ReadReducer.cpp
@@ -185,6 +185,7 @@
     if (IsBehind(aPage, aStream) && !SkipGap(aPage, aStream)) {
       return true;
     }
+    aStream.gap_ = false;
     StreamAdvanced advanced{ aPage.stream_, {} };
     for (const LogRecord& record : aPage.records_) {
       if (record.offset_ < aStream.next_) {
--- /dev/null
+++ b/src/verbenawell/log/SnapshotReducer.cpp
@@ -0,0 +1,358 @@
+#include "verbenawell/log/SnapshotReducer.h"
+
+#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/log/LogState.h"
+#include "verbenawell/log/Peers.h"
+#include "verbenawell/log/Streams.h"
+#include "verbenawell/membership/Ownership.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr Offset kRecordsPerSnapshot{ 500 };
+// A snapshot is written anew before a third of the retention has passed, so
+// that two failed attempts leave time for another.
+constexpr int kRetentionParts = 3;
+constexpr Duration kTransferInterval = std::chrono::seconds(1);
+constexpr Duration kSearchInterval = std::chrono::seconds(2);
+constexpr Duration kCheckInterval = std::chrono::seconds(30);
+// Longer than the age limit of the chunks' appends.
+constexpr Duration kWriteLimit = std::chrono::seconds(30);
+// Others ask another peer a second later.
+constexpr std::size_t kMaxRequesters = 8;
+
+class Reducer
+{
+public:
+  Reducer(LogState& aLog,
+          const Views& aViews,
+          const Context& aContext,
+          Effects& aEffects)
+    : log_(aLog)
+    , state_(aLog.snapshots_)
+    , fleet_(aViews.fleet_)
+    , views_(aViews)
+    , context_(aContext)
+    , effects_(aEffects)
+  {
+  }
+
+  void operator()(const Started&)
+  {
+    state_.startedAt_ = context_.now_;
+    ReadSnapshots(SnapshotPhase::Searching);
+    effects_.emplace_back(SetTimer{ StateTransfer{}, kTransferInterval });
+  }
+
+  void operator()(const TimerDue& aEvent)
+  {
+    if (std::holds_alternative<StateTransfer>(aEvent.key_)) {
+      Transfer();
+    } else if (const auto* poll = std::get_if<LogPoll>(&aEvent.key_);
+               poll != nullptr && poll->stream_ == FleetStream()) {
+      Tend();
+    }
+  }
+
+  void operator()(const StreamGap& aEvent)
+  {
+    if (aEvent.stream_ != FleetStream()) {
+      return;
+    }
+    effects_.emplace_back(
+      LogLine{ LogLevel::Warning,
+               "records-expired",
+               { { "from", std::to_string(aEvent.from_.Value()) },
+                 { "first", std::to_string(aEvent.first_.Value()) } } });
+    CloseGap();
+  }
+
+  void operator()(const LogRead& aEvent)
+  {
+    if (aEvent.stream_ == FleetStream()) {
+      state_.keptFirst_ = aEvent.first_;
+      state_.keptNext_ = aEvent.next_;
+    }
+  }
+
+  void operator()(const StreamAdvanced& aEvent)
+  {
+    if (aEvent.stream_ != SnapshotStream()) {
+      return;
+    }
+    for (const LogRecord& record : aEvent.records_) {
+      const auto* chunk = std::get_if<SnapshotChunk>(&record.body_);
+      if (chunk == nullptr ||
+          state_.fromLog_.Add(*chunk) == ChunkOutcome::Invalid) {
+        effects_.emplace_back(Count{ Counter::SnapshotsInvalid });
+      }
+    }
+    const auto& newest = state_.fromLog_.Newest();
+    if (state_.phase_ == SnapshotPhase::Writing && newest &&
+        newest->through_ >= state_.encodedThrough_) {
+      effects_.emplace_back(Count{ Counter::SnapshotsWritten });
+      StopReading();
+    }
+  }
+
+  void operator()(const StreamCaughtUp& aEvent)
+  {
+    if (aEvent.stream_ != SnapshotStream()) {
+      return;
+    }
+    const auto& newest = state_.fromLog_.Newest();
+    if (state_.phase_ == SnapshotPhase::Searching) {
+      if (newest && newest->through_ > fleet_.through_) {
+        Enter(SnapshotPhase::Loading);
+        effects_.emplace_back(
+          DecodeSnapshot{ SnapshotSource::Log, newest->bytes_ });
+      } else {
+        FollowFleet();
+      }
+    } else if (state_.phase_ == SnapshotPhase::Checking) {
+      if (IsDue()) {
+        Enter(SnapshotPhase::Encoding);
+        EncodeFold();
+      } else {
+        StopReading();
+      }
+    }
+  }
+
+  void operator()(const SnapshotDecoded& aEvent)
+  {
+    const bool isNewer =
+      aEvent.fleet_ != nullptr &&
+      (aEvent.fleet_->through_ > fleet_.through_ || !fleet_.loaded_);
+    if (aEvent.fleet_ == nullptr) {
+      effects_.emplace_back(Count{ Counter::SnapshotsInvalid });
+      effects_.emplace_back(LogLine{ LogLevel::Error,
+                                     "snapshot-invalid",
+                                     { { "reason", aEvent.reason_ } } });
+    }
+    if (isNewer && aEvent.fleet_->through_ >= fleet_.through_) {
+      effects_.emplace_back(Count{ Counter::SnapshotsLoaded });
+      effects_.emplace_back(
+        Raise{ FleetReplaced{ aEvent.source_, aEvent.fleet_ } });
+      effects_.emplace_back(Raise{
+        StreamWanted{ FleetStream(), aEvent.fleet_->through_ + Offset{ 1 } } });
+      if (state_.phase_ == SnapshotPhase::Loading) {
+        StopReading();
+      }
+    } else if (state_.phase_ == SnapshotPhase::Loading) {
+      FollowFleet();
+    }
+  }
+
+  void operator()(const SnapshotEncoded& aEvent)
+  {
+    state_.encoding_ = false;
+    state_.encodedThrough_ = aEvent.through_;
+    state_.encoded_ = aEvent.bytes_;
+    for (const DaemonId& peer : std::exchange(state_.requesters_, {})) {
+      SendState(peer);
+    }
+    if (state_.phase_ == SnapshotPhase::Encoding) {
+      Enter(SnapshotPhase::Writing);
+      Write();
+    }
+  }
+
+  void operator()(const PeerMessageReceived& aEvent)
+  {
+    if (aEvent.from_ == context_.self_) {
+      return;
+    }
+    if (const auto* request = std::get_if<StateRequest>(&aEvent.message_)) {
+      Receive(aEvent.from_, *request);
+    } else if (const auto* part = std::get_if<StateChunk>(&aEvent.message_)) {
+      Receive(part->chunk_);
+    }
+  }
+
+  void operator()(const auto&) {}
+
+private:
+  void Enter(SnapshotPhase aPhase)
+  {
+    state_.phase_ = aPhase;
+    state_.phaseSince_ = context_.now_;
+  }
+
+  void ReadSnapshots(SnapshotPhase aPhase)
+  {
+    Enter(aPhase);
+    effects_.emplace_back(Raise{ StreamWanted{ SnapshotStream(), Offset{} } });
+  }
+
+  void StopReading()
+  {
+    Enter(SnapshotPhase::Idle);
+    effects_.emplace_back(Raise{ StreamUnwanted{ SnapshotStream() } });
+  }
+
+  void FollowFleet()
+  {
+    StopReading();
+    if (const auto found = log_.streams_.find(FleetStream());
+        found == log_.streams_.end() || !found->second.followed_) {
+      effects_.emplace_back(
+        Raise{ StreamWanted{ FleetStream(), fleet_.through_ + Offset{ 1 } } });
+    }
+  }
+
+  void Transfer()
+  {
+    if (!fleet_.loaded_) {
+      AskPeer();
+      effects_.emplace_back(SetTimer{ StateTransfer{}, kTransferInterval });
+    }
+  }
+
+  void AskPeer()
+  {
+    for (const DaemonId& peer :
+         ChoosePeers(views_.membership_, context_.self_, 1, log_.random_)) {
+      effects_.emplace_back(
+        SendPeer{ peer, StateRequest{ fleet_.through_ + Offset{ 1 } } });
+    }
+  }
+
+  void CloseGap()
+  {
+    if (state_.phase_ == SnapshotPhase::Idle &&
+        context_.now_ - state_.phaseSince_ >= kSearchInterval) {
+      ReadSnapshots(SnapshotPhase::Searching);
+      AskPeer();
+    }
+  }
+
+  /// Runs with each poll of the fleet stream.
+  void Tend()
+  {
+    const auto found = log_.streams_.find(FleetStream());
+    if (found != log_.streams_.end() && found->second.gap_) {
+      CloseGap();
+      return;
+    }
+    const Duration inPhase = context_.now_ - state_.phaseSince_;
+    if (state_.phase_ == SnapshotPhase::Writing && inPhase >= kWriteLimit) {
+      StopReading();
+    } else if (state_.phase_ == SnapshotPhase::Idle &&
+               inPhase >= kCheckInterval && fleet_.loaded_ && IsDue() &&
+               OwnerOf(views_.membership_, "snapshots") == context_.self_) {
+      ReadSnapshots(SnapshotPhase::Checking);
+    }
+  }
+
+  [[nodiscard]] bool IsDue() const
+  {
+    if (fleet_.through_ == Offset{}) {
+      return false;
+    }
+    const auto& newest = state_.fromLog_.Newest();
+    if (!newest) {
+      return true;
+    }
+    const Offset behind = fleet_.through_ - newest->through_;
+    const bool expires = state_.keptFirst_ > Offset{ 1 };
+    const Offset kept = state_.keptNext_ - state_.keptFirst_;
+    return behind >= kRecordsPerSnapshot ||
+           (expires && behind.Value() * kRetentionParts >= kept.Value() &&
+            behind > Offset{}) ||
+           context_.wallNow_ - newest->at_ >=
+             state_.retention_ / kRetentionParts;
+  }
+
+  void EncodeFold()
+  {
+    if (!std::exchange(state_.encoding_, true)) {
+      effects_.emplace_back(
+        EncodeSnapshot{ std::make_shared<const FleetState>(fleet_) });
+    }
+  }
+
+  [[nodiscard]] std::vector<SnapshotChunk> Chunks() const
+  {
+    return SplitSnapshot(state_.encodedThrough_,
+                         *state_.encoded_,
+                         context_.self_,
+                         context_.wallNow_);
+  }
+
+  void Write()
+  {
+    for (SnapshotChunk& chunk : Chunks()) {
+      const RecordId id{ "snapshot/" + context_.self_.Value() + "/" +
+                         std::to_string(chunk.through_.Value()) + "/" +
+                         std::to_string(chunk.at_.time_since_epoch().count()) +
+                         "/" + std::to_string(chunk.index_) };
+      effects_.emplace_back(
+        Raise{ AppendWanted{ SnapshotStream(), id, std::move(chunk) } });
+    }
+  }
+
+  void SendState(const DaemonId& aPeer)
+  {
+    for (SnapshotChunk& chunk : Chunks()) {
+      effects_.emplace_back(SendPeer{ aPeer, StateChunk{ std::move(chunk) } });
+    }
+  }
+
+  void Receive(const DaemonId& aFrom, const StateRequest& aRequest)
+  {
+    const bool isInTail = !log_.tail_.empty() && aRequest.from_ > Offset{ 1 } &&
+                          log_.tail_.front().offset_ <= aRequest.from_;
+    if (!fleet_.loaded_ || isInTail ||
+        (aRequest.from_ > Offset{ 1 } && aRequest.from_ > fleet_.through_)) {
+      return;
+    }
+    if (state_.encoded_ != nullptr &&
+        state_.encodedThrough_ == fleet_.through_) {
+      SendState(aFrom);
+    } else if (state_.requesters_.size() < kMaxRequesters &&
+               std::ranges::count(state_.requesters_, aFrom) == 0) {
+      state_.requesters_.push_back(aFrom);
+      EncodeFold();
+    }
+  }
+
+  void Receive(const SnapshotChunk& aChunk)
+  {
+    const ChunkOutcome outcome = state_.fromPeers_.Add(aChunk);
+    if (outcome == ChunkOutcome::Invalid) {
+      effects_.emplace_back(Count{ Counter::SnapshotsInvalid });
+    }
+    if (outcome == ChunkOutcome::Completed &&
+        (aChunk.through_ > fleet_.through_ || !fleet_.loaded_)) {
+      effects_.emplace_back(DecodeSnapshot{
+        SnapshotSource::Peer, state_.fromPeers_.Newest()->bytes_ });
+    }
+  }
+
+  LogState& log_;
+  SnapshotState& state_;
+  const FleetState& fleet_;
+  const Views& views_;
+  const Context& context_;
+  Effects& effects_;
+};
+
+} // namespace
+
+void
+ReduceSnapshots(LogState& aLog,
+                const Views& aViews,
+                const Event& aEvent,
+                const Context& aContext,
+                Effects& aEffects)
+{
+  std::visit(Reducer{ aLog, aViews, aContext, aEffects }, aEvent);
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/log/SpreadReducer.cpp
@@ -0,0 +1,200 @@
+#include "verbenawell/log/SpreadReducer.h"
+
+#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/log/LogState.h"
+#include "verbenawell/log/Peers.h"
+#include "verbenawell/log/Streams.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr std::size_t kFanOut = 3;
+constexpr std::size_t kTailRecords = 256;
+// Keeps a message far below the largest one between daemons.
+constexpr std::size_t kMaxRecords = 64;
+// Older records are a daemon's own catching up; its peers have them.
+constexpr std::chrono::seconds kFresh{ 10 };
+constexpr Duration kAskInterval = std::chrono::milliseconds(500);
+
+/// What this daemon did not understand may have lost a part on its way here:
+/// a peer that knows more has to read it from the log.
+bool
+IsWhole(const LogRecord& aRecord)
+{
+  const auto* fleet = std::get_if<FleetRecord>(&aRecord.body_);
+  return fleet != nullptr &&
+         !std::holds_alternative<UnknownChange>(fleet->change_);
+}
+
+class Reducer
+{
+public:
+  Reducer(LogState& aLog,
+          const Views& aViews,
+          const Context& aContext,
+          Effects& aEffects)
+    : log_(aLog)
+    , views_(aViews)
+    , context_(aContext)
+    , effects_(aEffects)
+  {
+  }
+
+  void operator()(const StreamAdvanced& aEvent)
+  {
+    if (aEvent.stream_ != FleetStream()) {
+      return;
+    }
+    LogRecords fresh;
+    for (const LogRecord& record : aEvent.records_) {
+      Keep(record);
+      if (IsWhole(record) && IsFresh(std::get<FleetRecord>(record.body_)) &&
+          fresh.records_.size() < kMaxRecords) {
+        fresh.records_.push_back(record);
+      }
+    }
+    if (fresh.records_.empty() || !views_.fleet_.loaded_) {
+      return;
+    }
+    for (const DaemonId& peer : ChoosePeers(
+           views_.membership_, context_.self_, kFanOut, log_.random_)) {
+      effects_.emplace_back(SendPeer{ peer, fresh });
+    }
+  }
+
+  void operator()(const FleetReplaced&) { log_.tail_.clear(); }
+
+  void operator()(const PeerMessageReceived& aEvent)
+  {
+    if (aEvent.from_ == context_.self_) {
+      return;
+    }
+    std::visit([&](const auto& aMessage) { Receive(aEvent.from_, aMessage); },
+               aEvent.message_);
+  }
+
+  void operator()(const auto&) {}
+
+private:
+  [[nodiscard]] bool IsFresh(const FleetRecord& aRecord) const
+  {
+    return context_.wallNow_ - aRecord.at_ <= kFresh;
+  }
+
+  void Keep(const LogRecord& aRecord)
+  {
+    log_.tail_.push_back(aRecord);
+    if (log_.tail_.size() > kTailRecords) {
+      log_.tail_.pop_front();
+    }
+  }
+
+  void Receive(const DaemonId& aFrom, const LogRecords& aMessage)
+  {
+    const auto found = log_.streams_.find(FleetStream());
+    if (found == log_.streams_.end() || !found->second.followed_) {
+      return;
+    }
+    StreamState& stream = found->second;
+    StreamAdvanced advanced{ FleetStream(), {} };
+    for (const LogRecord& record : aMessage.records_) {
+      if (record.offset_ > stream.next_) {
+        Ask(aFrom);
+        break;
+      }
+      if (!IsWhole(record)) {
+        break;
+      }
+      if (record.offset_ == stream.next_) {
+        ++stream.next_;
+        advanced.records_.push_back(record);
+      }
+    }
+    if (!advanced.records_.empty()) {
+      effects_.emplace_back(Raise{ std::move(advanced) });
+    }
+  }
+
+  void Receive(const DaemonId& aFrom, const StateRequest& aMessage)
+  {
+    // A daemon without any state needs the fold: records alone do not tell it
+    // that they are all.
+    if (!views_.fleet_.loaded_ || aMessage.from_ <= Offset{ 1 } ||
+        !IsInTail(aMessage.from_)) {
+      return;
+    }
+    LogRecords answer;
+    for (const LogRecord& record : log_.tail_) {
+      if (record.offset_ >= aMessage.from_ && IsWhole(record) &&
+          answer.records_.size() < kMaxRecords) {
+        answer.records_.push_back(record);
+      }
+    }
+    effects_.emplace_back(SendPeer{ aFrom, std::move(answer) });
+  }
+
+  void Receive(const DaemonId& aFrom, const Ping& aMessage)
+  {
+    Compare(aFrom, aMessage.updates_);
+  }
+
+  void Receive(const DaemonId& aFrom, const Ack& aMessage)
+  {
+    Compare(aFrom, aMessage.updates_);
+  }
+
+  void Receive(const DaemonId&, const auto&) {}
+
+  // Asks the peer and not the log: hundreds of daemons that learn of a record
+  // together would all read at once.
+  void Compare(const DaemonId& aFrom, const std::vector<MemberUpdate>& aUpdates)
+  {
+    const bool isBehind =
+      std::ranges::any_of(aUpdates, [&](const MemberUpdate& aUpdate) {
+        return aUpdate.daemon_ == aFrom &&
+               aUpdate.fleetOffset_ > views_.fleet_.through_;
+      });
+    if (isBehind && views_.fleet_.loaded_) {
+      Ask(aFrom);
+    }
+  }
+
+  void Ask(const DaemonId& aPeer)
+  {
+    if (context_.now_ - log_.askedPeerAt_ < kAskInterval) {
+      return;
+    }
+    log_.askedPeerAt_ = context_.now_;
+    effects_.emplace_back(
+      SendPeer{ aPeer, StateRequest{ views_.fleet_.through_ + Offset{ 1 } } });
+  }
+
+  [[nodiscard]] bool IsInTail(Offset aOffset) const
+  {
+    return !log_.tail_.empty() && log_.tail_.front().offset_ <= aOffset;
+  }
+
+  LogState& log_;
+  const Views& views_;
+  const Context& context_;
+  Effects& effects_;
+};
+
+} // namespace
+
+void
+ReduceSpread(LogState& aLog,
+             const Views& aViews,
+             const Event& aEvent,
+             const Context& aContext,
+             Effects& aEffects)
+{
+  std::visit(Reducer{ aLog, aViews, aContext, aEffects }, aEvent);
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/log/SpreadReducer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "verbenawell/core/Context.h"
+#include "verbenawell/core/Effect.h"
+#include "verbenawell/core/Views.h"
+
+namespace verbenawell {
+
+struct LogState;
+
+/// Passes new records of the fleet stream on between daemons.
+void
+ReduceSpread(LogState& aLog,
+             const Views& aViews,
+             const Event& aEvent,
+             const Context& aContext,
+             Effects& aEffects);
+
+} // namespace verbenawell
--- a/src/verbenawell/settings/Settings.h
+++ b/src/verbenawell/settings/Settings.h
@@ -4,6 +4,7 @@
 #include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Units.h"
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
 {
   Endpoint log_;
   Endpoint vmList_;
+  /// How long the log keeps a record.
+  std::chrono::seconds logRetention_{ std::chrono::hours{ 24 } };
 };
 
 struct LogOutputSettings
--- /dev/null
+++ b/tests/unit/FoldBoundaryTest.cpp
@@ -0,0 +1,175 @@
+#include "verbenawell/fleet/Fold.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+const PoolId kSpare{ "spare" };
+const PoolId kWeb{ "web" };
+const ServiceId kSlot{ "slot" };
+const WaveId kWave{ "w1" };
+const VmId kVm1{ "vm1" };
+const VmId kVm2{ "vm2" };
+
+class FoldBoundaryTest : public testing::Test
+{
+protected:
+  std::string Record(FleetChange aChange)
+  {
+    ++offset_;
+    FleetRecord record;
+    record.id_ = RecordId{ std::to_string(offset_.Value()) };
+    record.author_ = OperatorId{ "mina" };
+    record.change_ = std::move(aChange);
+    std::string refusal = Apply(fleet_, offset_, record).refusal_;
+    CheckServingCounts();
+    return refusal;
+  }
+
+  std::string See(const VmId& aVm)
+  {
+    VmSeen seen;
+    seen.facts_.vm_ = aVm;
+    return Record(seen);
+  }
+
+  /// The counts kept with each change against a scan of the VMs.
+  void CheckServingCounts()
+  {
+    for (const auto& [id, pool] : fleet_.pools_) {
+      const auto serving =
+        std::ranges::count_if(pool.vms_, [&](const VmId& aVm) {
+          return IsServing(fleet_.vms_.at(aVm));
+        });
+      EXPECT_EQ(pool.serving_.Value(), serving) << id.Value();
+    }
+  }
+
+  void SetUp() override
+  {
+    Record(DefinePool{ kSpare, true });
+    Record(DefinePool{ kWeb, false });
+    for (const VmId& vm : { kVm1, kVm2 }) {
+      See(vm);
+      Record(MoveVm{ vm, kWeb });
+    }
+    Record(DefineService{ kSlot, kWeb, VmCount{ 1 } });
+    Record(StartWave{ kWave, kWeb, {} });
+  }
+
+  FleetState fleet_;
+  Offset offset_;
+};
+
+// Guards against a VM that comes back with the stop or pool of its past.
+TEST_F(FoldBoundaryTest, TreatsAVmThatReappearsAsANewOne)
+{
+  Record(ReserveStop{ kWave, kVm1 });
+  EXPECT_EQ(Record(VmGone{ kVm1 }), "");
+  EXPECT_EQ(fleet_.waves_.at(kWave).stops_.at(kVm1), StopStatus::Failed);
+  EXPECT_EQ(See(kVm1), "");
+  EXPECT_EQ(fleet_.vms_.at(kVm1).pool_, kSpare);
+  EXPECT_TRUE(fleet_.vms_.at(kVm1).stop_.IsEmpty());
+  EXPECT_NE(Record(FinishStop{ kWave, kVm1 }), "");
+}
+
+// Guards against a wave that waits for ever for a VM that is gone.
+TEST_F(FoldBoundaryTest, FailsTheWaitingStopOfAVmThatIsGone)
+{
+  Record(VmGone{ kVm2 });
+  EXPECT_EQ(fleet_.waves_.at(kWave).stops_.at(kVm2), StopStatus::Failed);
+}
+
+// Guards against a VM that counts as serving because its wave is done while
+// the platform lists it as down.
+TEST_F(FoldBoundaryTest, KeepsADownVmDownThroughTheEndOfItsStop)
+{
+  Record(ReserveStop{ kWave, kVm1 });
+  Record(VmDown{ kVm1 });
+  EXPECT_EQ(Record(FinishStop{ kWave, kVm1 }), "");
+  EXPECT_FALSE(IsServing(fleet_.vms_.at(kVm1)));
+  Record(VmUp{ kVm1, BootCount{ 2 } });
+  EXPECT_TRUE(IsServing(fleet_.vms_.at(kVm1)));
+}
+
+// Guards against a failed stop that is counted as serving.
+TEST_F(FoldBoundaryTest, CountsAFailedStopAgainstTheBudget)
+{
+  Record(ReserveStop{ kWave, kVm1 });
+  Record(FailStop{ kWave, kVm1 });
+  EXPECT_NE(Record(DrainVm{ kVm2 }), "");
+}
+
+// Guards against a budget that is broken from the moment it is accepted.
+TEST_F(FoldBoundaryTest, RefusesABudgetAboveWhatServes)
+{
+  EXPECT_NE(Record(DefineService{ kSlot, kWeb, VmCount{ 3 } }), "");
+  EXPECT_NE(Record(DefineService{ kSlot, kSpare, VmCount{ 1 } }), "");
+  EXPECT_EQ(fleet_.services_.at(kSlot).pool_, kWeb);
+  Record(VmDown{ kVm1 });
+  Record(VmDown{ kVm2 });
+  EXPECT_EQ(Record(DefineService{ kSlot, kWeb, VmCount{ 1 } }), "");
+}
+
+// Guards against budgets of a service that is no longer in the pool.
+TEST_F(FoldBoundaryTest, FreesTheBudgetOfARemovedService)
+{
+  Record(SetQuota{ TeamId{ "t" }, kSlot, ShareWeight{ 1 }, SlotCount{} });
+  EXPECT_EQ(Record(RemoveService{ kSlot }), "");
+  EXPECT_TRUE(fleet_.quotas_.empty());
+  EXPECT_EQ(Record(DrainVm{ kVm1 }), "");
+  EXPECT_EQ(Record(DrainVm{ kVm2 }), "");
+}
+
+// Guards against a failed VM that nobody can take out of its pool.
+TEST_F(FoldBoundaryTest, MovesADownVmWhateverTheBudget)
+{
+  Record(VmDown{ kVm1 });
+  EXPECT_EQ(Record(MoveVm{ kVm1, kSpare }), "");
+  EXPECT_NE(Record(MoveVm{ kVm2, kSpare }), "");
+}
+
+// Guards against new VMs whose pool depends on the order of the names.
+TEST_F(FoldBoundaryTest, RefusesASecondSparePool)
+{
+  EXPECT_NE(Record(DefinePool{ kWeb, true }), "");
+  EXPECT_EQ(Record(DefinePool{ kSpare, false }), "");
+  EXPECT_NE(See(VmId{ "vm3" }), "");
+  EXPECT_EQ(Record(DefinePool{ kWeb, true }), "");
+}
+
+// Guards against operators who cannot tell why a setting is in force.
+TEST_F(FoldBoundaryTest, KeepsTheLatestChangesOfASubject)
+{
+  for (const char* value : { "1", "2", "3", "4", "5", "6" }) {
+    Record(SetSetting{ SettingId{ "s" }, value });
+  }
+  const Provenance& why = fleet_.provenance_.at(SettingId{ "s" });
+  ASSERT_EQ(why.history_.size(), 4U);
+  EXPECT_EQ(why.history_.back().text_, "set s to 6");
+  EXPECT_EQ(why.history_.back().author_, OperatorId{ "mina" });
+  EXPECT_EQ(why.history_.back().offset_, why.offset_);
+  EXPECT_EQ(why.history_.front().text_, "set s to 3");
+}
+
+// Guards against a state that grows with each VM and wave there ever was.
+TEST_F(FoldBoundaryTest, ForgetsTheOldestOfWhatWasRemoved)
+{
+  for (int at = 0; at < 1500; ++at) {
+    See(VmId{ "gone" });
+    const VmId vm{ "gone" + std::to_string(at) };
+    See(vm);
+    Record(VmGone{ vm });
+    const WaveId wave{ "wave" + std::to_string(at) };
+    Record(StartWave{ wave, kWeb, { kVm1 } });
+    Record(EndWave{ wave });
+  }
+  EXPECT_LE(fleet_.provenance_.size(), 1200U);
+  EXPECT_LE(fleet_.waves_.size(), 65U);
+}
+
+} // namespace
+} // namespace verbenawell
--- /dev/null
+++ b/tests/unit/SnapshotTest.cpp
@@ -0,0 +1,347 @@
+#include "verbenawell/codec/SnapshotCodec.h"
+#include "verbenawell/core/Reduce.h"
+#include "verbenawell/core/State.h"
+#include "verbenawell/fleet/Fold.h"
+#include "verbenawell/log/Streams.h"
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+FleetRecord
+MakeRecord(std::uint64_t aNumber, FleetChange aChange)
+{
+  FleetRecord record;
+  record.id_ = RecordId{ "r" + std::to_string(aNumber) };
+  record.author_ = OperatorId{ "mina" };
+  record.change_ = std::move(aChange);
+  return record;
+}
+
+FleetRecord
+MakeListing(std::uint64_t aNumber)
+{
+  VmSeen seen;
+  seen.facts_.vm_ = VmId{ "vm" + std::to_string(aNumber) };
+  return MakeRecord(aNumber, seen);
+}
+
+FleetState
+MakeFleet(std::uint64_t aVms)
+{
+  FleetState fleet;
+  Apply(
+    fleet, Offset{ 1 }, MakeRecord(1, DefinePool{ PoolId{ "spare" }, true }));
+  for (std::uint64_t at = 2; at < 2 + aVms; ++at) {
+    Apply(fleet, Offset{ at }, MakeListing(at));
+  }
+  return fleet;
+}
+
+// Guards against two daemons that write different bytes at one offset, and
+// against parts of the fold that a snapshot forgets.
+TEST(SnapshotCodecTest, EncodesADecodedFoldToTheSameBytes)
+{
+  FleetState fleet = MakeFleet(50);
+  std::uint64_t offset = 52;
+  const auto apply = [&](FleetChange aChange) {
+    EXPECT_EQ(
+      Apply(fleet, Offset{ offset }, MakeRecord(offset, std::move(aChange)))
+        .refusal_,
+      "");
+    ++offset;
+  };
+  const PoolId spare{ "spare" };
+  apply(DefineService{ ServiceId{ "slot" }, spare, VmCount{ 40 } });
+  apply(SetQuota{
+    TeamId{ "t" }, ServiceId{ "slot" }, ShareWeight{ 2 }, SlotCount{ 3 } });
+  apply(SetSetting{ SettingId{ "s" }, "v" });
+  apply(StartWave{ WaveId{ "w" }, spare, {} });
+  apply(ReserveStop{ WaveId{ "w" }, VmId{ "vm2" } });
+  apply(DrainVm{ VmId{ "vm3" } });
+  apply(VmDown{ VmId{ "vm4" } });
+  apply(VmGone{ VmId{ "vm5" } });
+  const std::string bytes = EncodeFleet(fleet);
+  const FleetState decoded = DecodeFleet(bytes);
+  EXPECT_EQ(EncodeFleet(decoded), bytes);
+  EXPECT_EQ(decoded.pools_.at(spare).serving_, VmCount{ 46 });
+  EXPECT_EQ(decoded.pools_.at(spare).vms_, fleet.pools_.at(spare).vms_);
+}
+
+// Guards against a snapshot whose missing pool ends the daemon that loads it.
+TEST(SnapshotCodecTest, RefusesASnapshotThatRefersToAMissingPool)
+{
+  FleetState fleet = MakeFleet(2);
+  fleet.pools_.clear();
+  EXPECT_EQ(Decode(DecodeSnapshot{
+                     SnapshotSource::Log,
+                     std::make_shared<const std::string>(EncodeFleet(fleet)) })
+              .fleet_,
+            nullptr);
+}
+
+std::vector<SnapshotChunk>
+MakeChunks(std::uint64_t aThrough, std::size_t aSize)
+{
+  return SplitSnapshot(Offset{ aThrough },
+                       std::string(aSize, 'x'),
+                       DaemonId{ "d1" },
+                       WallTime{ std::chrono::milliseconds(aThrough) });
+}
+
+// Guards against a writer that was killed half way, and one that wrote twice.
+TEST(SnapshotCollectorTest, TakesTheNewestWholeSnapshotOnly)
+{
+  SnapshotCollector collector;
+  const auto whole = MakeChunks(10, 300'000);
+  const auto half = MakeChunks(20, 300'000);
+  ASSERT_EQ(whole.size(), 4U);
+  collector.Add(half[0]);
+  for (const SnapshotChunk& chunk : whole) {
+    collector.Add(chunk);
+    collector.Add(chunk);
+  }
+  collector.Add(half[1]);
+  ASSERT_TRUE(collector.Newest().has_value());
+  EXPECT_EQ(collector.Newest()->through_, Offset{ 10 });
+  for (const SnapshotChunk& chunk : MakeChunks(5, 100)) {
+    EXPECT_EQ(collector.Add(chunk), ChunkOutcome::Ignored);
+  }
+  EXPECT_EQ(collector.Newest()->bytes_->size(), 300'000U);
+}
+
+// Guards against a corrupt chunk that puts a wrong fold in force.
+TEST(SnapshotCollectorTest, RefusesASnapshotWithAWrongChecksum)
+{
+  SnapshotCollector collector;
+  auto chunks = MakeChunks(10, 300'000);
+  chunks[2].bytes_[7] = 'y';
+  for (std::size_t at = 0; at < 3; ++at) {
+    EXPECT_EQ(collector.Add(chunks[at]), ChunkOutcome::Taken);
+  }
+  EXPECT_EQ(collector.Add(chunks[3]), ChunkOutcome::Invalid);
+  EXPECT_FALSE(collector.Newest().has_value());
+}
+
+/// One daemon whose log is a list of records that the test holds.
+class Node
+{
+public:
+  explicit Node(const std::string& aName)
+  {
+    context_.self_ = DaemonId{ aName };
+    state_.membership_.self_.daemon_ = context_.self_;
+    state_.membership_.self_.status_ = MemberStatus::Alive;
+  }
+
+  /// Applies the event and answers the effects on the log and snapshots.
+  void Run(const Event& aEvent)
+  {
+    std::vector<Event> events{ aEvent };
+    while (!events.empty()) {
+      const Event event = events.front();
+      events.erase(events.begin());
+      for (const Effect& effect : Reduce(state_, event, context_)) {
+        Answer(effect, events);
+      }
+    }
+  }
+
+  void Wait(Duration aTime, const TimerKey& aTimer)
+  {
+    context_.now_ += aTime;
+    context_.wallNow_ += std::chrono::duration_cast<WallTime::duration>(aTime);
+    Run(TimerDue{ aTimer });
+  }
+
+  void Put(const StreamId& aStream, RecordId aId, RecordBody aBody)
+  {
+    auto& records = (*log_)[aStream];
+    const Offset offset{ records.size() + 1 };
+    records.push_back({ offset, std::move(aId), std::move(aBody) });
+  }
+
+  void Put(const FleetRecord& aRecord)
+  {
+    Put(FleetStream(), aRecord.id_, aRecord);
+  }
+
+  using Log = std::map<StreamId, std::vector<LogRecord>>;
+  std::shared_ptr<Log> log_ = std::make_shared<Log>();
+  /// Oldest record of the fleet stream that retention has left.
+  Offset first_{ 1 };
+  bool logDown_ = false;
+  State state_;
+  Context context_;
+  std::vector<SendPeer> sent_;
+  std::map<CounterKey, int> counts_;
+
+private:
+  void Answer(const Effect& aEffect, std::vector<Event>& aEvents)
+  {
+    if (const auto* read = std::get_if<ReadLog>(&aEffect)) {
+      aEvents.push_back(Read(*read));
+    } else if (const auto* append = std::get_if<AppendLog>(&aEffect)) {
+      Put(append->stream_, append->id_, append->body_);
+      aEvents.emplace_back(LogAppended{ append->stream_, append->id_, {} });
+    } else if (const auto* encode = std::get_if<EncodeSnapshot>(&aEffect)) {
+      aEvents.emplace_back(Encode(*encode));
+    } else if (const auto* decode = std::get_if<DecodeSnapshot>(&aEffect)) {
+      aEvents.emplace_back(Decode(*decode));
+    } else if (const auto* send = std::get_if<SendPeer>(&aEffect)) {
+      sent_.push_back(*send);
+    } else if (const auto* count = std::get_if<Count>(&aEffect)) {
+      ++counts_[count->key_];
+    }
+  }
+
+  Event Read(const ReadLog& aRead)
+  {
+    if (logDown_) {
+      return LogReadFailed{ aRead.stream_, "down" };
+    }
+    const auto& records = (*log_)[aRead.stream_];
+    LogRead page{ aRead.stream_,
+                  aRead.from_,
+                  aRead.stream_ == FleetStream() ? first_ : Offset{ 1 },
+                  Offset{ records.size() + 1 },
+                  {} };
+    for (const LogRecord& record : records) {
+      if (record.offset_ >= std::max(aRead.from_, page.first_) &&
+          page.records_.size() < aRead.limit_) {
+        page.records_.push_back(record);
+      }
+    }
+    return page;
+  }
+};
+
+void
+FillLog(Node& aNode, std::uint64_t aVms)
+{
+  aNode.Put(MakeRecord(1, DefinePool{ PoolId{ "spare" }, true }));
+  for (std::uint64_t at = 2; at < 2 + aVms; ++at) {
+    aNode.Put(MakeListing(at));
+  }
+}
+
+// Guards against a replaced daemon that reverts to what retention has left.
+TEST(SnapshotTest, ANewDaemonLoadsTheSnapshotThatAnotherWrote)
+{
+  Node writer{ "d1" };
+  FillLog(writer, 600);
+  writer.Run(Started{});
+  ASSERT_TRUE(writer.state_.fleet_.loaded_);
+  writer.Wait(std::chrono::seconds(31), LogPoll{ FleetStream() });
+  EXPECT_EQ(writer.counts_[Counter::SnapshotsWritten], 1);
+  writer.Wait(std::chrono::seconds(31), LogPoll{ FleetStream() });
+  EXPECT_EQ(writer.counts_[Counter::SnapshotsWritten], 1);
+
+  Node reader{ "d2" };
+  reader.log_ = writer.log_;
+  reader.first_ = Offset{ 602 };
+  reader.Put(MakeListing(1000));
+  reader.Run(Started{});
+  EXPECT_EQ(reader.counts_[Counter::SnapshotsLoaded], 1);
+  EXPECT_TRUE(reader.state_.fleet_.loaded_);
+  writer.Run(TimerDue{ LogPoll{ FleetStream() } });
+  EXPECT_EQ(EncodeFleet(reader.state_.fleet_),
+            EncodeFleet(writer.state_.fleet_));
+}
+
+// Guards against a reader that retention has overtaken and that goes on with
+// a fold that lacks records.
+TEST(SnapshotTest, AReaderBehindRetentionWaitsForASnapshot)
+{
+  Node node{ "d1" };
+  FillLog(node, 3);
+  node.Run(Started{});
+  for (std::uint64_t at = 5; at < 20; ++at) {
+    node.Put(MakeListing(at));
+  }
+  node.first_ = Offset{ 10 };
+  node.Wait(std::chrono::seconds(1), LogPoll{ FleetStream() });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 4 });
+  FleetState whole = MakeFleet(18);
+  for (SnapshotChunk& chunk : SplitSnapshot(
+         whole.through_, EncodeFleet(whole), DaemonId{ "d9" }, WallTime{})) {
+    node.Put(SnapshotStream(), RecordId{ "c" }, std::move(chunk));
+  }
+  node.Wait(std::chrono::seconds(3), LogPoll{ FleetStream() });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 19 });
+}
+
+// Guards against a snapshot that takes an accepted configuration back.
+TEST(SnapshotTest, AnOlderSnapshotNeverReplacesTheFold)
+{
+  Node node{ "d1" };
+  FillLog(node, 5);
+  node.Run(Started{});
+  node.Run(FleetReplaced{ SnapshotSource::Peer,
+                          std::make_shared<const FleetState>(MakeFleet(2)) });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 6 });
+}
+
+// Guards against entry VMs that are replaced in an outage and know no fleet.
+TEST(SnapshotTest, ANewDaemonGetsTheStateFromAPeerWhileTheLogIsDown)
+{
+  Node old{ "d1" };
+  FillLog(old, 2000);
+  old.Run(Started{});
+  Node fresh{ "d2" };
+  fresh.logDown_ = true;
+  fresh.Run(Started{});
+  EXPECT_FALSE(fresh.state_.fleet_.loaded_);
+  MemberUpdate peer;
+  peer.daemon_ = DaemonId{ "d1" };
+  fresh.state_.membership_.members_[peer.daemon_] = { peer, TimePoint{} };
+  fresh.Wait(std::chrono::seconds(1), StateTransfer{});
+  ASSERT_EQ(fresh.sent_.size(), 1U);
+  old.Run(PeerMessageReceived{ DaemonId{ "d2" }, fresh.sent_[0].message_ });
+  ASSERT_GT(old.sent_.size(), 1U);
+  for (const SendPeer& part : old.sent_) {
+    fresh.Run(PeerMessageReceived{ DaemonId{ "d1" }, part.message_ });
+  }
+  EXPECT_TRUE(fresh.state_.fleet_.loaded_);
+  EXPECT_EQ(EncodeFleet(fresh.state_.fleet_), EncodeFleet(old.state_.fleet_));
+}
+
+// Guards against a configuration that waits for each daemon's own poll, and
+// against one that is passed on for ever.
+TEST(SpreadTest, PassesANewRecordOnOnce)
+{
+  Node node{ "d1" };
+  FillLog(node, 1);
+  node.Run(Started{});
+  for (const char* name : { "d2", "d3", "d4", "d5", "d6" }) {
+    MemberUpdate peer;
+    peer.daemon_ = DaemonId{ name };
+    node.state_.membership_.members_[peer.daemon_] = { peer, TimePoint{} };
+  }
+  const FleetRecord record = MakeListing(3);
+  const LogRecords push{ { { Offset{ 3 }, record.id_, record } } };
+  node.Run(PeerMessageReceived{ DaemonId{ "d2" }, push });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 3 });
+  EXPECT_EQ(node.sent_.size(), 3U);
+  node.Run(PeerMessageReceived{ DaemonId{ "d3" }, push });
+  EXPECT_EQ(node.sent_.size(), 3U);
+}
+
+// Guards against a pushed record that is folded before the ones it follows.
+TEST(SpreadTest, AsksThePeerForTheRecordsBeforeAPushedOne)
+{
+  Node node{ "d1" };
+  FillLog(node, 1);
+  node.Run(Started{});
+  node.context_.now_ += std::chrono::seconds(1);
+  const FleetRecord record = MakeListing(9);
+  node.Run(PeerMessageReceived{
+    DaemonId{ "d2" }, LogRecords{ { { Offset{ 9 }, record.id_, record } } } });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 2 });
+  ASSERT_EQ(node.sent_.size(), 1U);
+  EXPECT_EQ(std::get<StateRequest>(node.sent_[0].message_).from_, Offset{ 3 });
+}
+
+} // namespace
+} // namespace verbenawell
