Check settings against one table and name every fault

The check stopped at the first fault, gave no line, ignored unknown keys and read neither callers.maxConnections, callers.maxBodyBytes nor logOutput.

Each fault names its line, path, the value given and what is allowed; an unknown key names the nearest known one. Token files are found relative to the settings file and are checked too.

--- a/src/verbenawell/daemon/main.cpp
+++ b/src/verbenawell/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/adapters/LogOutput.h"
 #include "verbenawell/daemon/Daemon.h"
 #include "verbenawell/settings/LoadSettings.h"
+#include "verbenawell/settings/SettingDescription.h"
 
 #include <cstdlib>
 #include <exception>
@@ -10,6 +11,7 @@
 
 DEFINE_string(config, "", "settings file, JSON with comments");
 DEFINE_bool(check, false, "check the settings file and exit");
+DEFINE_bool(describe_settings, false, "list all settings and exit");
 
 namespace {
 
@@ -38,15 +40,23 @@
 int
 main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("--config FILE [--check]");
+  gflags::SetUsageMessage("--config FILE [--check] | --describe-settings");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  if (FLAGS_describe_settings) {
+    std::cout << verbenawell::ListSettings();
+    return EXIT_SUCCESS;
+  }
   if (FLAGS_config.empty() || aCount > 1) {
-    std::cerr << "usage: verbenawelld --config FILE [--check]\n";
+    std::cerr << "usage: verbenawelld --config FILE [--check]\n"
+                 "       verbenawelld --describe-settings\n";
     return kExitUsage;
   }
   try {
     return RunDaemon();
+  } catch (const verbenawell::SettingsError& error) {
+    std::cerr << error.what() << '\n';
+    return kExitFailed;
   } catch (const std::exception& error) {
     std::cerr << "verbenawelld: " << error.what() << '\n';
     return kExitFailed;
--- a/src/verbenawell/settings/LoadSettings.cpp
+++ b/src/verbenawell/settings/LoadSettings.cpp
@@ -1,16 +1,18 @@
 #include "verbenawell/settings/LoadSettings.h"
 
+#include "verbenawell/settings/CheckSettings.h"
+
+#include <filesystem>
 #include <fstream>
 #include <iterator>
-
-#include <nlohmann/json.hpp>
+#include <sstream>
+#include <variant>
+#include <vector>
 
 namespace verbenawell {
 
 namespace {
 
-using nlohmann::json;
-
 std::string
 ReadFile(const std::string& aPath)
 {
@@ -21,35 +23,17 @@
   return { std::istreambuf_iterator<char>{ file }, {} };
 }
 
-Endpoint
-ReadEndpoint(const json& aJson)
-{
-  return { aJson.at("host").get<std::string>(),
-           aJson.at("port").get<std::uint16_t>() };
-}
-
-Settings
-ReadSettings(const json& aJson)
+std::string
+Describe(const std::string& aFile, const std::vector<SettingsFault>& aFaults)
 {
-  Settings settings;
-  settings.cluster_ = aJson.at("cluster").get<std::string>();
-  settings.daemon_ = DaemonId{ aJson.at("daemon").get<std::string>() };
-  settings.region_ = RegionId{ aJson.at("region").get<std::string>() };
-  settings.zone_ = ZoneId{ aJson.at("zone").get<std::string>() };
-  settings.callers_.listen_ = ReadEndpoint(aJson.at("callers").at("listen"));
-  const json& operators = aJson.at("operators");
-  settings.operators_.listen_ = ReadEndpoint(operators.at("listen"));
-  settings.operators_.tokenFile_ = operators.at("tokenFile").get<std::string>();
-  const json& peers = aJson.at("peers");
-  settings.peers_.listen_ = ReadEndpoint(peers.at("listen"));
-  settings.peers_.tokenFile_ = peers.at("tokenFile").get<std::string>();
-  for (const json& seed : peers.at("seeds")) {
-    settings.peers_.seeds_.push_back(ReadEndpoint(seed));
+  std::ostringstream text;
+  const char* separator = "";
+  for (const auto& [line, path, fault] : aFaults) {
+    text << separator << aFile << ':' << line << ": " << path
+         << (path.empty() ? "" : ": ") << fault;
+    separator = "\n";
   }
-  const json& platform = aJson.at("platform");
-  settings.platform_.log_ = ReadEndpoint(platform.at("log"));
-  settings.platform_.vmList_ = ReadEndpoint(platform.at("vmList"));
-  return settings;
+  return text.str();
 }
 
 } // namespace
@@ -57,12 +41,13 @@
 Settings
 LoadSettings(const std::string& aPath)
 {
-  const std::string text = ReadFile(aPath);
-  try {
-    return ReadSettings(json::parse(text, nullptr, true, true));
-  } catch (const json::exception& error) {
-    throw SettingsError("\"" + aPath + "\": " + error.what());
+  const std::string folder =
+    std::filesystem::path(aPath).parent_path().string();
+  auto result = CheckSettings(ReadFile(aPath), folder);
+  if (const auto* faults = std::get_if<std::vector<SettingsFault>>(&result)) {
+    throw SettingsError(Describe(aPath, *faults));
   }
+  return std::get<Settings>(std::move(result));
 }
 
 std::string
