--- a/src/verbenawell/core/Effect.h
+++ b/src/verbenawell/core/Effect.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -84,6 +85,19 @@
   RecordBody body_;
 };
 
+/// Encodes a copy of the fold; answered by `SnapshotEncoded`.
+struct EncodeSnapshot
+{
+  std::shared_ptr<const FleetState> fleet_;
+};
+
+/// Answered by `SnapshotDecoded`.
+struct DecodeSnapshot
+{
+  SnapshotSource source_ = SnapshotSource::Log;
+  std::shared_ptr<const std::string> bytes_;
+};
+
 struct ReadVmList
 {};
 
@@ -165,6 +179,8 @@
                             SendEndpoint,
                             ReadLog,
                             AppendLog,
+                            EncodeSnapshot,
+                            DecodeSnapshot,
                             ReadVmList,
                             RebootVm,
                             AnswerOperator,
--- a/src/verbenawell/daemon/Daemon.h
+++ b/src/verbenawell/daemon/Daemon.h
@@ -5,6 +5,7 @@
 #include "verbenawell/adapters/OperatorListener.h"
 #include "verbenawell/adapters/PeerTransport.h"
 #include "verbenawell/adapters/PlatformClient.h"
+#include "verbenawell/adapters/SnapshotWorker.h"
 #include "verbenawell/adapters/TimerService.h"
 #include "verbenawell/core/State.h"
 #include "verbenawell/metrics/Metrics.h"
@@ -55,6 +56,7 @@
   PlatformClient platform_;
   PeerTransport peers_;
   asio::steady_timer exitTimer_;
+  SnapshotWorker snapshots_;
 };
 
 } // namespace verbenawell
