Add events for followed streams and pool take-over

Cause: the owner of a pool needs to follow its intent stream, and the queue of a pool needs to learn when it is taken over, lost or audited.

Change: StreamWanted and StreamUnwanted tell the log module which streams to follow; TicketReady, PoolTaken, AttemptsAdopted, PoolLost and AttemptsLost tell the queue what it may take, drop and free. Intent batches carry a sequence number and the time, for batches that stand twice in the log and for pruning. Slots and tickets of lost daemons are freed.

--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -341,8 +341,13 @@
 void
 Fields(Archive& aArchive, T& aValue)
 {
-  aArchive(
-    aValue.pool_, aValue.owner_, aValue.term_, aValue.started_, aValue.notRun_);
+  aArchive(aValue.pool_,
+           aValue.owner_,
+           aValue.term_,
+           aValue.started_,
+           aValue.notRun_,
+           aValue.sequence_,
+           aValue.at_);
 }
 
 template<typename Archive, OneOf<SnapshotChunk> T>
--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -51,8 +51,15 @@
                            MembersChanged,
                            FleetChanged,
                            AppendWanted,
+                           StreamWanted,
+                           StreamUnwanted,
                            StreamAdvanced,
                            RecordSettled,
-                           PoolDrained>;
+                           PoolDrained,
+                           TicketReady,
+                           PoolTaken,
+                           AttemptsAdopted,
+                           PoolLost,
+                           AttemptsLost>;
 
 } // namespace verbenawell
--- a/src/verbenawell/log/LogEvents.h
+++ b/src/verbenawell/log/LogEvents.h
@@ -48,6 +48,18 @@
   RecordBody body_;
 };
 
+/// A module wants to follow a stream from its oldest record on.
+struct StreamWanted
+{
+  StreamId stream_;
+};
+
+/// Nothing follows the stream any more.
+struct StreamUnwanted
+{
+  StreamId stream_;
+};
+
 /// New records of a stream, each once and in order of their offsets.
 struct StreamAdvanced
 {
--- a/src/verbenawell/log/LogRecord.h
+++ b/src/verbenawell/log/LogRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
 #include "verbenawell/core/Units.h"
 #include "verbenawell/fleet/FleetRecord.h"
 
@@ -28,6 +29,10 @@
   std::vector<RequestId> started_;
   /// Earlier intents that surely did not run.
   std::vector<RequestId> notRun_;
+  /// Counts the batches of one owner and term, so that a batch that stands
+  /// twice in the log takes effect once.
+  std::uint64_t sequence_ = 0;
+  WallTime at_;
 };
 
 /// A part of a snapshot of the fleet stream's fold.
--- a/src/verbenawell/log/LogReducer.cpp
+++ b/src/verbenawell/log/LogReducer.cpp
@@ -26,14 +26,28 @@
 
   void operator()(const TimerDue& aEvent)
   {
-    if (const auto* poll = std::get_if<LogPoll>(&aEvent.key_)) {
+    if (const auto* poll = std::get_if<LogPoll>(&aEvent.key_);
+        poll != nullptr && log_.streams_.contains(poll->stream_)) {
       Read(poll->stream_);
     }
   }
 
+  void operator()(const StreamWanted& aEvent) { Read(aEvent.stream_); }
+
+  void operator()(const StreamUnwanted& aEvent)
+  {
+    log_.streams_.erase(aEvent.stream_);
+  }
+
   void operator()(const LogRead& aEvent)
   {
-    StreamState& stream = log_.streams_[aEvent.stream_];
+    const auto found = log_.streams_.find(aEvent.stream_);
+    // A page that was asked for before the stream was given up and followed
+    // again would skip the records before it.
+    if (found == log_.streams_.end() || found->second.next_ != aEvent.from_) {
+      return;
+    }
+    StreamState& stream = found->second;
     stream.reading_ = false;
     stream.failing_ = false;
     Advance(aEvent.stream_, stream, aEvent.records_);
@@ -47,10 +61,14 @@
 
   void operator()(const LogReadFailed& aEvent)
   {
-    StreamState& stream = log_.streams_[aEvent.stream_];
+    effects_.emplace_back(Count{ Counter::LogReadsFailed });
+    const auto found = log_.streams_.find(aEvent.stream_);
+    if (found == log_.streams_.end()) {
+      return;
+    }
+    StreamState& stream = found->second;
     stream.reading_ = false;
     stream.failing_ = true;
-    effects_.emplace_back(Count{ Counter::LogReadsFailed });
     SchedulePoll(aEvent.stream_, kPollIntervalFailing);
   }
 
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -39,11 +39,64 @@
     }
   }
 
+  void operator()(const TicketReady& aEvent)
+  {
+    Enqueue(aEvent.entry_, aEvent.request_);
+  }
+
+  void operator()(const PoolTaken& aEvent)
+  {
+    owner_.lastAttempt_ = std::max(owner_.lastAttempt_, aEvent.lastAttempt_);
+    PoolQueue& queue = owner_.pools_[aEvent.pool_];
+    queue = {};
+    queue.term_ = aEvent.term_;
+  }
+
+  void operator()(const AttemptsAdopted& aEvent)
+  {
+    PoolQueue& queue = owner_.pools_[aEvent.pool_];
+    for (const auto& [entry, attempt] : aEvent.attempts_) {
+      ++queue.running_[attempt.vm_];
+      queue.granted_[attempt.attempt_] = { { entry, attempt.key_ },
+                                           attempt.vm_,
+                                           context_.now_ };
+    }
+  }
+
+  void operator()(const PoolLost& aEvent) { owner_.pools_.erase(aEvent.pool_); }
+
+  void operator()(const MembersChanged& aEvent)
+  {
+    for (auto& [id, queue] : owner_.pools_) {
+      const auto isLost = [&](const TicketId& aTicket) {
+        return std::ranges::find(aEvent.lost_, aTicket.entry_) !=
+               aEvent.lost_.end();
+      };
+      std::erase_if(queue.waiting_, [&](const QueuedTicket& aQueued) {
+        return isLost(aQueued.id_);
+      });
+      std::vector<AttemptId> attempts;
+      for (const auto& [attempt, slot] : queue.granted_) {
+        if (isLost(slot.ticket_)) {
+          attempts.push_back(attempt);
+        }
+      }
+      for (const AttemptId attempt : attempts) {
+        FreeSlot(id, attempt);
+      }
+    }
+  }
+
+  void operator()(const AttemptsLost& aEvent)
+  {
+    for (const AttemptId attempt : aEvent.attempts_) {
+      FreeSlot(aEvent.pool_, attempt);
+    }
+  }
+
   void operator()(const PeerMessageReceived& aEvent)
   {
-    if (const auto* request = std::get_if<SlotRequest>(&aEvent.message_)) {
-      Enqueue(aEvent.from_, *request);
-    } else if (const auto* cancel = std::get_if<SlotCancel>(&aEvent.message_)) {
+    if (const auto* cancel = std::get_if<SlotCancel>(&aEvent.message_)) {
       Withdraw({ aEvent.from_, cancel->key_ }, cancel->pool_);
     } else if (const auto* release =
                  std::get_if<SlotRelease>(&aEvent.message_)) {
@@ -87,17 +140,23 @@
 
   void Release(const SlotRelease& aRelease)
   {
-    const auto pool = owner_.pools_.find(aRelease.pool_);
+    FreeSlot(aRelease.pool_, aRelease.attempt_);
+  }
+
+  void FreeSlot(const PoolId& aPool, AttemptId aAttempt)
+  {
+    const auto pool = owner_.pools_.find(aPool);
     if (pool == owner_.pools_.end()) {
       return;
     }
     PoolQueue& queue = pool->second;
-    if (const auto slot = queue.granted_.find(aRelease.attempt_);
+    if (const auto slot = queue.granted_.find(aAttempt);
         slot != queue.granted_.end()) {
-      --queue.running_[slot->second.vm_];
+      const VmId vm = slot->second.vm_;
+      --queue.running_[vm];
       queue.granted_.erase(slot);
+      ReportIfDrained(vm);
     }
-    ReportIfDrained(aRelease.vm_);
     GrantFreeSlots(pool->first, queue);
   }
 
--- a/src/verbenawell/requests/RequestsReducer.cpp
+++ b/src/verbenawell/requests/RequestsReducer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/requests/EntryReducer.h"
 #include "verbenawell/requests/OwnerReducer.h"
 #include "verbenawell/requests/RequestsState.h"
+#include "verbenawell/requests/TakeoverReducer.h"
 
 namespace verbenawell {
 
@@ -14,6 +15,7 @@
                Effects& aEffects)
 {
   ReduceEntry(aRequests, aViews, aEvent, aContext, aEffects);
+  ReduceTakeover(aRequests, aViews, aEvent, aContext, aEffects);
   ReduceOwner(aRequests, aViews, aEvent, aContext, aEffects);
 }
 
