--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -337,6 +337,13 @@
   aArchive(aValue.pool_, aValue.owner_, aValue.term_);
 }
 
+template<typename Archive, OneOf<StartedIntent> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.request_, aValue.entry_, aValue.key_);
+}
+
 template<typename Archive, OneOf<IntentBatch> T>
 void
 Fields(Archive& aArchive, T& aValue)
--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -56,9 +56,11 @@
                            StreamAdvanced,
                            RecordSettled,
                            PoolDrained,
+                           IntentWanted,
                            TicketReady,
                            PoolTaken,
                            AttemptsAdopted,
+                           TermExceeded,
                            PoolLost,
                            AttemptsLost>;
 
--- a/src/verbenawell/core/TimerKey.h
+++ b/src/verbenawell/core/TimerKey.h
@@ -35,6 +35,18 @@
   bool operator==(const OwnerTick&) const = default;
 };
 
+/// Drives take-overs, audits of slots, and the check for a paused process.
+struct TakeoverTick
+{
+  bool operator==(const TakeoverTick&) const = default;
+};
+
+/// Writes the collected intents of the pools owned here.
+struct IntentFlush
+{
+  bool operator==(const IntentFlush&) const = default;
+};
+
 /// Expires requests received here whose owner does not answer.
 struct EntryTick
 {
@@ -58,6 +70,8 @@
                               LogFlush,
                               VmListPoll,
                               OwnerTick,
+                              TakeoverTick,
+                              IntentFlush,
                               EntryTick,
                               WaveTick,
                               OperatorTick>;
--- a/src/verbenawell/log/LogRecord.h
+++ b/src/verbenawell/log/LogRecord.h
@@ -20,13 +20,22 @@
   Term term_;
 };
 
+/// The ticket that may run a request: the entry daemon knows surely whether it
+/// has run, so another owner may grant the same ticket again.
+struct StartedIntent
+{
+  RequestId request_;
+  DaemonId entry_;
+  RequestKey key_;
+};
+
 /// Non-idempotent requests that may start once this record is in the log.
 struct IntentBatch
 {
   PoolId pool_;
   DaemonId owner_;
   Term term_;
-  std::vector<RequestId> started_;
+  std::vector<StartedIntent> started_;
   /// Earlier intents that surely did not run.
   std::vector<RequestId> notRun_;
   /// Counts the batches of one owner and term, so that a batch that stands
--- a/src/verbenawell/membership/Ownership.cpp
+++ b/src/verbenawell/membership/Ownership.cpp
@@ -29,6 +29,25 @@
   return best;
 }
 
+std::vector<DaemonId>
+LiveMembers(const MembershipState& aMembership)
+{
+  std::vector<DaemonId> live;
+  for (const auto& [id, member] : aMembership.members_) {
+    const MemberStatus status = member.latest_.status_;
+    if (status != MemberStatus::Dead && status != MemberStatus::Left) {
+      live.push_back(id);
+    }
+  }
+  return live;
+}
+
+bool
+MayOwnPools(const MembershipState& aMembership)
+{
+  return aMembership.hasMajority_ && aMembership.settled_;
+}
+
 DaemonId
 OwnerOfPool(const MembershipState& aMembership, const PoolId& aPool)
 {
--- a/src/verbenawell/membership/Ownership.h
+++ b/src/verbenawell/membership/Ownership.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Ids.h"
 
 #include <string_view>
+#include <vector>
 
 namespace verbenawell {
 
@@ -13,6 +14,15 @@
 DaemonId
 OwnerOf(const MembershipState& aMembership, std::string_view aKey);
 
+/// Members that are neither dead nor gone, this daemon included.
+std::vector<DaemonId>
+LiveMembers(const MembershipState& aMembership);
+
+/// Tells whether this daemon may own pools: it hears a majority of the
+/// members and has not just been paused.
+bool
+MayOwnPools(const MembershipState& aMembership);
+
 DaemonId
 OwnerOfPool(const MembershipState& aMembership, const PoolId& aPool);
 
--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -14,6 +14,8 @@
       return "requests_cancelled";
     case Counter::GrantsReturnedUnused:
       return "grants_returned_unused";
+    case Counter::RetryBudgetSpent:
+      return "retry_budget_spent";
     case Counter::SlotsOverrun:
       return "slots_overrun";
     case Counter::RecordsCorrupt:
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -15,6 +15,7 @@
   RequestsAnswered,
   RequestsCancelled,
   GrantsReturnedUnused,
+  RetryBudgetSpent,
   SlotsOverrun,
   RecordsCorrupt,
   RecordsUnknown,
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -4,6 +4,7 @@
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/Ownership.h"
 #include "verbenawell/requests/RequestsState.h"
+#include "verbenawell/requests/internal/EntryActions.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,10 +13,32 @@
 
 namespace {
 
-constexpr Duration kExpiryInterval = std::chrono::milliseconds(100);
-constexpr Duration kNoOwnerRetryAfter = std::chrono::seconds(1);
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+// Membership declares a dead owner dead within 2 s.
+constexpr Duration kMaxOwnerless = std::chrono::seconds(2);
 constexpr std::size_t kMaxAttempts = 3;
 
+using Verdict = std::variant<NotRun, MayHaveRun>;
+
+/// What an attempt without a whole answer means for its request.
+struct Failure
+{
+  /// The request may run again on another worker.
+  bool mayRepeat_ = false;
+  RetryReason reason_ = RetryReason::ConnectFailed;
+  /// The end of the request where it is not tried again.
+  Verdict verdict_;
+};
+
+Failure
+NotRunYet(RetryReason aReason)
+{
+  return { true,
+           aReason,
+           NotRun{ RefusalReason::RetriesExhausted, kRetryAfter } };
+}
+
 class Reducer
 {
 public:
@@ -28,144 +51,176 @@
     , views_(aViews)
     , context_(aContext)
     , effects_(aEffects)
+    , actions_(aRequests, aViews, aContext, aEffects)
   {
   }
 
   void operator()(const Started&)
   {
-    effects_.emplace_back(SetTimer{ EntryTick{}, kExpiryInterval });
+    effects_.emplace_back(SetTimer{ EntryTick{}, kTickInterval });
   }
 
   void operator()(const StopRequested&)
   {
     requests_.stopping_ = true;
-    ExitIfIdle();
+    actions_.ExitIfIdle();
   }
 
   void operator()(const TimerDue& aEvent)
   {
-    if (!std::holds_alternative<EntryTick>(aEvent.key_)) {
-      return;
+    if (std::holds_alternative<EntryTick>(aEvent.key_)) {
+      Expire();
+      LookUpOwners();
+      effects_.emplace_back(SetTimer{ EntryTick{}, kTickInterval });
     }
-    ExpireWaiting();
-    effects_.emplace_back(SetTimer{ EntryTick{}, kExpiryInterval });
   }
 
   void operator()(const RequestArrived& aEvent)
   {
     effects_.emplace_back(Count{ Counter::RequestsReceived });
     if (requests_.stopping_) {
-      Refuse(aEvent.key_,
-             NotRun{ RefusalReason::Draining, kNoOwnerRetryAfter });
+      actions_.Refuse(aEvent.key_,
+                      NotRun{ RefusalReason::Draining, kRetryAfter });
       return;
     }
-    EntryRequest& request = entry_.requests_[aEvent.key_];
-    request.head_ = aEvent.head_;
-    request.arrivedAt_ = context_.now_;
-    AskForSlot(aEvent.key_, request);
+    actions_.Add(aEvent.key_, aEvent.head_);
   }
 
   void operator()(const CallerGone& aEvent)
   {
-    const auto found = entry_.requests_.find(aEvent.key_);
-    if (found == entry_.requests_.end()) {
+    const EntryRequest* request = actions_.Find(aEvent.key_);
+    if (request == nullptr) {
       return;
     }
-    effects_.emplace_back(Count{ Counter::RequestsCancelled });
-    std::visit(
-      Overloaded{
-        [&](const WaitingForSlot& aPhase) { Withdraw(aEvent.key_, aPhase); },
-        [&](const RunningOnWorker& aPhase) {
-          effects_.emplace_back(
-            CancelAttempt{ aEvent.key_, aPhase.grant_.attempt_ });
-          Release(aEvent.key_, aPhase, Cancelled{});
-        },
-      },
-      found->second.phase_);
-    Forget(aEvent.key_);
+    std::visit(Overloaded{
+                 [&](const WaitingForSlot& aPhase) {
+                   actions_.Withdraw(aEvent.key_, aPhase);
+                 },
+                 [](const WaitingForOwner&) {},
+                 [&](const RunningOnWorker& aPhase) {
+                   effects_.emplace_back(
+                     CancelAttempt{ aEvent.key_, aPhase.grant_.attempt_ });
+                   actions_.Release(aPhase, Cancelled{});
+                 },
+               },
+               request->phase_);
+    actions_.Cancel(aEvent.key_);
   }
 
   void operator()(const AttemptEnded& aEvent)
   {
-    const auto found = entry_.requests_.find(aEvent.key_);
-    if (found == entry_.requests_.end()) {
-      return;
-    }
-    const auto* running = std::get_if<RunningOnWorker>(&found->second.phase_);
+    EntryRequest* request = actions_.Find(aEvent.key_);
+    const auto* running = request == nullptr
+                            ? nullptr
+                            : std::get_if<RunningOnWorker>(&request->phase_);
     if (running == nullptr || running->grant_.attempt_ != aEvent.attempt_) {
       return;
     }
-    Release(aEvent.key_, *running, aEvent.outcome_);
-    found->second.tried_.push_back(running->grant_.vm_);
-    Settle(aEvent.key_, found->second, aEvent.outcome_);
+    actions_.Release(*running, aEvent.outcome_);
+    request->tried_.push_back(running->grant_.vm_);
+    Settle(aEvent.key_, *request, aEvent.outcome_);
+  }
+
+  void operator()(const MembersChanged&) { AskNewOwners(); }
+
+  void operator()(const FleetChanged& aEvent)
+  {
+    const bool services =
+      std::ranges::any_of(aEvent.subjects_, [](const Subject& aSubject) {
+        return std::holds_alternative<ServiceId>(aSubject);
+      });
+    if (services) {
+      AskNewOwners();
+    }
   }
 
   void operator()(const PeerMessageReceived& aEvent)
   {
     if (const auto* grant = std::get_if<SlotGrant>(&aEvent.message_)) {
-      Start(aEvent.from_, *grant);
+      TakeGrant(aEvent.from_, *grant);
     } else if (const auto* refusal =
                  std::get_if<SlotRefusal>(&aEvent.message_)) {
-      if (IsWaiting(refusal->key_)) {
-        std::visit(
-          [&](const auto& aVerdict) { Refuse(refusal->key_, aVerdict); },
-          refusal->verdict_);
-      }
+      TakeRefusal(aEvent.from_, *refusal);
+    } else if (const auto* announce =
+                 std::get_if<OwnerAnnounce>(&aEvent.message_)) {
+      Report(aEvent.from_, *announce);
     }
   }
 
   void operator()(const auto&) {}
 
 private:
-  [[nodiscard]] bool IsWaiting(RequestKey aKey) const
+  [[nodiscard]] static bool IsWaitingAt(const EntryRequest* aRequest,
+                                        const DaemonId& aOwner)
   {
-    const auto found = entry_.requests_.find(aKey);
-    return found != entry_.requests_.end() &&
-           std::holds_alternative<WaitingForSlot>(found->second.phase_);
+    const auto* waiting = aRequest == nullptr
+                            ? nullptr
+                            : std::get_if<WaitingForSlot>(&aRequest->phase_);
+    return waiting != nullptr && waiting->owner_ == aOwner;
   }
 
-  [[nodiscard]] Duration TimeLeft(const EntryRequest& aRequest) const
+  void TakeGrant(const DaemonId& aOwner, const SlotGrant& aGrant)
   {
-    return aRequest.arrivedAt_ + aRequest.head_.deadline_ - context_.now_;
+    EntryRequest* request = actions_.Find(aGrant.key_);
+    if (!IsWaitingAt(request, aOwner)) {
+      actions_.ReturnUnused(aOwner, aGrant);
+      return;
+    }
+    const bool current =
+      aGrant.term_ >= entry_.pools_[aGrant.pool_].highestTerm_ &&
+      OwnerOfPool(views_.membership_, aGrant.pool_) == aOwner;
+    if (!current) {
+      actions_.ReturnUnused(aOwner, aGrant);
+      actions_.WaitForOwner(aGrant.key_, *request);
+      return;
+    }
+    if (actions_.TimeLeft(*request) <= Duration::zero()) {
+      actions_.ReturnUnused(aOwner, aGrant);
+      actions_.Refuse(aGrant.key_, NotRun{ RefusalReason::Deadline });
+      return;
+    }
+    actions_.Start(aGrant.key_, *request, aOwner, aGrant);
   }
 
-  void AskForSlot(RequestKey aKey, EntryRequest& aRequest)
+  // A daemon that has not learned yet that it owns the pool, or no longer
+  // does, answers `NoOwner`: the request waits until the views agree.
+  void TakeRefusal(const DaemonId& aOwner, const SlotRefusal& aRefusal)
   {
-    const auto service = views_.fleet_.services_.find(aRequest.head_.service_);
-    if (service == views_.fleet_.services_.end()) {
-      Refuse(aKey, NotRun{ RefusalReason::UnknownService });
+    EntryRequest* request = actions_.Find(aRefusal.key_);
+    if (!IsWaitingAt(request, aOwner)) {
       return;
     }
-    const PoolId& pool = service->second.pool_;
-    const DaemonId owner = OwnerOfPool(views_.membership_, pool);
-    if (owner.IsEmpty()) {
-      Refuse(aKey, NotRun{ RefusalReason::NoOwner, kNoOwnerRetryAfter });
+    const auto* notRun = std::get_if<NotRun>(&aRefusal.verdict_);
+    if (notRun != nullptr && notRun->reason_ == RefusalReason::NoOwner) {
+      actions_.WaitForOwner(aRefusal.key_, *request);
       return;
     }
-    aRequest.phase_ = WaitingForSlot{ owner, pool };
-    SlotRequest message{ aKey, aRequest.head_, aRequest.tried_ };
-    message.head_.deadline_ = TimeLeft(aRequest);
-    effects_.emplace_back(SendPeer{ owner, std::move(message) });
+    actions_.Refuse(aRefusal.key_, aRefusal.verdict_);
   }
 
-  void Start(const DaemonId& aOwner, const SlotGrant& aGrant)
+  void Report(const DaemonId& aOwner, const OwnerAnnounce& aAnnounce)
   {
-    const auto found = entry_.requests_.find(aGrant.key_);
-    const bool wanted =
-      IsWaiting(aGrant.key_) &&
-      std::get<WaitingForSlot>(found->second.phase_).owner_ == aOwner;
-    if (!wanted) {
-      effects_.emplace_back(Count{ Counter::GrantsReturnedUnused });
-      Release(aGrant.key_, { aOwner, aGrant, context_.now_ }, NotSent{});
-      return;
+    Term& highest = entry_.pools_[aAnnounce.pool_].highestTerm_;
+    highest = std::max(highest, aAnnounce.term_);
+    OwnerReport report{ aAnnounce.pool_, highest, {} };
+    for (auto& [key, request] : entry_.requests_) {
+      auto* running = std::get_if<RunningOnWorker>(&request.phase_);
+      if (running == nullptr || running->grant_.pool_ != aAnnounce.pool_) {
+        continue;
+      }
+      if (aAnnounce.term_ == highest) {
+        running->owner_ = aOwner;
+      }
+      const SlotGrant& grant = running->grant_;
+      report.running_.push_back({ key,
+                                  request.head_.id_,
+                                  grant.attempt_,
+                                  grant.term_,
+                                  grant.vm_,
+                                  request.head_.team_,
+                                  request.head_.urgency_ });
     }
-    EntryRequest& request = found->second;
-    request.phase_ = RunningOnWorker{ aOwner, aGrant, context_.now_ };
-    effects_.emplace_back(StartAttempt{ aGrant.key_,
-                                        aGrant.attempt_,
-                                        aGrant.vm_,
-                                        aGrant.address_,
-                                        TimeLeft(request) });
+    effects_.emplace_back(SendPeer{ aOwner, std::move(report) });
   }
 
   void Settle(RequestKey aKey,
@@ -175,119 +230,114 @@
     const bool idempotent = aRequest.head_.idempotent_;
     std::visit(
       Overloaded{
-        [&](const WholeAnswer&) { Answer(aKey, aRequest); },
+        [&](const WholeAnswer&) { actions_.Answer(aKey, aRequest); },
         [&](const NotSent&) {
-          Retry(aKey,
-                aRequest,
-                RetryReason::ConnectFailed,
-                NotRun{ RefusalReason::RetriesExhausted, kNoOwnerRetryAfter });
+          Fail(aKey, aRequest, NotRunYet(RetryReason::ConnectFailed));
         },
         [&](const RefusedByWorker&) {
-          Retry(aKey,
-                aRequest,
-                RetryReason::WorkerRefused,
-                NotRun{ RefusalReason::RetriesExhausted, kNoOwnerRetryAfter });
+          Fail(aKey, aRequest, NotRunYet(RetryReason::WorkerRefused));
         },
         [&](const CutAnswer&) {
-          const MayHaveRun verdict{ UnknownReason::BackendCut };
-          idempotent
-            ? Retry(aKey, aRequest, RetryReason::IdempotentCut, verdict)
-            : Refuse(aKey, verdict);
+          Fail(aKey,
+               aRequest,
+               { idempotent,
+                 RetryReason::IdempotentCut,
+                 MayHaveRun{ UnknownReason::BackendCut } });
         },
         [&](const LateAnswer&) {
-          const MayHaveRun verdict{ UnknownReason::BackendTimeout };
-          idempotent
-            ? Retry(aKey, aRequest, RetryReason::IdempotentTimeout, verdict)
-            : Refuse(aKey, verdict);
+          Fail(aKey,
+               aRequest,
+               { idempotent,
+                 RetryReason::IdempotentTimeout,
+                 MayHaveRun{ UnknownReason::BackendTimeout } });
         },
         [&](const OversizeAnswer&) {
-          Refuse(aKey, MayHaveRun{ UnknownReason::BackendOversize });
+          actions_.Refuse(aKey, MayHaveRun{ UnknownReason::BackendOversize });
+        },
+        [&](const Cancelled&) {
+          actions_.Refuse(aKey, MayHaveRun{ UnknownReason::BackendCut });
         },
-        [&](const Cancelled&) { Forget(aKey); },
       },
       aOutcome);
   }
 
-  void Answer(RequestKey aKey, const EntryRequest& aRequest)
-  {
-    effects_.emplace_back(Count{ Counter::RequestsAnswered });
-    effects_.emplace_back(Observe{ LatencyMetric::RequestTime,
-                                   context_.now_ - aRequest.arrivedAt_ });
-    effects_.emplace_back(ForwardAnswer{ aKey });
-    Forget(aKey);
-  }
-
-  template<typename Verdict>
-  void Retry(RequestKey aKey,
-             EntryRequest& aRequest,
-             RetryReason aReason,
-             const Verdict& aVerdict)
+  void Fail(RequestKey aKey, EntryRequest& aRequest, const Failure& aFailure)
   {
-    if (aRequest.tried_.size() >= kMaxAttempts ||
-        TimeLeft(aRequest) <= Duration::zero()) {
-      Refuse(aKey, aVerdict);
+    if (const auto* mayHaveRun = std::get_if<MayHaveRun>(&aFailure.verdict_)) {
+      aRequest.mayHaveRun_ = *mayHaveRun;
+    }
+    const bool inTime = actions_.TimeLeft(aRequest) > Duration::zero();
+    if (!aFailure.mayRepeat_ || !inTime ||
+        aRequest.tried_.size() >= kMaxAttempts) {
+      actions_.Refuse(aKey, aFailure.verdict_);
       return;
     }
-    effects_.emplace_back(Count{ aReason });
-    AskForSlot(aKey, aRequest);
-  }
-
-  template<typename Verdict>
-  void Refuse(RequestKey aKey, const Verdict& aVerdict)
-  {
-    effects_.emplace_back(Count{ aVerdict.reason_ });
-    effects_.emplace_back(RefuseCaller{ aKey, aVerdict });
-    Forget(aKey);
-  }
-
-  void Withdraw(RequestKey aKey, const WaitingForSlot& aPhase)
-  {
-    effects_.emplace_back(
-      SendPeer{ aPhase.owner_, SlotCancel{ aKey, aPhase.pool_ } });
+    if (!entry_.retryBudget_.Spend()) {
+      effects_.emplace_back(Count{ Counter::RetryBudgetSpent });
+      actions_.Refuse(aKey, aFailure.verdict_);
+      return;
+    }
+    effects_.emplace_back(Count{ aFailure.reason_ });
+    actions_.AskForSlot(aKey, aRequest);
   }
 
-  void Release(RequestKey aKey,
-               const RunningOnWorker& aPhase,
-               const AttemptOutcome& aOutcome)
+  void AskNewOwners()
   {
-    const SlotGrant& grant = aPhase.grant_;
-    effects_.emplace_back(
-      SendPeer{ aPhase.owner_,
-                SlotRelease{ aKey,
-                             grant.attempt_,
-                             grant.pool_,
-                             grant.term_,
-                             grant.vm_,
-                             aOutcome,
-                             context_.now_ - aPhase.startedAt_ } });
+    std::vector<RequestKey> moved;
+    for (const auto& [key, request] : entry_.requests_) {
+      const auto* waiting = std::get_if<WaitingForSlot>(&request.phase_);
+      const PoolId* pool = actions_.PoolOf(request);
+      if (waiting != nullptr &&
+          (pool == nullptr || *pool != waiting->pool_ ||
+           OwnerOfPool(views_.membership_, *pool) != waiting->owner_)) {
+        moved.push_back(key);
+      }
+    }
+    for (const RequestKey key : moved) {
+      EntryRequest& request = *actions_.Find(key);
+      actions_.Withdraw(key, std::get<WaitingForSlot>(request.phase_));
+      effects_.emplace_back(Count{ RetryReason::OwnerChanged });
+      actions_.AskForSlot(key, request);
+    }
+    LookUpOwners();
   }
 
-  void ExpireWaiting()
+  void LookUpOwners()
   {
-    std::vector<RequestKey> expired;
-    for (const auto& [key, request] : entry_.requests_) {
-      if (std::holds_alternative<WaitingForSlot>(request.phase_) &&
-          TimeLeft(request) <= Duration::zero()) {
-        expired.push_back(key);
+    const std::vector<RequestKey> keys{ entry_.ownerless_.begin(),
+                                        entry_.ownerless_.end() };
+    for (const RequestKey key : keys) {
+      EntryRequest& request = *actions_.Find(key);
+      if (context_.now_ - request.ownerlessSince_ >= kMaxOwnerless) {
+        actions_.Refuse(key, NotRun{ RefusalReason::NoOwner, kRetryAfter });
+      } else {
+        actions_.AskForSlot(key, request);
       }
     }
-    for (const RequestKey key : expired) {
-      Withdraw(key, std::get<WaitingForSlot>(entry_.requests_.at(key).phase_));
-      Refuse(key, NotRun{ RefusalReason::Deadline });
-    }
   }
 
-  void Forget(RequestKey aKey)
+  void Expire()
   {
-    entry_.requests_.erase(aKey);
-    ExitIfIdle();
+    while (!entry_.deadlines_.empty() &&
+           entry_.deadlines_.begin()->first <= context_.now_) {
+      const RequestKey key = entry_.deadlines_.begin()->second;
+      entry_.deadlines_.erase(entry_.deadlines_.begin());
+      Expire(key, *actions_.Find(key));
+    }
   }
 
-  void ExitIfIdle()
+  // A backend server that sends a byte now and then never exceeds a limit on
+  // single reads, so the attempt is ended here.
+  void Expire(RequestKey aKey, EntryRequest& aRequest)
   {
-    if (requests_.stopping_ && entry_.requests_.empty()) {
-      effects_.emplace_back(Exit{});
+    if (const auto* running = std::get_if<RunningOnWorker>(&aRequest.phase_)) {
+      effects_.emplace_back(CancelAttempt{ aKey, running->grant_.attempt_ });
+      return;
+    }
+    if (const auto* waiting = std::get_if<WaitingForSlot>(&aRequest.phase_)) {
+      actions_.Withdraw(aKey, *waiting);
     }
+    actions_.Refuse(aKey, NotRun{ RefusalReason::Deadline });
   }
 
   RequestsState& requests_;
@@ -295,6 +345,7 @@
   const Views& views_;
   const Context& context_;
   Effects& effects_;
+  EntryActions actions_;
 };
 
 } // namespace
--- /dev/null
+++ b/src/verbenawell/requests/IntentWindow.cpp
@@ -0,0 +1,101 @@
+#include "verbenawell/requests/IntentWindow.h"
+
+#include <algorithm>
+#include <string>
+
+#include <xxhash.h>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr Duration kWindow = std::chrono::minutes(10);
+// Calendar clocks of two daemons may differ by this much.
+constexpr Duration kClockSkew = std::chrono::minutes(1);
+
+IntentHash
+Hash(const std::string& aText)
+{
+  return XXH3_64bits(aText.data(), aText.size());
+}
+
+/// A record that says it is from the future counts from now on.
+TimePoint
+ExpiryOf(WallTime aWrittenAt, TimePoint aNow, WallTime aWallNow)
+{
+  const Duration age =
+    std::max(Duration::zero(),
+             std::chrono::duration_cast<Duration>(aWallNow - aWrittenAt));
+  return aNow + kWindow + kClockSkew - age;
+}
+
+} // namespace
+
+IntentHash
+HashOf(const RequestId& aRequest)
+{
+  return Hash(aRequest.Value());
+}
+
+IntentHash
+HashOfTicket(const DaemonId& aEntry, RequestKey aKey)
+{
+  return Hash(aEntry.Value() + '/' + std::to_string(aKey.Value()));
+}
+
+bool
+Apply(IntentWindow& aWindow, const IntentOwner& aClaim)
+{
+  if (aClaim.term_ <= aWindow.term_) {
+    return aClaim.term_ == aWindow.term_ && aClaim.owner_ == aWindow.owner_;
+  }
+  aWindow.owner_ = aClaim.owner_;
+  aWindow.term_ = aClaim.term_;
+  aWindow.sequence_ = 0;
+  return true;
+}
+
+bool
+Apply(IntentWindow& aWindow,
+      const IntentBatch& aBatch,
+      TimePoint aNow,
+      WallTime aWallNow)
+{
+  // The claim before a batch may have been expired by the log's retention.
+  if (aBatch.term_ > aWindow.term_) {
+    Apply(aWindow, IntentOwner{ aBatch.pool_, aBatch.owner_, aBatch.term_ });
+  }
+  if (aBatch.term_ != aWindow.term_ || aBatch.owner_ != aWindow.owner_ ||
+      aBatch.sequence_ <= aWindow.sequence_) {
+    return false;
+  }
+  aWindow.sequence_ = aBatch.sequence_;
+  for (const RequestId& request : aBatch.notRun_) {
+    aWindow.intents_.erase(HashOf(request));
+  }
+  const TimePoint expiresAt = ExpiryOf(aBatch.at_, aNow, aWallNow);
+  for (const StartedIntent& started : aBatch.started_) {
+    const IntentHash id = HashOf(started.request_);
+    aWindow.intents_[id] = { HashOfTicket(started.entry_, started.key_),
+                             expiresAt,
+                             false };
+    aWindow.expiry_.emplace_back(expiresAt, id);
+  }
+  return true;
+}
+
+void
+Prune(IntentWindow& aWindow, TimePoint aNow)
+{
+  while (!aWindow.expiry_.empty() && aWindow.expiry_.front().first <= aNow) {
+    const IntentHash id = aWindow.expiry_.front().second;
+    aWindow.expiry_.pop_front();
+    // The id may have been started again since.
+    if (const auto found = aWindow.intents_.find(id);
+        found != aWindow.intents_.end() && found->second.expiresAt_ <= aNow) {
+      aWindow.intents_.erase(found);
+    }
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/Intents.cpp
@@ -0,0 +1,283 @@
+#include "verbenawell/requests/Intents.h"
+
+#include "verbenawell/log/Streams.h"
+#include "verbenawell/requests/IntentsState.h"
+#include "verbenawell/requests/internal/IntentWriter.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+void
+MarkGranted(IntentsState& aIntents,
+            const TicketId& aTicket,
+            const PoolId& aPool)
+{
+  if (const auto pool = aIntents.pools_.find(aPool);
+      pool != aIntents.pools_.end()) {
+    if (const auto found = pool->second.committed_.find(aTicket);
+        found != pool->second.committed_.end()) {
+      found->second.granted_ = true;
+    }
+  }
+}
+
+void
+MarkRefused(IntentsState& aIntents, const TicketId& aTicket)
+{
+  for (auto& [id, pool] : aIntents.pools_) {
+    const auto found = pool.committed_.find(aTicket);
+    if (found != pool.committed_.end() && !found->second.granted_) {
+      ReleaseIntent(pool, aTicket, found->second.request_);
+      pool.committed_.erase(found);
+    }
+  }
+}
+
+class Reducer
+{
+public:
+  Reducer(IntentsState& aIntents,
+          const Views& aViews,
+          const Context& aContext,
+          Effects& aEffects)
+    : intents_(aIntents)
+    , context_(aContext)
+    , effects_(aEffects)
+    , writer_(aIntents, aViews, aContext, aEffects)
+  {
+  }
+
+  void operator()(const PoolTaken& aEvent)
+  {
+    const auto [entry, isNew] = intents_.pools_.try_emplace(aEvent.pool_);
+    PoolIntents& pool = entry->second;
+    if (isNew) {
+      effects_.emplace_back(
+        Raise{ StreamWanted{ IntentStream(aEvent.pool_) } });
+    }
+    // A batch of the term before may be void; its tickets are written again.
+    if (pool.inFlight_) {
+      std::ranges::copy_if(
+        pool.inFlight_->tickets_,
+        std::back_inserter(pool.collecting_),
+        [](const PendingIntent& aPending) { return !aPending.abandoned_; });
+      pool.inFlight_.reset();
+    }
+    pool.committed_.clear();
+    pool.term_ = aEvent.term_;
+    pool.claimed_ = false;
+    pool.lastSequence_ = 0;
+    writer_.Claim(aEvent.pool_, pool);
+  }
+
+  void operator()(const IntentWanted& aEvent)
+  {
+    writer_.Submit(aEvent.ticket_);
+  }
+
+  void operator()(const PoolLost& aEvent)
+  {
+    const auto found = intents_.pools_.find(aEvent.pool_);
+    if (found == intents_.pools_.end()) {
+      return;
+    }
+    PoolIntents& pool = found->second;
+    const auto refuse = [&](const PendingIntent& aPending) {
+      if (!aPending.abandoned_) {
+        writer_.Refuse(IdOf(aPending.ticket_),
+                       NotRun{ RefusalReason::NoOwner });
+      }
+    };
+    std::ranges::for_each(pool.collecting_, refuse);
+    if (pool.inFlight_) {
+      std::ranges::for_each(pool.inFlight_->tickets_, refuse);
+    }
+    intents_.pools_.erase(found);
+    effects_.emplace_back(
+      Raise{ StreamUnwanted{ IntentStream(aEvent.pool_) } });
+  }
+
+  void operator()(const AttemptsAdopted& aEvent)
+  {
+    if (const auto found = intents_.pools_.find(aEvent.pool_);
+        found != intents_.pools_.end()) {
+      for (const auto& [entry, attempt] : aEvent.attempts_) {
+        found->second.committed_[{ entry, attempt.key_ }] = { attempt.request_,
+                                                              true };
+      }
+    }
+  }
+
+  void operator()(const StreamAdvanced& aEvent)
+  {
+    for (auto& [id, pool] : intents_.pools_) {
+      if (IntentStream(id) == aEvent.stream_) {
+        for (const LogRecord& record : aEvent.records_) {
+          Apply(id, pool, record);
+        }
+        writer_.Flush(id, pool);
+        return;
+      }
+    }
+  }
+
+  void operator()(const TimerDue& aEvent)
+  {
+    if (!std::holds_alternative<IntentFlush>(aEvent.key_)) {
+      return;
+    }
+    intents_.flushScheduled_ = false;
+    for (auto& [id, pool] : intents_.pools_) {
+      Prune(pool.window_, context_.now_);
+      writer_.RefuseOverdue(pool);
+      writer_.Flush(id, pool);
+    }
+    writer_.ScheduleFlush();
+  }
+
+  void operator()(const MembersChanged& aEvent)
+  {
+    for (const DaemonId& lost : aEvent.lost_) {
+      for (auto& [id, pool] : intents_.pools_) {
+        ForgetEntry(pool, lost);
+      }
+    }
+  }
+
+  void operator()(const PeerMessageReceived& aEvent)
+  {
+    if (const auto* cancel = std::get_if<SlotCancel>(&aEvent.message_)) {
+      Withdraw(cancel->pool_, { aEvent.from_, cancel->key_ });
+    } else if (const auto* release =
+                 std::get_if<SlotRelease>(&aEvent.message_)) {
+      TakeRelease(aEvent.from_, *release);
+    }
+  }
+
+  void operator()(const auto&) {}
+
+private:
+  void Apply(const PoolId& aId, PoolIntents& aPool, const LogRecord& aRecord)
+  {
+    if (const auto* claim = std::get_if<IntentOwner>(&aRecord.body_)) {
+      TakeClaim(aId, aPool, *claim);
+    } else if (const auto* batch = std::get_if<IntentBatch>(&aRecord.body_)) {
+      const bool valid = verbenawell::Apply(
+        aPool.window_, *batch, context_.now_, context_.wallNow_);
+      const bool own = batch->owner_ == context_.self_ &&
+                       batch->term_ == aPool.term_ && aPool.inFlight_ &&
+                       aPool.inFlight_->sequence_ == batch->sequence_;
+      if (valid && own) {
+        writer_.Settle(aPool);
+      }
+    }
+  }
+
+  void TakeClaim(const PoolId& aId,
+                 PoolIntents& aPool,
+                 const IntentOwner& aClaim)
+  {
+    const bool inForce = verbenawell::Apply(aPool.window_, aClaim);
+    const bool own =
+      aClaim.owner_ == context_.self_ && aClaim.term_ == aPool.term_;
+    if (own && inForce) {
+      aPool.claimed_ = true;
+    } else if (!own && aClaim.term_ >= aPool.term_) {
+      aPool.claimed_ = false;
+      effects_.emplace_back(Raise{ TermExceeded{ aId, aClaim.term_ } });
+    }
+  }
+
+  void Withdraw(const PoolId& aPool, const TicketId& aTicket)
+  {
+    const auto found = intents_.pools_.find(aPool);
+    if (found == intents_.pools_.end()) {
+      return;
+    }
+    PoolIntents& pool = found->second;
+    writer_.Abandon(pool, [&](const TicketId& aId) { return aId == aTicket; });
+    const auto committed = pool.committed_.find(aTicket);
+    if (committed != pool.committed_.end() && !committed->second.granted_) {
+      ReleaseIntent(pool, aTicket, committed->second.request_);
+      pool.committed_.erase(committed);
+      writer_.ScheduleFlush();
+    }
+  }
+
+  void TakeRelease(const DaemonId& aEntry, const SlotRelease& aRelease)
+  {
+    const auto found = intents_.pools_.find(aRelease.pool_);
+    if (found == intents_.pools_.end()) {
+      return;
+    }
+    PoolIntents& pool = found->second;
+    const TicketId ticket{ aEntry, aRelease.key_ };
+    const auto committed = pool.committed_.find(ticket);
+    if (committed == pool.committed_.end() || !committed->second.granted_) {
+      return;
+    }
+    if (std::holds_alternative<NotSent>(aRelease.outcome_) ||
+        std::holds_alternative<RefusedByWorker>(aRelease.outcome_)) {
+      ReleaseIntent(pool, ticket, committed->second.request_);
+      writer_.ScheduleFlush();
+    }
+    pool.committed_.erase(committed);
+  }
+
+  void ForgetEntry(PoolIntents& aPool, const DaemonId& aEntry)
+  {
+    writer_.Abandon(aPool,
+                    [&](const TicketId& aId) { return aId.entry_ == aEntry; });
+    std::erase_if(aPool.committed_, [&](const auto& aItem) {
+      const auto& [ticket, committed] = aItem;
+      if (ticket.entry_ != aEntry) {
+        return false;
+      }
+      if (!committed.granted_) {
+        ReleaseIntent(aPool, ticket, committed.request_);
+      }
+      return true;
+    });
+  }
+
+  IntentsState& intents_;
+  const Context& context_;
+  Effects& effects_;
+  IntentWriter writer_;
+};
+
+} // namespace
+
+void
+ReduceIntents(IntentsState& aIntents,
+              const Views& aViews,
+              const Event& aEvent,
+              const Context& aContext,
+              Effects& aEffects)
+{
+  std::visit(Reducer{ aIntents, aViews, aContext, aEffects }, aEvent);
+}
+
+void
+FollowDecisions(IntentsState& aIntents, std::span<const Effect> aDecided)
+{
+  for (const Effect& effect : aDecided) {
+    const auto* send = std::get_if<SendPeer>(&effect);
+    if (send == nullptr) {
+      continue;
+    }
+    if (const auto* grant = std::get_if<SlotGrant>(&send->message_)) {
+      MarkGranted(aIntents, { send->to_, grant->key_ }, grant->pool_);
+    } else if (const auto* refusal =
+                 std::get_if<SlotRefusal>(&send->message_)) {
+      MarkRefused(aIntents, { send->to_, refusal->key_ });
+    }
+  }
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/RequestEvents.h
+++ b/src/verbenawell/requests/RequestEvents.h
@@ -34,6 +34,13 @@
   SlotRequest request_;
 };
 
+/// A non-idempotent ticket for a pool that this daemon owns: its intent is to
+/// be written before it may enter the queue.
+struct IntentWanted
+{
+  TicketReady ticket_;
+};
+
 /// An attempt that an earlier owner granted.
 struct AdoptedAttempt
 {
@@ -50,6 +57,13 @@
   AttemptId lastAttempt_;
 };
 
+/// The log knows an owner of the pool with this term, above the own one.
+struct TermExceeded
+{
+  PoolId pool_;
+  Term term_;
+};
+
 /// Running attempts of earlier owners; they keep their slots.
 struct AttemptsAdopted
 {
--- a/src/verbenawell/requests/RequestsReducer.cpp
+++ b/src/verbenawell/requests/RequestsReducer.cpp
@@ -1,10 +1,13 @@
 #include "verbenawell/requests/RequestsReducer.h"
 
 #include "verbenawell/requests/EntryReducer.h"
+#include "verbenawell/requests/Intents.h"
 #include "verbenawell/requests/OwnerReducer.h"
 #include "verbenawell/requests/RequestsState.h"
 #include "verbenawell/requests/TakeoverReducer.h"
 
+#include <span>
+
 namespace verbenawell {
 
 void
@@ -16,7 +19,10 @@
 {
   ReduceEntry(aRequests, aViews, aEvent, aContext, aEffects);
   ReduceTakeover(aRequests, aViews, aEvent, aContext, aEffects);
+  ReduceIntents(aRequests.intents_, aViews, aEvent, aContext, aEffects);
+  const std::size_t before = aEffects.size();
   ReduceOwner(aRequests, aViews, aEvent, aContext, aEffects);
+  FollowDecisions(aRequests.intents_, std::span(aEffects).subspan(before));
 }
 
 } // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/internal/IntentWriter.cpp
@@ -0,0 +1,280 @@
+#include "verbenawell/requests/internal/IntentWriter.h"
+
+#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/log/LogState.h"
+#include "verbenawell/log/Streams.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenawell {
+
+namespace {
+
+constexpr Duration kMinFlushInterval = std::chrono::milliseconds(50);
+// The log accepts several hundred appends a second; 5 ms a pool leaves at
+// most 200 a second to the intents of all pools together.
+constexpr Duration kFlushIntervalPerPool = std::chrono::milliseconds(5);
+// Leaves urgent work, which is to start within 1.6 s, time for a retry.
+constexpr Duration kCommitTimeout = std::chrono::seconds(1);
+constexpr Duration kLogDownRetryAfter = std::chrono::seconds(2);
+constexpr std::size_t kMaxBatch = 1000;
+
+RecordId
+RecordName(const std::string& aKind,
+           const PoolId& aPool,
+           Term aTerm,
+           std::uint64_t aSequence)
+{
+  return RecordId{ aKind + '/' + aPool.Value() + '/' +
+                   std::to_string(aTerm.Value()) + '/' +
+                   std::to_string(aSequence) };
+}
+
+// The same ticket may be sent again by its entry daemon while it is here.
+bool
+IsKnown(const PoolIntents& aPool, const TicketId& aTicket)
+{
+  const auto isSame = [&](const PendingIntent& aPending) {
+    return !aPending.abandoned_ && IdOf(aPending.ticket_) == aTicket;
+  };
+  return aPool.committed_.contains(aTicket) ||
+         std::ranges::any_of(aPool.collecting_, isSame) ||
+         (aPool.inFlight_ &&
+          std::ranges::any_of(aPool.inFlight_->tickets_, isSame));
+}
+
+} // namespace
+
+IntentWriter::IntentWriter(IntentsState& aIntents,
+                           const Views& aViews,
+                           const Context& aContext,
+                           Effects& aEffects)
+  : intents_(aIntents)
+  , views_(aViews)
+  , context_(aContext)
+  , effects_(aEffects)
+{
+}
+
+void
+IntentWriter::Submit(const TicketReady& aTicket)
+{
+  const auto found = intents_.pools_.find(aTicket.pool_);
+  if (found == intents_.pools_.end()) {
+    Refuse(IdOf(aTicket), NotRun{ RefusalReason::NoOwner });
+    return;
+  }
+  PoolIntents& pool = found->second;
+  if (IsKnown(pool, IdOf(aTicket))) {
+    return;
+  }
+  if (IsLogDown(found->first, pool)) {
+    Refuse(IdOf(aTicket), NotRun{ RefusalReason::LogDown, kLogDownRetryAfter });
+    return;
+  }
+  pool.collecting_.push_back({ aTicket, context_.now_, false });
+  Flush(found->first, pool);
+  ScheduleFlush();
+}
+
+void
+IntentWriter::Claim(const PoolId& aId, PoolIntents& aPool)
+{
+  effects_.emplace_back(
+    Raise{ AppendWanted{ IntentStream(aId),
+                         RecordName("intent-owner", aId, aPool.term_, 0),
+                         IntentOwner{ aId, context_.self_, aPool.term_ } } });
+}
+
+bool
+IntentWriter::IsLogDown(const PoolId& aId, const PoolIntents& aPool) const
+{
+  const auto stream = views_.log_.streams_.find(IntentStream(aId));
+  const bool failing =
+    stream != views_.log_.streams_.end() && stream->second.failing_;
+  return failing ||
+         (aPool.inFlight_ &&
+          context_.now_ - aPool.inFlight_->sentAt_ >= kCommitTimeout);
+}
+
+Duration
+IntentWriter::FlushInterval() const
+{
+  const auto pools = static_cast<Duration::rep>(views_.fleet_.pools_.size());
+  return std::max(kMinFlushInterval, kFlushIntervalPerPool * pools);
+}
+
+void
+IntentWriter::ScheduleFlush()
+{
+  const bool wanted =
+    std::ranges::any_of(intents_.pools_, [](const auto& aItem) {
+      const PoolIntents& pool = aItem.second;
+      return !pool.collecting_.empty() || !pool.notRun_.empty() ||
+             pool.inFlight_.has_value() || !pool.window_.expiry_.empty();
+    });
+  if (wanted && !std::exchange(intents_.flushScheduled_, true)) {
+    effects_.emplace_back(SetTimer{ IntentFlush{}, kMinFlushInterval });
+  }
+}
+
+// One batch at a time: batches of one owner take effect in their order.
+void
+IntentWriter::Flush(const PoolId& aId, PoolIntents& aPool)
+{
+  if (!aPool.claimed_ || aPool.inFlight_ ||
+      context_.now_ - aPool.flushedAt_ < FlushInterval()) {
+    return;
+  }
+  IntentBatch batch;
+  BatchInFlight inFlight{ aPool.lastSequence_ + 1, {}, context_.now_ };
+  std::vector<PendingIntent> left;
+  for (PendingIntent& pending : std::exchange(aPool.collecting_, {})) {
+    if (inFlight.tickets_.size() >= kMaxBatch) {
+      left.push_back(std::move(pending));
+    } else if (Check(aPool, inFlight, pending)) {
+      batch.started_.push_back({ pending.ticket_.request_.head_.id_,
+                                 pending.ticket_.entry_,
+                                 pending.ticket_.request_.key_ });
+      inFlight.tickets_.push_back(std::move(pending));
+    }
+  }
+  aPool.collecting_ = std::move(left);
+  batch.notRun_ = std::exchange(aPool.notRun_, {});
+  if (batch.started_.empty() && batch.notRun_.empty()) {
+    return;
+  }
+  aPool.inFlight_ = std::move(inFlight);
+  Append(aId, aPool, std::move(batch));
+}
+
+void
+IntentWriter::Append(const PoolId& aId, PoolIntents& aPool, IntentBatch aBatch)
+{
+  aBatch.pool_ = aId;
+  aBatch.owner_ = context_.self_;
+  aBatch.term_ = aPool.term_;
+  aBatch.sequence_ = ++aPool.lastSequence_;
+  aBatch.at_ = context_.wallNow_;
+  aPool.flushedAt_ = context_.now_;
+  const RecordId name =
+    RecordName("intents", aId, aPool.term_, aBatch.sequence_);
+  effects_.emplace_back(
+    Raise{ AppendWanted{ IntentStream(aId), name, std::move(aBatch) } });
+}
+
+// Tells whether the ticket needs an intent. `Duplicate` is never said: while
+// another ticket of the same id is queued or runs, the request may still
+// run, and "not run" would be wrong.
+bool
+IntentWriter::Check(PoolIntents& aPool,
+                    const BatchInFlight& aBatch,
+                    const PendingIntent& aPending)
+{
+  const TicketId ticket = IdOf(aPending.ticket_);
+  const RequestId& request = aPending.ticket_.request_.head_.id_;
+  const bool inBatch =
+    std::ranges::any_of(aBatch.tickets_, [&](const PendingIntent& aOther) {
+      return aOther.ticket_.request_.head_.id_ == request;
+    });
+  const auto intent = aPool.window_.intents_.find(HashOf(request));
+  const bool isFree =
+    intent == aPool.window_.intents_.end() || intent->second.surelyNotRun_;
+  if (!inBatch && isFree) {
+    return true;
+  }
+  if (!inBatch &&
+      intent->second.ticket_ == HashOfTicket(ticket.entry_, ticket.key_)) {
+    Commit(aPool, aPending.ticket_);
+    return false;
+  }
+  Refuse(ticket, MayHaveRun{ UnknownReason::AlreadyStarted });
+  return false;
+}
+
+void
+IntentWriter::Commit(PoolIntents& aPool, const TicketReady& aTicket)
+{
+  aPool.committed_[IdOf(aTicket)] = { aTicket.request_.head_.id_, false };
+  effects_.emplace_back(Raise{ aTicket });
+}
+
+void
+IntentWriter::Settle(PoolIntents& aPool)
+{
+  const BatchInFlight batch = std::move(*aPool.inFlight_);
+  aPool.inFlight_.reset();
+  for (const PendingIntent& pending : batch.tickets_) {
+    if (pending.abandoned_) {
+      ReleaseIntent(
+        aPool, IdOf(pending.ticket_), pending.ticket_.request_.head_.id_);
+    } else {
+      Commit(aPool, pending.ticket_);
+    }
+  }
+}
+
+// Such a ticket is never granted, so "not run" holds; its id may be in the
+// log all the same and is released once the batch has been read back.
+void
+IntentWriter::RefuseOverdue(PoolIntents& aPool)
+{
+  const auto refuseIfOverdue = [&](PendingIntent& aPending) {
+    if (!aPending.abandoned_ &&
+        context_.now_ - aPending.submittedAt_ >= kCommitTimeout) {
+      aPending.abandoned_ = true;
+      Refuse(IdOf(aPending.ticket_),
+             NotRun{ RefusalReason::LogDown, kLogDownRetryAfter });
+    }
+  };
+  std::ranges::for_each(aPool.collecting_, refuseIfOverdue);
+  std::erase_if(aPool.collecting_, [](const PendingIntent& aPending) {
+    return aPending.abandoned_;
+  });
+  if (aPool.inFlight_) {
+    std::ranges::for_each(aPool.inFlight_->tickets_, refuseIfOverdue);
+  }
+}
+
+void
+IntentWriter::Abandon(PoolIntents& aPool,
+                      const std::function<bool(const TicketId&)>& aIsMeant)
+{
+  std::erase_if(aPool.collecting_, [&](const PendingIntent& aPending) {
+    return aIsMeant(IdOf(aPending.ticket_));
+  });
+  if (aPool.inFlight_) {
+    for (PendingIntent& pending : aPool.inFlight_->tickets_) {
+      pending.abandoned_ =
+        pending.abandoned_ || aIsMeant(IdOf(pending.ticket_));
+    }
+  }
+}
+
+void
+IntentWriter::Refuse(const TicketId& aTicket,
+                     const std::variant<NotRun, MayHaveRun>& aVerdict)
+{
+  effects_.emplace_back(
+    SendPeer{ aTicket.entry_, SlotRefusal{ aTicket.key_, aVerdict } });
+}
+
+TicketId
+IdOf(const TicketReady& aTicket)
+{
+  return { aTicket.entry_, aTicket.request_.key_ };
+}
+
+void
+ReleaseIntent(PoolIntents& aPool, const TicketId& aTicket, const RequestId& aId)
+{
+  const auto intent = aPool.window_.intents_.find(HashOf(aId));
+  if (intent != aPool.window_.intents_.end() &&
+      intent->second.ticket_ == HashOfTicket(aTicket.entry_, aTicket.key_)) {
+    intent->second.surelyNotRun_ = true;
+    aPool.notRun_.push_back(aId);
+  }
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/internal/IntentWriter.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "verbenawell/core/Context.h"
+#include "verbenawell/core/Effect.h"
+#include "verbenawell/core/Views.h"
+#include "verbenawell/requests/IntentsState.h"
+
+#include <functional>
+#include <string>
+
+namespace verbenawell {
+
+/// Collects intents into batches and lets their tickets pass to the queue
+/// once the batch has been read back from the log.
+class IntentWriter
+{
+public:
+  IntentWriter(IntentsState& aIntents,
+               const Views& aViews,
+               const Context& aContext,
+               Effects& aEffects);
+
+  void Submit(const TicketReady& aTicket);
+  /// Claims the pool's intents under its term.
+  void Claim(const PoolId& aId, PoolIntents& aPool);
+  /// Writes what is due and allowed now.
+  void Flush(const PoolId& aId, PoolIntents& aPool);
+  /// Makes sure that the flush timer runs while there is work for it.
+  void ScheduleFlush();
+  /// The batch in flight is in the log and valid.
+  void Settle(PoolIntents& aPool);
+  /// Refuses tickets whose batch does not settle in time as `log-down`.
+  void RefuseOverdue(PoolIntents& aPool);
+  /// Drops uncommitted tickets; those in flight are released when it settles.
+  void Abandon(PoolIntents& aPool,
+               const std::function<bool(const TicketId&)>& aIsMeant);
+  void Refuse(const TicketId& aTicket,
+              const std::variant<NotRun, MayHaveRun>& aVerdict);
+
+private:
+  [[nodiscard]] bool IsLogDown(const PoolId& aId,
+                               const PoolIntents& aPool) const;
+  [[nodiscard]] Duration FlushInterval() const;
+  void Append(const PoolId& aId, PoolIntents& aPool, IntentBatch aBatch);
+  bool Check(PoolIntents& aPool,
+             const BatchInFlight& aBatch,
+             const PendingIntent& aPending);
+  void Commit(PoolIntents& aPool, const TicketReady& aTicket);
+
+  IntentsState& intents_;
+  const Views& views_;
+  const Context& context_;
+  Effects& effects_;
+};
+
+TicketId
+IdOf(const TicketReady& aTicket);
+
+/// The ticket surely did not run: its request is open to other tickets.
+void
+ReleaseIntent(PoolIntents& aPool,
+              const TicketId& aTicket,
+              const RequestId& aRequest);
+
+} // namespace verbenawell
