--- a/src/verbenawell/requests/Intents.cpp
+++ b/src/verbenawell/requests/Intents.cpp
@@ -58,7 +58,7 @@
     PoolIntents& pool = entry->second;
     if (isNew) {
       effects_.emplace_back(
-        Raise{ StreamWanted{ IntentStream(aEvent.pool_) } });
+        Raise{ StreamWanted{ IntentStream(aEvent.pool_), Offset{} } });
     }
     // A batch of the term before may be void; its tickets are written again.
     if (pool.inFlight_) {
@@ -126,6 +126,21 @@
     }
   }
 
+  void operator()(const AppendGivenUp& aEvent)
+  {
+    for (auto& [id, pool] : intents_.pools_) {
+      if (IntentStream(id) != aEvent.stream_) {
+        continue;
+      }
+      if (pool.inFlight_ && pool.inFlight_->record_ == aEvent.id_) {
+        writer_.RefuseOverdue(pool);
+        TakeBack(pool);
+      } else if (!pool.claimed_) {
+        writer_.Claim(id, pool);
+      }
+    }
+  }
+
   void operator()(const TimerDue& aEvent)
   {
     if (!std::holds_alternative<IntentFlush>(aEvent.key_)) {
@@ -174,6 +189,34 @@
                        aPool.inFlight_->sequence_ == batch->sequence_;
       if (valid && own) {
         writer_.Settle(aPool);
+      } else if (valid && batch->owner_ == context_.self_) {
+        ReleaseStrays(aPool, *batch);
+      }
+    }
+  }
+
+  // A batch that was given up stands in the log all the same. Its tickets have
+  // been refused as not run, so their requests are open again.
+  static void ReleaseStrays(PoolIntents& aPool, const IntentBatch& aBatch)
+  {
+    for (const StartedIntent& started : aBatch.started_) {
+      const TicketId ticket{ started.entry_, started.key_ };
+      if (aBatch.term_ == aPool.term_ && !aPool.committed_.contains(ticket)) {
+        ReleaseIntent(aPool, ticket, started.request_);
+      }
+    }
+  }
+
+  // Ids that surely did not run are written again with the next batch.
+  static void TakeBack(PoolIntents& aPool)
+  {
+    const BatchInFlight batch = std::move(*aPool.inFlight_);
+    aPool.inFlight_.reset();
+    for (const RequestId& request : batch.notRun_) {
+      const auto intent = aPool.window_.intents_.find(HashOf(request));
+      if (intent != aPool.window_.intents_.end() &&
+          intent->second.surelyNotRun_) {
+        aPool.notRun_.push_back(request);
       }
     }
   }
--- a/src/verbenawell/requests/IntentsState.h
+++ b/src/verbenawell/requests/IntentsState.h
@@ -24,7 +24,9 @@
 {
   std::uint64_t sequence_ = 0;
   std::vector<PendingIntent> tickets_;
+  std::vector<RequestId> notRun_;
   TimePoint sentAt_;
+  RecordId record_;
 };
 
 /// A ticket in the queue or running whose intent is in the log.
--- /dev/null
+++ b/src/verbenawell/requests/OwnerTakeover.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "verbenawell/requests/OwnerScope.h"
+#include "verbenawell/requests/OwnerState.h"
+
+#include <vector>
+
+namespace verbenawell {
+
+/// Starts an empty queue under a new term.
+void
+TakePool(OwnerScope& aScope, const PoolTaken& aTaken);
+
+/// Counts the slots of attempts that an earlier owner granted.
+void
+AdoptAttempts(OwnerScope& aScope, const AttemptsAdopted& aAdopted);
+
+/// Frees slots whose attempts are over although no release came.
+void
+FreeLost(OwnerScope& aScope, const AttemptsLost& aLost);
+
+/// Frees the slots and drops the tickets of entry daemons that are lost.
+void
+DropEntries(OwnerScope& aScope, const std::vector<DaemonId>& aLost);
+
+/// Tickets that wait in the queue.
+std::vector<TicketId>
+WaitingTickets(const PoolQueue& aQueue);
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/RequestEvents.h
+++ b/src/verbenawell/requests/RequestEvents.h
@@ -84,6 +84,13 @@
   std::vector<AttemptId> attempts_;
 };
 
+/// Asks the pool's owner to raise `PoolDrained` if the VM is idle.
+struct DrainQuery
+{
+  PoolId pool_;
+  VmId vm_;
+};
+
 /// No attempt runs on a VM that takes no new work.
 struct PoolDrained
 {
--- a/src/verbenawell/requests/TakeoverReducer.cpp
+++ b/src/verbenawell/requests/TakeoverReducer.cpp
@@ -3,7 +3,9 @@
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/MembershipState.h"
 #include "verbenawell/membership/Ownership.h"
+#include "verbenawell/requests/OwnerTakeover.h"
 #include "verbenawell/requests/RequestsState.h"
+#include "verbenawell/requests/SlotAudit.h"
 
 #include <algorithm>
 #include <utility>
@@ -112,7 +114,7 @@
     OpenReady();
     if (context_.now_ - takeover_.auditedAt_ >= kAuditInterval) {
       takeover_.auditedAt_ = context_.now_;
-      Audit();
+      AskForAudits();
     }
   }
 
@@ -174,7 +176,7 @@
     const Term known =
       std::max(aSeen, requests_.entry_.pools_[aPool].highestTerm_);
     const Term term = std::max(clock, known + Term{ 1 });
-    requests_.owner_.pools_.erase(aPool);
+    DropQueue(aPool);
     OwnedPool& owned = takeover_.owned_[aPool];
     std::vector<TicketReady> held = std::move(owned.held_);
     owned = { term, context_.now_, false, {}, {}, std::move(held), {} };
@@ -196,7 +198,20 @@
   }
 
   // The queue is dropped at once, not only by the event: what follows in this
-  // call must not grant from it any more.
+  // call must not grant from it any more. Its tickets are refused, so that
+  // their entries ask the owner again.
+  void DropQueue(const PoolId& aPool)
+  {
+    const auto queue = requests_.owner_.pools_.find(aPool);
+    if (queue == requests_.owner_.pools_.end()) {
+      return;
+    }
+    for (const TicketId& ticket : WaitingTickets(queue->second)) {
+      RefuseNoOwner(ticket.entry_, ticket.key_);
+    }
+    requests_.owner_.pools_.erase(queue);
+  }
+
   void Lose(const PoolId& aPool)
   {
     const auto found = takeover_.owned_.find(aPool);
@@ -204,7 +219,7 @@
       RefuseNoOwner(ticket.entry_, ticket.request_.key_);
     }
     takeover_.owned_.erase(found);
-    requests_.owner_.pools_.erase(aPool);
+    DropQueue(aPool);
     effects_.emplace_back(Raise{ PoolLost{ aPool } });
     effects_.emplace_back(
       LogLine{ LogLevel::Info, "pool-lost", { { "pool", aPool.Value() } } });
@@ -233,7 +248,10 @@
       return;
     }
     if (owned.open_) {
-      Reconcile(aFrom, aReport, owned);
+      if (const auto queue = requests_.owner_.pools_.find(aReport.pool_);
+          queue != requests_.owner_.pools_.end()) {
+        Reconcile(aFrom, aReport, owned, queue->second, effects_);
+      }
       return;
     }
     if (owned.awaited_.erase(aFrom) > 0) {
@@ -278,70 +296,14 @@
     });
   }
 
-  // A release that was lost with its connection would keep a slot for good:
-  // entries with slots granted here are asked what runs.
-  void Audit()
+  void AskForAudits()
   {
     for (auto& [pool, owned] : takeover_.owned_) {
       const auto queue = requests_.owner_.pools_.find(pool);
-      if (!owned.open_ || queue == requests_.owner_.pools_.end()) {
-        continue;
-      }
-      owned.audits_.clear();
-      for (const auto& [attempt, slot] : queue->second.granted_) {
-        const DaemonId& entry = slot.ticket_.entry_;
-        if (owned.audits_.try_emplace(entry, context_.now_).second) {
-          Announce(pool, owned.term_, entry);
-        }
-      }
-    }
-  }
-
-  void Reconcile(const DaemonId& aFrom,
-                 const OwnerReport& aReport,
-                 OwnedPool& aOwned)
-  {
-    const auto queue = requests_.owner_.pools_.find(aReport.pool_);
-    if (queue == requests_.owner_.pools_.end()) {
-      return;
-    }
-    AttemptsAdopted adopted{ aReport.pool_, {} };
-    for (const RunningAttempt& attempt : aReport.running_) {
-      if (attempt.term_ < aOwned.term_ &&
-          !queue->second.granted_.contains(attempt.attempt_)) {
-        adopted.attempts_.push_back({ aFrom, attempt });
+      if (owned.open_ && queue != requests_.owner_.pools_.end()) {
+        Audit(pool, owned, queue->second, context_.now_, effects_);
       }
     }
-    if (!adopted.attempts_.empty()) {
-      effects_.emplace_back(Raise{ std::move(adopted) });
-    }
-    const auto audit = aOwned.audits_.find(aFrom);
-    if (audit == aOwned.audits_.end()) {
-      return;
-    }
-    FreeUnreported(aFrom, aReport, audit->second, queue->second);
-    aOwned.audits_.erase(audit);
-  }
-
-  void FreeUnreported(const DaemonId& aFrom,
-                      const OwnerReport& aReport,
-                      TimePoint aAskedAt,
-                      const PoolQueue& aQueue)
-  {
-    AttemptsLost lost{ aReport.pool_, {} };
-    for (const auto& [attempt, slot] : aQueue.granted_) {
-      const bool reported = std::ranges::any_of(
-        aReport.running_, [&, id = attempt](const RunningAttempt& aRunning) {
-          return aRunning.attempt_ == id;
-        });
-      if (slot.ticket_.entry_ == aFrom && slot.grantedAt_ < aAskedAt &&
-          !reported) {
-        lost.attempts_.push_back(attempt);
-      }
-    }
-    if (!lost.attempts_.empty()) {
-      effects_.emplace_back(Raise{ std::move(lost) });
-    }
   }
 
   void Admit(const DaemonId& aEntry, const SlotRequest& aRequest)
@@ -358,6 +320,7 @@
     } else if (owned->second.open_) {
       Forward({ aEntry, pool, aRequest });
     } else if (owned->second.held_.size() < kMaxHeld) {
+      Withdraw(aEntry, { aRequest.key_, pool });
       owned->second.held_.push_back({ aEntry, pool, aRequest });
     } else {
       Refuse(aEntry, aRequest.key_, { RefusalReason::QueueFull, kRetryAfter });
--- a/src/verbenawell/requests/internal/IntentWriter.cpp
+++ b/src/verbenawell/requests/internal/IntentWriter.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kCommitTimeout = std::chrono::seconds(1);
 constexpr Duration kLogDownRetryAfter = std::chrono::seconds(2);
 constexpr std::size_t kMaxBatch = 1000;
+// One failed read may be a lost connection.
+constexpr std::uint32_t kFailuresOfLogDown = 2;
 
 RecordId
 RecordName(const std::string& aKind,
@@ -91,8 +93,8 @@
 IntentWriter::IsLogDown(const PoolId& aId, const PoolIntents& aPool) const
 {
   const auto stream = views_.log_.streams_.find(IntentStream(aId));
-  const bool failing =
-    stream != views_.log_.streams_.end() && stream->second.failing_;
+  const bool failing = stream != views_.log_.streams_.end() &&
+                       stream->second.failures_ >= kFailuresOfLogDown;
   return failing ||
          (aPool.inFlight_ &&
           context_.now_ - aPool.inFlight_->sentAt_ >= kCommitTimeout);
@@ -128,7 +130,11 @@
     return;
   }
   IntentBatch batch;
-  BatchInFlight inFlight{ aPool.lastSequence_ + 1, {}, context_.now_ };
+  BatchInFlight inFlight;
+  inFlight.sequence_ = aPool.lastSequence_ + 1;
+  inFlight.sentAt_ = context_.now_;
+  inFlight.record_ =
+    RecordName("intents", aId, aPool.term_, inFlight.sequence_);
   std::vector<PendingIntent> left;
   for (PendingIntent& pending : std::exchange(aPool.collecting_, {})) {
     if (inFlight.tickets_.size() >= kMaxBatch) {
@@ -145,6 +151,7 @@
   if (batch.started_.empty() && batch.notRun_.empty()) {
     return;
   }
+  inFlight.notRun_ = batch.notRun_;
   aPool.inFlight_ = std::move(inFlight);
   Append(aId, aPool, std::move(batch));
 }
@@ -158,10 +165,8 @@
   aBatch.sequence_ = ++aPool.lastSequence_;
   aBatch.at_ = context_.wallNow_;
   aPool.flushedAt_ = context_.now_;
-  const RecordId name =
-    RecordName("intents", aId, aPool.term_, aBatch.sequence_);
-  effects_.emplace_back(
-    Raise{ AppendWanted{ IntentStream(aId), name, std::move(aBatch) } });
+  effects_.emplace_back(Raise{ AppendWanted{
+    IntentStream(aId), aPool.inFlight_->record_, std::move(aBatch) } });
 }
 
 // Tells whether the ticket needs an intent. `Duplicate` is never said: while
