Run non-idempotent requests at most once and take over pools

Cause: a request could be granted by two owners, waiting requests were lost with their owner, and every retry of a non-idempotent request could run again.

Non-idempotent tickets enter the queue only after their intent was read back from the log in a valid batch. Intents name the ticket, so that the same ticket passes at the next owner.

--- /dev/null
+++ b/tests/unit/AtMostOnceTest.cpp
@@ -0,0 +1,191 @@
+#include "Daemons.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(100);
+
+class AtMostOnceTest : public testing::Test
+{
+protected:
+  AtMostOnceTest()
+    : daemons_({ "d1", "d2", "d3" })
+  {
+    owner_ = daemons_.OwnerName();
+    entry_ = owner_ == "d1" ? "d2" : "d1";
+    other_ = owner_ == "d3" ? "d2" : "d3";
+    if (other_ == entry_) {
+      other_ = "d3";
+    }
+  }
+
+  void Step()
+  {
+    daemons_.Settle();
+    daemons_.Tick(kStep);
+  }
+
+  template<typename Reason>
+  bool LastRefusalIs(Reason aReason)
+  {
+    return !daemons_.refused_.empty() &&
+           std::visit(
+             [&](const auto& aVerdict) {
+               return CounterKey{ aVerdict.reason_ } == CounterKey{ aReason };
+             },
+             daemons_.refused_.back().verdict_);
+  }
+
+  Daemons daemons_;
+  std::string owner_;
+  std::string entry_;
+  std::string other_;
+};
+
+// Guards against two owners of a pool after the start of several daemons.
+TEST_F(AtMostOnceTest, GivesAPoolOneOwner)
+{
+  int owners = 0;
+  for (const char* name : { "d1", "d2", "d3" }) {
+    owners += static_cast<int>(
+      daemons_.StateOf(name).requests_.takeover_.owned_.size());
+  }
+  EXPECT_EQ(owners, 1);
+}
+
+// Guards against a grant before the intent is in the log.
+TEST_F(AtMostOnceTest, StartsNothingBeforeTheIntentIsInTheLog)
+{
+  daemons_.logStopped_ = true;
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  Step();
+  EXPECT_TRUE(daemons_.started_.empty());
+}
+
+// Guards against requests that hang while the log is down.
+TEST_F(AtMostOnceTest, RefusesAsLogDownWhileIntentsDoNotSettle)
+{
+  daemons_.logStopped_ = true;
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  for (int step = 0; step < 12; ++step) {
+    Step();
+  }
+  EXPECT_TRUE(LastRefusalIs(RefusalReason::LogDown));
+}
+
+// Guards against a caller's retry at another entry that runs a second time.
+TEST_F(AtMostOnceTest, AnswersARetryOfAStartedRequestAsAlreadyStarted)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  Step();
+  ASSERT_EQ(daemons_.started_.size(), 1U);
+  daemons_.Ask(other_, RequestKey{ 7 }, "order");
+  Step();
+  EXPECT_EQ(daemons_.started_.size(), 1U);
+  EXPECT_TRUE(LastRefusalIs(UnknownReason::AlreadyStarted));
+}
+
+// Guards against an id that stays closed although its request never ran.
+TEST_F(AtMostOnceTest, LetsARequestRunThatWasSurelyNotSent)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  Step();
+  daemons_.End(entry_, RequestKey{ 1 }, NotSent{});
+  daemons_.Apply(entry_, CallerGone{ RequestKey{ 1 } });
+  Step();
+  daemons_.Ask(other_, RequestKey{ 7 }, "order");
+  Step();
+  Step();
+  EXPECT_EQ(daemons_.started_.back().first, other_);
+}
+
+// Guards against a double run when owner and entry die together.
+TEST_F(AtMostOnceTest, KeepsIntentsWhenOwnerAndEntryDie)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  Step();
+  ASSERT_EQ(daemons_.started_.size(), 1U);
+  daemons_.Kill(owner_);
+  daemons_.Kill(entry_);
+  Step();
+  daemons_.Ask(other_, RequestKey{ 7 }, "order");
+  Step();
+  EXPECT_EQ(daemons_.started_.size(), 1U);
+  EXPECT_TRUE(LastRefusalIs(UnknownReason::AlreadyStarted));
+}
+
+// Guards against waiting requests that are lost with their owner.
+TEST_F(AtMostOnceTest, SendsWaitingRequestsToTheNextOwner)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  daemons_.Kill(owner_);
+  Step();
+  Step();
+  ASSERT_EQ(daemons_.started_.size(), 1U);
+  EXPECT_EQ(daemons_.started_.back().first, entry_);
+  EXPECT_EQ(daemons_.CountOf(RetryReason::OwnerChanged), 1U);
+}
+
+// Guards against slots that are granted twice after a take-over.
+TEST_F(AtMostOnceTest, KeepsTheSlotsOfRunningAttemptsThroughATakeOver)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "read", true);
+  Step();
+  ASSERT_EQ(daemons_.started_.size(), 1U);
+  daemons_.Kill(owner_);
+  Step();
+  const std::string next = daemons_.OwnerName();
+  ASSERT_FALSE(next.empty());
+  const auto& pools = daemons_.StateOf(next).requests_.owner_.pools_;
+  EXPECT_EQ(pools.at(PoolId{ "web" }).granted_.size(), 1U);
+}
+
+// Guards against a paused owner that goes on granting when it continues.
+TEST_F(AtMostOnceTest, GivesUpItsPoolsAfterAPause)
+{
+  daemons_.Tick(std::chrono::seconds(5));
+  EXPECT_EQ(daemons_.OwnerName(), "");
+  for (int step = 0; step < 12; ++step) {
+    Step();
+  }
+  EXPECT_EQ(daemons_.OwnerName(), owner_);
+}
+
+// Guards against requests that no counter accounts for.
+TEST_F(AtMostOnceTest, CountsEachRequestOnce)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "a", true);
+  daemons_.Ask(entry_, RequestKey{ 2 }, "b", true);
+  daemons_.Ask(entry_, RequestKey{ 3 }, "c");
+  Step();
+  daemons_.End(entry_, RequestKey{ 1 }, WholeAnswer{});
+  daemons_.Apply(entry_, CallerGone{ RequestKey{ 1 } });
+  daemons_.Apply(entry_, CallerGone{ RequestKey{ 2 } });
+  daemons_.End(entry_, RequestKey{ 3 }, CutAnswer{});
+  Step();
+  EXPECT_EQ(daemons_.CountOf(Counter::RequestsReceived), 3U);
+  EXPECT_EQ(daemons_.CountOf(Counter::RequestsAnswered), 1U);
+  EXPECT_EQ(daemons_.CountOf(Counter::RequestsCancelled), 1U);
+  EXPECT_EQ(daemons_.CountOf(UnknownReason::BackendCut), 1U);
+}
+
+// Guards against a refusal "not run" after an attempt that may have run.
+TEST_F(AtMostOnceTest, SaysUnknownOnceAnAttemptMayHaveRun)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "read", true);
+  Step();
+  daemons_.End(entry_, RequestKey{ 1 }, CutAnswer{});
+  Step();
+  daemons_.End(entry_, RequestKey{ 1 }, CutAnswer{});
+  Step();
+  daemons_.End(entry_, RequestKey{ 1 }, NotSent{});
+  Step();
+  EXPECT_TRUE(LastRefusalIs(UnknownReason::BackendCut));
+}
+
+} // namespace
+} // namespace verbenawell
--- /dev/null
+++ b/tests/unit/Daemons.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "verbenawell/core/Reduce.h"
+#include "verbenawell/core/State.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace verbenawell {
+
+/// Reducers of several daemons with one log, run by hand in virtual time.
+/// Messages and appends wait until `Settle` delivers them.
+class Daemons
+{
+public:
+  explicit Daemons(const std::vector<std::string>& aNames);
+
+  State& StateOf(const std::string& aName);
+  void Apply(const std::string& aName, const Event& aEvent);
+  /// Delivers messages and log records until nothing is on its way.
+  void Settle();
+  /// Fires the timers of all running daemons once, `aAfter` from now.
+  void Tick(Duration aAfter);
+  /// Stops a daemon for good and tells the others.
+  void Kill(const std::string& aName);
+  void Ask(const std::string& aName,
+           RequestKey aKey,
+           const std::string& aRequest,
+           bool aIdempotent = false);
+  void End(const std::string& aName, RequestKey aKey, AttemptOutcome aOutcome);
+
+  [[nodiscard]] std::string OwnerName();
+  [[nodiscard]] std::uint64_t CountOf(const CounterKey& aKey) const;
+
+  std::vector<std::pair<std::string, StartAttempt>> started_;
+  std::vector<RefuseCaller> refused_;
+  std::vector<LogRecord> log_;
+  /// While true appends stay unanswered.
+  bool logStopped_ = false;
+
+private:
+  void Deliver(const std::string& aName, Effect aEffect);
+  void Append(const std::string& aName, const AppendLog& aAppend);
+  void Pump();
+
+  std::map<std::string, State> states_;
+  std::deque<std::pair<std::string, Event>> onTheWay_;
+  std::map<CounterKey, std::uint64_t> counters_;
+  TimePoint now_{ std::chrono::hours(1) };
+};
+
+} // namespace verbenawell
