--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -142,7 +142,8 @@
            aValue.term_,
            aValue.vm_,
            aValue.team_,
-           aValue.urgency_);
+           aValue.urgency_,
+           aValue.service_);
 }
 
 template<typename Archive, OneOf<OwnerReport> T>
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -218,7 +218,8 @@
                                   grant.term_,
                                   grant.vm_,
                                   request.head_.team_,
-                                  request.head_.urgency_ });
+                                  request.head_.urgency_,
+                                  request.head_.service_ });
     }
     effects_.emplace_back(SendPeer{ aOwner, std::move(report) });
   }
--- a/src/verbenawell/requests/Messages.h
+++ b/src/verbenawell/requests/Messages.h
@@ -72,6 +72,7 @@
   VmId vm_;
   TeamId team_;
   Urgency urgency_ = Urgency::Interactive;
+  ServiceId service_;
 };
 
 /// Answers `OwnerAnnounce` with the attempts that run for the pool.
--- a/src/verbenawell/requests/OwnerTakeover.h
+++ b/src/verbenawell/requests/OwnerTakeover.h
@@ -3,8 +3,6 @@
 #include "verbenawell/requests/OwnerScope.h"
 #include "verbenawell/requests/OwnerState.h"
 
-#include <vector>
-
 namespace verbenawell {
 
 /// Starts an empty queue under a new term.
@@ -19,12 +17,4 @@
 void
 FreeLost(OwnerScope& aScope, const AttemptsLost& aLost);
 
-/// Frees the slots and drops the tickets of entry daemons that are lost.
-void
-DropEntries(OwnerScope& aScope, const std::vector<DaemonId>& aLost);
-
-/// Tickets that wait in the queue.
-std::vector<TicketId>
-WaitingTickets(const PoolQueue& aQueue);
-
 } // namespace verbenawell
--- a/src/verbenawell/requests/RequestEvents.h
+++ b/src/verbenawell/requests/RequestEvents.h
@@ -77,11 +77,10 @@
   PoolId pool_;
 };
 
-/// Attempts whose slots are free although no release came.
+/// Attempts that are over although no release came, as if released.
 struct AttemptsLost
 {
-  PoolId pool_;
-  std::vector<AttemptId> attempts_;
+  std::vector<SlotRelease> releases_;
 };
 
 /// Asks the pool's owner to raise `PoolDrained` if the VM is idle.
--- a/src/verbenawell/requests/SlotAudit.cpp
+++ b/src/verbenawell/requests/SlotAudit.cpp
@@ -15,15 +15,21 @@
                TimePoint aAskedAt,
                const PoolQueue& aQueue)
 {
-  AttemptsLost lost{ aReport.pool_, {} };
-  for (const auto& [attempt, slot] : aQueue.granted_) {
+  AttemptsLost lost;
+  for (const auto& [key, slot] : aQueue.granted_) {
     const bool reported = std::ranges::any_of(
-      aReport.running_, [id = attempt](const RunningAttempt& aRunning) {
-        return aRunning.attempt_ == id;
+      aReport.running_, [granted = key](const RunningAttempt& aRunning) {
+        return SlotKey{ aRunning.term_, aRunning.attempt_ } == granted;
       });
     if (slot.ticket_.entry_ == aFrom && slot.grantedAt_ < aAskedAt &&
         !reported) {
-      lost.attempts_.push_back(attempt);
+      lost.releases_.push_back({ slot.ticket_.key_,
+                                 key.attempt_,
+                                 aReport.pool_,
+                                 key.term_,
+                                 slot.vm_,
+                                 Cancelled{},
+                                 {} });
     }
   }
   return lost;
@@ -37,7 +43,7 @@
   AttemptsAdopted adopted{ aReport.pool_, {} };
   for (const RunningAttempt& attempt : aReport.running_) {
     if (attempt.term_ < aQueue.term_ &&
-        !aQueue.granted_.contains(attempt.attempt_)) {
+        !aQueue.granted_.contains({ attempt.term_, attempt.attempt_ })) {
       adopted.attempts_.push_back({ aFrom, attempt });
     }
   }
@@ -79,7 +85,7 @@
     return;
   }
   if (AttemptsLost lost = FindUnreported(aFrom, aReport, audit->second, aQueue);
-      !lost.attempts_.empty()) {
+      !lost.releases_.empty()) {
     aEffects.emplace_back(Raise{ std::move(lost) });
   }
   aOwned.audits_.erase(audit);
--- a/src/verbenawell/requests/TakeoverReducer.cpp
+++ b/src/verbenawell/requests/TakeoverReducer.cpp
@@ -3,7 +3,6 @@
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/MembershipState.h"
 #include "verbenawell/membership/Ownership.h"
-#include "verbenawell/requests/OwnerTakeover.h"
 #include "verbenawell/requests/RequestsState.h"
 #include "verbenawell/requests/SlotAudit.h"
 
@@ -206,7 +205,7 @@
     if (queue == requests_.owner_.pools_.end()) {
       return;
     }
-    for (const TicketId& ticket : WaitingTickets(queue->second)) {
+    for (const TicketId& ticket : queue->second.queue_.Tickets()) {
       RefuseNoOwner(ticket.entry_, ticket.key_);
     }
     requests_.owner_.pools_.erase(queue);
