Count every refusal at the caller's side and open fresh connections

Cause: requests refused before the core saw them were not counted, keys of a replaced daemon could repeat, and a request that must not run twice could be written to a kept connection that the backend server was closing.

--- a/src/verbenawell/adapters/BackendConnections.cpp
+++ b/src/verbenawell/adapters/BackendConnections.cpp
@@ -2,6 +2,10 @@
 
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace verbenawell {
 
 namespace {
@@ -10,6 +14,8 @@
 // not written to a connection that the other side is about to close.
 constexpr std::chrono::seconds kMaxIdleTime{ 3 };
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
+// A host that is gone acknowledges nothing: its connections end after this.
+constexpr unsigned kUnacknowledgedMs = 2000;
 
 } // namespace
 
@@ -35,11 +41,24 @@
     // The last one has been idle for the shortest time.
     idle.clear();
   }
+  return Open(aAddress);
+}
+
+std::unique_ptr<httplib::Client>
+BackendConnections::Open(const Endpoint& aAddress)
+{
   auto client =
     std::make_unique<httplib::Client>(aAddress.host_, aAddress.port_);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
   client->set_connection_timeout(kConnectTimeout);
+  client->set_socket_options([](socket_t aSocket) {
+    setsockopt(aSocket,
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &kUnacknowledgedMs,
+               sizeof(kUnacknowledgedMs));
+  });
   return client;
 }
 
--- a/src/verbenawell/adapters/BackendConnections.h
+++ b/src/verbenawell/adapters/BackendConnections.h
@@ -21,7 +21,11 @@
   /// Keeps at most this many idle connections a backend server.
   void SetIdleLimit(std::size_t aLimit);
 
+  /// A kept connection where there is one, else a new one.
   std::unique_ptr<httplib::Client> Take(const Endpoint& aAddress);
+  /// A new connection. Bytes written to a kept one that the other side has
+  /// just closed leave open whether the request ran.
+  static std::unique_ptr<httplib::Client> Open(const Endpoint& aAddress);
   void Return(const Endpoint& aAddress,
               std::unique_ptr<httplib::Client> aClient);
 
--- a/src/verbenawell/adapters/CallerExchange.cpp
+++ b/src/verbenawell/adapters/CallerExchange.cpp
@@ -39,12 +39,38 @@
          kConnectionHeaders.end();
 }
 
+std::string
+ToLower(std::string aText)
+{
+  std::ranges::transform(aText, aText.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return aText;
+}
+
+/// Names that the `Connection` headers list, each between commas.
+std::string
+ListedByConnection(const httplib::Headers& aHeaders)
+{
+  std::string listed = ",";
+  const auto [begin, end] = aHeaders.equal_range("Connection");
+  for (auto header = begin; header != end; ++header) {
+    listed += ToLower(header->second) + ',';
+  }
+  std::erase_if(listed, [](char aCharacter) {
+    return aCharacter == ' ' || aCharacter == '\t';
+  });
+  return listed;
+}
+
 httplib::Headers
 PassedOn(const httplib::Headers& aHeaders)
 {
+  const std::string listed = ListedByConnection(aHeaders);
   httplib::Headers result;
   for (const auto& [name, value] : aHeaders) {
-    if (!BelongsToConnection(name)) {
+    if (!BelongsToConnection(name) &&
+        listed.find(',' + ToLower(name) + ',') == std::string::npos) {
       result.emplace(name, value);
     }
   }
@@ -122,10 +148,13 @@
 }
 
 CallerExchange::CallerExchange(RequestKey aKey,
+                               const RequestHead& aHead,
                                ByteCount aMaxBody,
                                BackendConnections& aBackends,
                                EventSink aSink)
   : key_(aKey)
+  , idempotent_(aHead.idempotent_)
+  , declaredRunTime_(aHead.declaredRunTime_)
   , maxBody_(aMaxBody)
   , backends_(aBackends)
   , sink_(std::move(aSink))
@@ -214,8 +243,10 @@
                         const StartAttempt& aStart)
 {
   const auto began = std::chrono::steady_clock::now();
-  auto client = backends_.Take(aStart.address_);
-  AttemptOutcome outcome = Cancelled{};
+  auto client = idempotent_ ? backends_.Take(aStart.address_)
+                            : BackendConnections::Open(aStart.address_);
+  // An attempt that is cancelled before it starts sends nothing.
+  AttemptOutcome outcome = NotSent{};
   bool mayStart = false;
   {
     const std::lock_guard lock{ mutex_ };
@@ -237,13 +268,27 @@
                       std::chrono::duration_cast<Duration>(took) });
 }
 
+// A silent connection is given up early only where the request may run again;
+// declared run times may be wrong by a factor of ten.
+Duration
+CallerExchange::FirstByteLimit(Duration aTimeLeft) const
+{
+  constexpr Duration kLeast = std::chrono::seconds(5);
+  constexpr int kDeclaredTimes = 10;
+  return idempotent_
+           ? std::min(aTimeLeft,
+                      std::max(kLeast, declaredRunTime_ * kDeclaredTimes))
+           : aTimeLeft;
+}
+
 AttemptOutcome
 CallerExchange::Send(const httplib::Request& aRequest,
                      const StartAttempt& aStart,
                      httplib::Client& aClient)
 {
   const auto began = std::chrono::steady_clock::now();
-  aClient.set_read_timeout(aStart.timeLeft_);
+  const Duration firstByteLimit = FirstByteLimit(aStart.timeLeft_);
+  aClient.set_read_timeout(firstByteLimit);
   aClient.set_write_timeout(aStart.timeLeft_);
   httplib::Request request;
   request.method = aRequest.method;
@@ -274,7 +319,7 @@
         break;
     }
     const bool late =
-      std::chrono::steady_clock::now() - began >= aStart.timeLeft_;
+      std::chrono::steady_clock::now() - began >= firstByteLimit;
     return late ? AttemptOutcome{ LateAnswer{} }
                 : AttemptOutcome{ CutAnswer{} };
   }
--- a/src/verbenawell/adapters/CallerExchange.h
+++ b/src/verbenawell/adapters/CallerExchange.h
@@ -19,6 +19,7 @@
 {
 public:
   CallerExchange(RequestKey aKey,
+                 const RequestHead& aHead,
                  ByteCount aMaxBody,
                  BackendConnections& aBackends,
                  EventSink aSink);
@@ -48,7 +49,11 @@
                       const StartAttempt& aStart,
                       httplib::Client& aClient);
 
+  [[nodiscard]] Duration FirstByteLimit(Duration aTimeLeft) const;
+
   RequestKey key_;
+  bool idempotent_;
+  Duration declaredRunTime_;
   ByteCount maxBody_;
   BackendConnections& backends_;
   EventSink sink_;
--- a/src/verbenawell/adapters/CallerListener.cpp
+++ b/src/verbenawell/adapters/CallerListener.cpp
@@ -4,6 +4,7 @@
 #include "verbenawell/adapters/CallerHeaders.h"
 #include "verbenawell/adapters/internal/ConnectionWatch.h"
 
+#include <chrono>
 #include <utility>
 
 namespace verbenawell {
@@ -17,6 +18,23 @@
                                     "Content-Length: 0\r\n"
                                     "Connection: close\r\n\r\n";
 
+// Whether the answer that the calling thread writes was made by `Handle`.
+thread_local bool handled = false;
+
+constexpr int kPayloadTooLarge = 413;
+
+// Calendar time keeps the keys of a daemon apart from those it gave before it
+// was replaced: intents in the log name them.
+std::uint64_t
+FirstKey()
+{
+  constexpr unsigned kKeyBitsOfMillisecond = 20;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  return static_cast<std::uint64_t>(milliseconds) << kKeyBitsOfMillisecond;
+}
+
 } // namespace
 
 CallerListener::CallerListener(const CallerSettings& aSettings,
@@ -29,6 +47,7 @@
   , io_(aIo)
   , metrics_(aMetrics)
   , sink_(std::move(aSink))
+  , lastKey_(FirstKey())
   , server_({ aSettings.maxConnections_,
               static_cast<std::size_t>(aSettings.maxBody_.Value()) })
 {
@@ -36,7 +55,18 @@
                               httplib::Response& aResponse) {
     Handle(aRequest, aResponse);
   };
-  server_.SetBusyAnswer(kBusyAnswer);
+  server_.SetBusyAnswer(kBusyAnswer, [this] {
+    metrics_.Increment(Counter::CallersRefusedBusy);
+    metrics_.Increment(Counter::RequestsReceived);
+    metrics_.Increment(RefusalReason::QueueFull);
+  });
+  server_.set_error_handler(
+    [this](const httplib::Request&, httplib::Response& aResponse) {
+      RefuseUnread(aResponse);
+    });
+  // Called once an answer has been written.
+  server_.set_logger(
+    [](const httplib::Request&, const httplib::Response&) { handled = false; });
   server_.Get(".*", handler);
   server_.Post(".*", handler);
   server_.Put(".*", handler);
@@ -58,10 +88,29 @@
   server_.Stop();
 }
 
+// Called for every answer with an error status; those that `Handle` has made
+// name their outcome or come from a backend server.
+void
+CallerListener::RefuseUnread(httplib::Response& aResponse)
+{
+  if (std::exchange(handled, false)) {
+    return;
+  }
+  const RefusalReason reason = aResponse.status == kPayloadTooLarge
+                                 ? RefusalReason::Oversize
+                                 : RefusalReason::BadRequest;
+  metrics_.Increment(Counter::RequestsReceived);
+  metrics_.Increment(reason);
+  const int status = aResponse.status;
+  WriteVerdict(NotRun{ reason }, aResponse);
+  aResponse.status = status;
+}
+
 void
 CallerListener::Handle(const httplib::Request& aRequest,
                        httplib::Response& aResponse)
 {
+  handled = true;
   auto read = ReadRequestHead(aRequest);
   if (const auto* fault = std::get_if<std::string>(&read)) {
     metrics_.Increment(Counter::RequestsReceived);
@@ -75,8 +124,8 @@
   if (head.id_.IsEmpty()) {
     head.id_ = RequestId{ self_.Value() + "#" + std::to_string(key.Value()) };
   }
-  const auto exchange =
-    std::make_shared<CallerExchange>(key, settings_.maxBody_, backends_, sink_);
+  const auto exchange = std::make_shared<CallerExchange>(
+    key, head, settings_.maxBody_, backends_, sink_);
   {
     const std::lock_guard lock{ mutex_ };
     exchanges_[key] = exchange;
--- a/src/verbenawell/adapters/CallerListener.h
+++ b/src/verbenawell/adapters/CallerListener.h
@@ -41,6 +41,8 @@
 
 private:
   void Handle(const httplib::Request& aRequest, httplib::Response& aResponse);
+  /// Refuses a request that the library has not handed to `Handle`.
+  void RefuseUnread(httplib::Response& aResponse);
   std::shared_ptr<CallerExchange> Find(RequestKey aKey);
 
   CallerSettings settings_;
@@ -49,7 +51,7 @@
   Metrics& metrics_;
   EventSink sink_;
   BackendConnections backends_;
-  std::atomic<std::uint64_t> lastKey_ = 0;
+  std::atomic<std::uint64_t> lastKey_;
   std::mutex mutex_;
   std::unordered_map<RequestKey, std::shared_ptr<CallerExchange>> exchanges_;
   HttpServer server_;
--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -85,15 +85,17 @@
 }
 
 void
-HttpServer::SetBusyAnswer(std::string aAnswer)
+HttpServer::SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy)
 {
   busyAnswer_ = std::move(aAnswer);
+  onBusy_ = std::move(aOnBusy);
 }
 
 bool
 HttpServer::process_and_close_socket(socket_t aSocket)
 {
   if (BoundedTaskQueue::IsOverflow()) {
+    onBusy_();
     send(aSocket, busyAnswer_.data(), busyAnswer_.size(), MSG_NOSIGNAL);
   } else {
     currentSocket = aSocket;
--- a/src/verbenawell/adapters/HttpServer.h
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -42,8 +43,8 @@
   /// Socket of the connection that the calling handler serves.
   static int CurrentSocket();
 
-  /// Answer for a connection beyond the limit.
-  void SetBusyAnswer(std::string aAnswer);
+  /// Answer for a connection beyond the limit, and what to do with each.
+  void SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy);
 
 private:
   bool process_and_close_socket(socket_t aSocket) override;
@@ -51,6 +52,7 @@
 
   HttpServerLimits limits_;
   std::string busyAnswer_;
+  std::function<void()> onBusy_ = [] {};
   int listener_ = -1;
   std::thread thread_;
   std::atomic<bool> stopping_ = false;
