--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -148,7 +148,8 @@
            aValue.term_,
            aValue.vm_,
            aValue.team_,
-           aValue.urgency_);
+           aValue.urgency_,
+           aValue.service_);
 }
 
 template<typename Archive, OneOf<OwnerReport> T>
@@ -360,12 +361,24 @@
   aArchive(aValue.pool_, aValue.owner_, aValue.term_);
 }
 
+template<typename Archive, OneOf<StartedIntent> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.request_, aValue.entry_, aValue.key_);
+}
+
 template<typename Archive, OneOf<IntentBatch> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
-  aArchive(
-    aValue.pool_, aValue.owner_, aValue.term_, aValue.started_, aValue.notRun_);
+  aArchive(aValue.pool_,
+           aValue.owner_,
+           aValue.term_,
+           aValue.started_,
+           aValue.notRun_,
+           aValue.sequence_,
+           aValue.at_);
 }
 
 template<typename Archive, OneOf<SnapshotChunk> T>
--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -67,6 +67,13 @@
                            RecordSettled,
                            DrainQuery,
                            PoolDrained,
-                           Finished>;
+                           Finished,
+                           IntentWanted,
+                           TicketReady,
+                           PoolTaken,
+                           AttemptsAdopted,
+                           TermExceeded,
+                           PoolLost,
+                           AttemptsLost>;
 
 } // namespace verbenawell
--- a/src/verbenawell/membership/Ownership.cpp
+++ b/src/verbenawell/membership/Ownership.cpp
@@ -38,7 +38,7 @@
 DaemonId
 OwnerOf(const MembershipState& aMembership, std::string_view aKey)
 {
-  if (!aMembership.hasMajority_ || !aMembership.settled_) {
+  if (!MayOwnPools(aMembership)) {
     return {};
   }
   auto& owners = aMembership.owners_;
@@ -53,6 +53,24 @@
     .first->second;
 }
 
+std::vector<DaemonId>
+LiveMembers(const MembershipState& aMembership)
+{
+  std::vector<DaemonId> live;
+  for (const auto& [id, member] : aMembership.members_) {
+    if (IsActive(member.latest_)) {
+      live.push_back(id);
+    }
+  }
+  return live;
+}
+
+bool
+MayOwnPools(const MembershipState& aMembership)
+{
+  return aMembership.hasMajority_ && aMembership.settled_;
+}
+
 DaemonId
 OwnerOfPool(const MembershipState& aMembership, const PoolId& aPool)
 {
--- a/src/verbenawell/requests/FairQueue.cpp
+++ b/src/verbenawell/requests/FairQueue.cpp
@@ -296,6 +296,17 @@
   return found;
 }
 
+std::vector<TicketId>
+FairQueue::Tickets() const
+{
+  std::vector<TicketId> found;
+  for (const auto& [id, ticket] : tickets_) {
+    found.push_back(id);
+  }
+  std::ranges::sort(found);
+  return found;
+}
+
 const TeamQueue*
 FairQueue::Find(const ShareKey& aKey) const
 {
--- a/src/verbenawell/requests/FairQueue.h
+++ b/src/verbenawell/requests/FairQueue.h
@@ -91,6 +91,9 @@
   /// Tickets of an entry daemon, which is lost.
   [[nodiscard]] std::vector<TicketId> TicketsOf(const DaemonId& aEntry) const;
 
+  /// All tickets that wait.
+  [[nodiscard]] std::vector<TicketId> Tickets() const;
+
   [[nodiscard]] std::size_t Size() const { return tickets_.size(); }
 
 private:
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/requests/OwnerScope.h"
+#include "verbenawell/requests/OwnerTakeover.h"
 #include "verbenawell/requests/PoolWorkers.h"
 #include "verbenawell/requests/RequestsState.h"
 #include "verbenawell/requests/SlotAdmission.h"
@@ -69,13 +70,29 @@
     GrantInAllPools();
   }
 
+  void operator()(const TicketReady& aEvent)
+  {
+    AdmitTicket(scope_, aEvent.entry_, aEvent.request_);
+  }
+
+  void operator()(const PoolTaken& aEvent) { TakePool(scope_, aEvent); }
+
+  void operator()(const AttemptsAdopted& aEvent)
+  {
+    AdoptAttempts(scope_, aEvent);
+  }
+
+  void operator()(const PoolLost& aEvent)
+  {
+    scope_.owner_.pools_.erase(aEvent.pool_);
+  }
+
+  void operator()(const AttemptsLost& aEvent) { FreeLost(scope_, aEvent); }
+
   void operator()(const PeerMessageReceived& aEvent)
   {
     std::visit(
       Overloaded{
-        [&](const SlotRequest& aRequest) {
-          AdmitTicket(scope_, aEvent.from_, aRequest);
-        },
         [&](const SlotCancel& aCancel) {
           WithdrawTicket(scope_, { aEvent.from_, aCancel.key_ }, aCancel.pool_);
         },
--- /dev/null
+++ b/src/verbenawell/requests/OwnerTakeover.cpp
@@ -0,0 +1,35 @@
+#include "verbenawell/requests/OwnerTakeover.h"
+
+#include "verbenawell/requests/PoolWorkers.h"
+#include "verbenawell/requests/SlotReturn.h"
+
+#include <algorithm>
+
+namespace verbenawell {
+
+void
+TakePool(OwnerScope& aScope, const PoolTaken& aTaken)
+{
+  OwnerState& owner = aScope.owner_;
+  owner.lastAttempt_ = std::max(owner.lastAttempt_, aTaken.lastAttempt_);
+  owner.pools_.erase(aTaken.pool_);
+  OpenPool(aScope, aTaken.pool_).term_ = aTaken.term_;
+}
+
+void
+AdoptAttempts(OwnerScope& aScope, const AttemptsAdopted& aAdopted)
+{
+  for (const auto& [entry, attempt] : aAdopted.attempts_) {
+    AdoptSlot(aScope, aAdopted.pool_, entry, attempt.service_, attempt);
+  }
+}
+
+void
+FreeLost(OwnerScope& aScope, const AttemptsLost& aLost)
+{
+  for (const SlotRelease& release : aLost.releases_) {
+    ReleaseSlot(aScope, release);
+  }
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/RequestEvents.h
+++ b/src/verbenawell/requests/RequestEvents.h
@@ -26,6 +26,63 @@
   Duration runTime_{};
 };
 
+/// A slot request may enter the queue of a pool that this daemon owns.
+struct TicketReady
+{
+  DaemonId entry_;
+  PoolId pool_;
+  SlotRequest request_;
+};
+
+/// A non-idempotent ticket for a pool that this daemon owns: its intent is to
+/// be written before it may enter the queue.
+struct IntentWanted
+{
+  TicketReady ticket_;
+};
+
+/// An attempt that an earlier owner granted.
+struct AdoptedAttempt
+{
+  DaemonId entry_;
+  RunningAttempt attempt_;
+};
+
+/// This daemon now owns the queue of a pool, which starts empty.
+struct PoolTaken
+{
+  PoolId pool_;
+  Term term_;
+  /// Above every attempt of earlier owners.
+  AttemptId lastAttempt_;
+};
+
+/// The log knows an owner of the pool with this term, above the own one.
+struct TermExceeded
+{
+  PoolId pool_;
+  Term term_;
+};
+
+/// Running attempts of earlier owners; they keep their slots.
+struct AttemptsAdopted
+{
+  PoolId pool_;
+  std::vector<AdoptedAttempt> attempts_;
+};
+
+/// Another daemon owns the queue of the pool now; what is queued is dropped.
+struct PoolLost
+{
+  PoolId pool_;
+};
+
+/// Attempts that are over although no release came, as if released.
+struct AttemptsLost
+{
+  std::vector<SlotRelease> releases_;
+};
+
 /// Asks the pool's owner to raise `PoolDrained` if the VM is idle.
 struct DrainQuery
 {
--- a/tests/unit/OwnerReducerTest.cpp
+++ b/tests/unit/OwnerReducerTest.cpp
@@ -63,7 +63,7 @@
     request.head_.deadline_ = aDeadline;
     request.head_.declared_ = aSize;
     request.head_.declaredRunTime_ = 1s;
-    return Send(PeerMessageReceived{ kEntry, request });
+    return Send(TicketReady{ kEntry, kPool, request });
   }
 
   Effects Release(const SlotGrant& aGrant, const AttemptOutcome& aOutcome)
