Add a harness that runs the reducers against fakes and an oracle

Change: fakes of the log, the platform, workers, callers and operators run with any number of daemons in virtual time from one seed; the oracle checks the eight rules by what the fakes saw. Conclusion: the harness is not part of ctest yet.

--- /dev/null
+++ b/tests/fuzz/Faults.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "FaultPlan.h"
+#include "FrontEnd.h"
+
+namespace verbenawell::fuzz {
+
+/// Starts and ends the faults of a plan.
+class Faults
+{
+public:
+  Faults(World& aWorld,
+         FakeLog& aLog,
+         FakePlatform& aPlatform,
+         Cluster& aCluster,
+         FrontEnd& aFrontEnd)
+    : world_(aWorld)
+    , log_(aLog)
+    , platform_(aPlatform)
+    , cluster_(aCluster)
+    , frontEnd_(aFrontEnd)
+  {
+  }
+
+  void Schedule(const FaultPlan& aPlan);
+  /// Ends what no fault of the plan has ended.
+  void HealAll();
+
+private:
+  void Begin(const PlannedFault& aPlanned);
+  void End(const PlannedFault& aPlanned);
+  void SetMode(std::size_t aSubject, WorkerMode aMode);
+  void Replace(std::size_t aNode);
+  /// The state that counts the running faults of this kind, if there is one.
+  int* CountOf(const Fault& aFault);
+
+  World& world_;
+  FakeLog& log_;
+  FakePlatform& platform_;
+  Cluster& cluster_;
+  FrontEnd& frontEnd_;
+};
+
+} // namespace verbenawell::fuzz
--- /dev/null
+++ b/tests/fuzz/FrontEnd.cpp
@@ -0,0 +1,309 @@
+#include "FrontEnd.h"
+
+#include "verbenawell/core/Overloaded.h"
+
+#include <array>
+#include <iterator>
+#include <utility>
+
+namespace verbenawell::fuzz {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::array kServices{ "slot", "hall", "survey" };
+constexpr std::size_t kMaxRetries = 2;
+
+} // namespace
+
+FrontEnd::FrontEnd(World& aWorld, Cluster& aCluster, FakePlatform& aPlatform)
+  : world_(aWorld)
+  , cluster_(aCluster)
+  , platform_(aPlatform)
+  , lastKey_(aCluster.Nodes().size())
+{
+  cluster_.SetFrontEnd([this](std::size_t aNode, const Effect& aEffect) {
+    OnEffect(aNode, aEffect);
+  });
+}
+
+// Demand alternates between five times its mean and a twentieth of it.
+Duration
+FrontEnd::NextGap()
+{
+  const auto second = world_.Now().time_since_epoch() / seconds(1);
+  const bool high = second % 5 == 0;
+  const Duration mean = high ? milliseconds(8) : milliseconds(60);
+  const int flood = floodLong_ + floodUrgent_ > 0 ? 8 : 1;
+  return world_.Between(Duration::zero(), mean * 2 / flood);
+}
+
+void
+FrontEnd::Generate(TimePoint aEnd)
+{
+  if (world_.Now() >= aEnd) {
+    return;
+  }
+  const bool flooding = world_.Chance(85);
+  if (floodUrgent_ > 0 && flooding) {
+    Submit(Draw(Urgency::Urgent));
+  } else if (floodLong_ > 0 && flooding) {
+    Submit(Draw(Urgency::Long));
+  } else {
+    Submit(Draw(static_cast<Urgency>(world_.Below(3))));
+  }
+  world_.After(NextGap(), [this, aEnd] { Generate(aEnd); });
+}
+
+FrontEnd::Request
+FrontEnd::Draw(Urgency aUrgency)
+{
+  Request request;
+  RequestHead& head = request.head_;
+  head.id_ = RequestId{ "q" + std::to_string(++lastRequest_) };
+  head.service_ = ServiceId{ kServices.at(world_.Below(kServices.size())) };
+  head.team_ = TeamId{ "t" + std::to_string(world_.Below(3)) };
+  head.urgency_ = aUrgency;
+  head.deadline_ = world_.Between(milliseconds(500), seconds(6));
+  head.idempotent_ = world_.Chance(50);
+  head.declared_ = { Cores{ 1 }, Megabytes{ 100 }, Accelerators{} };
+  if (neverFits_ > 0 && world_.Chance(20)) {
+    head.declared_.cores_ = Cores{ 10000 };
+  }
+  request.runTime_ = aUrgency == Urgency::Long
+                       ? world_.Between(milliseconds(200), milliseconds(900))
+                       : world_.Between(milliseconds(5), milliseconds(150));
+  head.declaredRunTime_ = request.runTime_;
+  if (wrongRunTimes_ > 0) {
+    head.declaredRunTime_ =
+      world_.Chance(50) ? request.runTime_ * 10 : request.runTime_ / 10;
+    head.declared_.memory_ = Megabytes{ world_.Chance(50) ? 1000U : 10U };
+  }
+  request.retriesLeft_ = world_.Below(kMaxRetries + 1);
+  return request;
+}
+
+// The load balancer connects a caller to any daemon that runs.
+void
+FrontEnd::Submit(const Request& aRequest)
+{
+  const std::size_t node = world_.Below(cluster_.Nodes().size());
+  if (!cluster_.IsUp(node)) {
+    return;
+  }
+  const ExchangeId id{ node, ++lastKey_[node] };
+  calls_[id] = { ++lastCall_, aRequest, {}, {} };
+  world_.See(
+    CallSent{ lastCall_, aRequest.head_.id_, aRequest.head_.idempotent_ });
+  const std::uint64_t epoch = cluster_.Nodes()[node].epoch_;
+  cluster_.Deliver(node, epoch, RequestArrived{ id.second, aRequest.head_ });
+}
+
+void
+FrontEnd::End(const ExchangeId& aId, const CallOutcome& aOutcome)
+{
+  const auto found = calls_.find(aId);
+  if (found == calls_.end()) {
+    return;
+  }
+  const Call call = std::move(found->second);
+  calls_.erase(found);
+  world_.See(CallEnded{ call.id_, aOutcome });
+  const bool answered = std::holds_alternative<Answer>(aOutcome) ||
+                        std::holds_alternative<HungUp>(aOutcome);
+  // A caller that hung up may try again, too.
+  const bool retries = !answered || (std::holds_alternative<HungUp>(aOutcome) &&
+                                     world_.Chance(30));
+  if (retries && call.request_.retriesLeft_ > 0) {
+    Request again = call.request_;
+    --again.retriesLeft_;
+    world_.After(world_.Between(milliseconds(0), milliseconds(500)),
+                 [this, again] { Submit(again); });
+  }
+}
+
+void
+FrontEnd::Break(std::size_t aNode)
+{
+  std::vector<ExchangeId> broken;
+  for (const auto& [id, call] : calls_) {
+    if (id.first == aNode) {
+      platform_.Abandon(call.id_, call.attempt_);
+      broken.push_back(id);
+    }
+  }
+  for (const ExchangeId& id : broken) {
+    End(id, BrokenConnection{});
+  }
+  lastKey_[aNode] = RequestKey{};
+}
+
+void
+FrontEnd::HangUp(std::size_t aPercent)
+{
+  std::vector<ExchangeId> gone;
+  for (const auto& [id, call] : calls_) {
+    if (world_.Chance(aPercent)) {
+      gone.push_back(id);
+    }
+  }
+  for (const ExchangeId& id : gone) {
+    const std::uint64_t epoch = cluster_.Nodes()[id.first].epoch_;
+    cluster_.Deliver(id.first, epoch, CallerGone{ id.second });
+    End(id, HungUp{});
+  }
+}
+
+void
+FrontEnd::OnEffect(std::size_t aNode, const Effect& aEffect)
+{
+  std::visit(
+    [&](const auto& aKnown) {
+      if constexpr (requires { On(aNode, aKnown); }) {
+        On(aNode, aKnown);
+      }
+    },
+    aEffect);
+}
+
+void
+FrontEnd::On(std::size_t aNode, const StartAttempt& aEffect)
+{
+  const auto found = calls_.find({ aNode, aEffect.key_ });
+  if (found == calls_.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.attempt_ = aEffect.attempt_;
+  const auto done = [this,
+                     id = found->first,
+                     callId = call.id_,
+                     attempt = aEffect.attempt_,
+                     began = world_.Now(),
+                     reply =
+                       cluster_.ReplyTo(aNode)](const WorkResult& aResult) {
+    if (const auto current = calls_.find(id);
+        current != calls_.end() && current->second.id_ == callId) {
+      current->second.answer_ = aResult.answer_;
+    }
+    reply(AttemptEnded{
+      id.second, attempt, aResult.outcome_, world_.Now() - began });
+  };
+  platform_.Work(
+    { call.id_, call.request_.head_.id_, aEffect, call.request_.runTime_ },
+    done);
+}
+
+void
+FrontEnd::On(std::size_t aNode, const CancelAttempt& aEffect)
+{
+  if (const auto found = calls_.find({ aNode, aEffect.key_ });
+      found != calls_.end()) {
+    platform_.Abandon(found->second.id_, aEffect.attempt_);
+  }
+}
+
+void
+FrontEnd::On(std::size_t aNode, const ForwardAnswer& aEffect)
+{
+  const ExchangeId id{ aNode, aEffect.key_ };
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  if (!found->second.answer_) {
+    world_.oracle_.Report(3, "a call was ended without any answer");
+    End(id, BrokenConnection{});
+    return;
+  }
+  End(id, *found->second.answer_);
+}
+
+void
+FrontEnd::On(std::size_t aNode, const RefuseCaller& aEffect)
+{
+  std::visit(
+    [&](const auto& aVerdict) {
+      End({ aNode, aEffect.key_ }, aVerdict);
+    },
+    aEffect.verdict_);
+}
+
+void
+FrontEnd::Command(std::size_t aNode, const std::string& aText)
+{
+  if (!cluster_.IsUp(aNode)) {
+    return;
+  }
+  world_.Trace("operator at " + cluster_.Nodes()[aNode].id_.Value() + ": " +
+               aText);
+  commands_[{ aNode, ++lastCommand_ }] = aText;
+  cluster_.Deliver(
+    aNode,
+    cluster_.Nodes()[aNode].epoch_,
+    CommandReceived{ lastCommand_, OperatorId{ "mina" }, aText, {} });
+}
+
+void
+FrontEnd::RandomCommand()
+{
+  const std::string vm =
+    std::next(platform_.Vms().begin(),
+              static_cast<std::ptrdiff_t>(world_.Below(platform_.Vms().size())))
+      ->first.Value();
+  const std::string pool = world_.Chance(50) ? "web" : "batch";
+  std::string text;
+  switch (world_.Below(6)) {
+    case 0:
+      text = "drain " + vm;
+      break;
+    case 1:
+      text = "undrain " + vm;
+      break;
+    case 2:
+      text = "move " + vm + " to " + (world_.Chance(30) ? "spare" : pool);
+      break;
+    case 3:
+      text = "create service survey in " + pool + " budget " +
+             std::to_string(world_.Below(3));
+      break;
+    case 4:
+      text = "create wave w" + std::to_string(++lastWave_) + " over " + pool;
+      break;
+    default:
+      text = "create pool extra" + std::to_string(world_.Below(2));
+  }
+  Command(world_.Below(cluster_.Nodes().size()), text);
+}
+
+void
+FrontEnd::On(std::size_t aNode, const AnswerOperator& aEffect)
+{
+  const auto found = commands_.find({ aNode, aEffect.key_ });
+  if (found == commands_.end()) {
+    return;
+  }
+  const std::string text = found->second;
+  commands_.erase(found);
+  const OperatorAnswer& answer = aEffect.answer_;
+  world_.Trace("answer to \"" + text + "\": " + answer.message_);
+  if (answer.status_ == CommandStatus::NeedsConfirmation) {
+    commands_[{ aNode, ++lastCommand_ }] = text;
+    const CommandReceived again{
+      lastCommand_, OperatorId{ "mina" }, text, answer.confirmation_
+    };
+    world_.After(milliseconds(100),
+                 [again, reply = cluster_.ReplyTo(aNode)] { reply(again); });
+    return;
+  }
+  constexpr std::string_view kMark = "offset ";
+  const std::size_t at = answer.message_.find(kMark);
+  if (answer.status_ == CommandStatus::Done && at != std::string::npos) {
+    const std::string number = answer.message_.substr(at + kMark.size());
+    world_.See(ChangeAccepted{ text, Offset{ std::stoull(number) } });
+  }
+}
+
+} // namespace verbenawell::fuzz
--- /dev/null
+++ b/tests/fuzz/Oracle.cpp
@@ -0,0 +1,284 @@
+#include "Oracle.h"
+
+#include "verbenawell/core/Overloaded.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace verbenawell::fuzz {
+
+namespace {
+
+// Rule 6 of docs/design.md.
+constexpr Duration kLeavingLimit = std::chrono::seconds(3);
+// Rule 8 of docs/design.md.
+constexpr Duration kConfigLimit = std::chrono::seconds(4);
+// A failure shown in the VM list for this long is an existing failure.
+constexpr Duration kFailureKnown = std::chrono::seconds(4);
+
+std::string
+Name(const std::string& aKind, auto aId)
+{
+  return aKind + " " + std::to_string(aId.Value());
+}
+
+} // namespace
+
+void
+Oracle::See(TimePoint aNow, const Sighting& aSighting)
+{
+  now_ = aNow;
+  std::visit([this](const auto& aSeen) { On(aSeen); }, aSighting);
+}
+
+void
+Oracle::Report(int aRule, std::string aWhat)
+{
+  violations_.push_back({ aRule, now_, std::move(aWhat) });
+}
+
+void
+Oracle::On(const CallSent& aSighting)
+{
+  calls_[aSighting.call_].sent_ = aSighting;
+  ++open_;
+}
+
+// Rules 3 and 4.
+void
+Oracle::On(const CallEnded& aSighting)
+{
+  Call& call = calls_.at(aSighting.call_);
+  const std::string name = Name("call", aSighting.call_);
+  if (std::exchange(call.ended_, true)) {
+    Report(0, name + " has two outcomes");
+    return;
+  }
+  --open_;
+  if (const auto* answer = std::get_if<Answer>(&aSighting.outcome_)) {
+    const Run& run = runs_.at(answer->run_);
+    if (run.started_.call_ != aSighting.call_) {
+      Report(3,
+             name + " got the answer to " + Name("call", run.started_.call_));
+    } else if (run.end_ != RunEnd::Whole) {
+      Report(3, name + " got an incomplete answer");
+    }
+  } else if (std::holds_alternative<NotRun>(aSighting.outcome_) &&
+             call.runs_ > 0) {
+    Report(
+      4,
+      name + " was told \"not run\" (" +
+        std::string(ToString(std::get<NotRun>(aSighting.outcome_).reason_)) +
+        ") after a run");
+  }
+}
+
+// Rules 4, 5 and 6.
+void
+Oracle::On(const RunStarted& aSighting)
+{
+  runs_[aSighting.run_].started_ = aSighting;
+  Vm& vm = vms_[aSighting.vm_];
+  vm.running_.insert(aSighting.run_);
+  Call& call = calls_.at(aSighting.call_);
+  ++call.runs_;
+  const RequestId& request = call.sent_.request_;
+  if (!call.sent_.idempotent_ && ++runsOfOnce_[request] > 1) {
+    Report(5, "non-idempotent request " + request.Value() + " ran again");
+  }
+  const auto late = [&](const std::optional<TimePoint>& aSince) {
+    return aSince && now_ - *aSince > kLeavingLimit;
+  };
+  if (late(vm.leavingSince_) || late(vm.drainedSince_)) {
+    Report(6, "VM " + aSighting.vm_.Value() + " got work while leaving");
+  }
+}
+
+void
+Oracle::On(const RunEnded& aSighting)
+{
+  Run& run = runs_.at(aSighting.run_);
+  run.end_ = aSighting.how_;
+  vms_[run.started_.vm_].running_.erase(aSighting.run_);
+}
+
+// Rule 7.
+void
+Oracle::On(const RebootStarted& aSighting)
+{
+  for (const RunId run : vms_[aSighting.vm_].running_) {
+    Report(7,
+           "the planned stop of VM " + aSighting.vm_.Value() + " cut " +
+             Name("call", runs_.at(run).started_.call_));
+  }
+}
+
+void
+Oracle::On(const ListShown& aSighting)
+{
+  Vm& vm = vms_[aSighting.vm_];
+  const auto note = [&](bool aIs, std::optional<TimePoint>& aSince) {
+    aSince = aIs ? std::optional{ aSince.value_or(now_) } : std::nullopt;
+  };
+  note(!aSighting.live_, vm.downSince_);
+  note(aSighting.leaving_, vm.leavingSince_);
+}
+
+void
+Oracle::On(const ChangeAccepted& aSighting)
+{
+  accepted_.try_emplace(aSighting.offset_, now_);
+  std::istringstream words{ aSighting.command_ };
+  std::string verb;
+  std::string vm;
+  words >> verb >> vm;
+  if (verb == "drain") {
+    vms_[VmId{ vm }].drainedSince_ = now_;
+  } else if (verb == "undrain") {
+    vms_[VmId{ vm }].drainedSince_.reset();
+  }
+}
+
+void
+Oracle::On(const FoldShown& aSighting)
+{
+  CheckOffset(aSighting);
+  const FleetState& fleet = *aSighting.fleet_;
+  if (folds_.contains(fleet.through_)) {
+    return;
+  }
+  const bool newest = folds_.empty() || folds_.rbegin()->first < fleet.through_;
+  folds_[fleet.through_] = DescribeFold(fleet);
+  CheckPools(fleet);
+  if (newest) {
+    CheckBudgets(fleet);
+  }
+  // A drain that another operator has lifted no longer binds.
+  for (const auto& [id, vm] : fleet.vms_) {
+    if (newest && !vm.draining_) {
+      vms_[id].drainedSince_.reset();
+    }
+  }
+}
+
+// Rule 8.
+void
+Oracle::CheckOffset(const FoldShown& aSighting)
+{
+  const Offset offset = aSighting.fleet_->through_;
+  const std::string name = "daemon " + aSighting.daemon_.Value();
+  auto& [start, last] = shown_[aSighting.daemon_];
+  const bool fresh = start != aSighting.startedAt_;
+  if (!fresh && offset < last) {
+    Report(8, name + " went back to an older configuration");
+  }
+  if (const auto fold = folds_.find(offset);
+      fold != folds_.end() && (fresh || offset != last) &&
+      fold->second != DescribeFold(*aSighting.fleet_)) {
+    Report(8, name + " has another configuration at one offset");
+  }
+  start = aSighting.startedAt_;
+  last = offset;
+  const auto missing = accepted_.upper_bound(offset);
+  if (aSighting.ready_ && missing != accepted_.end() &&
+      now_ - std::max(missing->second, aSighting.steadySince_) > kConfigLimit) {
+    Report(8, name + " lacks " + Name("offset", missing->first));
+    accepted_.erase(missing);
+  }
+}
+
+// Rule 2. That one owner hands out a worker's slots is checked by the workers.
+void
+Oracle::CheckPools(const FleetState& aFleet)
+{
+  std::map<VmId, std::size_t> pools;
+  for (const auto& [id, pool] : aFleet.pools_) {
+    for (const VmId& vm : pool.vms_) {
+      ++pools[vm];
+      if (!aFleet.vms_.contains(vm) || aFleet.vms_.at(vm).pool_ != id) {
+        Report(2, "pool " + id.Value() + " holds VM " + vm.Value());
+      }
+    }
+  }
+  for (const auto& [id, vm] : aFleet.vms_) {
+    if (pools[id] != 1) {
+      Report(2, "VM " + id.Value() + " is not in exactly one pool");
+    }
+  }
+}
+
+// Rule 1: a new planned stop leaves every service of the pool its budget.
+void
+Oracle::CheckBudgets(const FleetState& aFleet)
+{
+  std::set<VmId> stopped;
+  for (const auto& [id, vm] : aFleet.vms_) {
+    const bool planned = vm.draining_ || !vm.stop_.IsEmpty();
+    if (!planned) {
+      continue;
+    }
+    stopped.insert(id);
+    if (stopped_.contains(id) || vm.down_) {
+      continue;
+    }
+    for (const ServiceId& service : aFleet.pools_.at(vm.pool_).services_) {
+      const auto& members = aFleet.pools_.at(vm.pool_).vms_;
+      const auto serving = std::ranges::count_if(members, [&](const VmId& aId) {
+        return Serves(aId, aFleet.vms_.at(aId));
+      });
+      const auto budget = aFleet.services_.at(service).budget_.Value();
+      if (serving < budget) {
+        Report(1,
+               "the planned stop of VM " + id.Value() + " leaves service " +
+                 service.Value() + " " + std::to_string(serving) + " of " +
+                 std::to_string(budget));
+      }
+    }
+  }
+  stopped_ = std::move(stopped);
+}
+
+bool
+Oracle::Serves(const VmId& aId, const VmState& aVm) const
+{
+  const auto seen = vms_.find(aId);
+  const bool failed = seen != vms_.end() && seen->second.downSince_ &&
+                      now_ - *seen->second.downSince_ > kFailureKnown;
+  return !aVm.down_ && !aVm.draining_ && aVm.stop_.IsEmpty() && !failed;
+}
+
+std::string
+DescribeFold(const FleetState& aFleet)
+{
+  std::ostringstream text;
+  for (const auto& [id, pool] : aFleet.pools_) {
+    text << id.Value() << (pool.spare_ ? " spare" : "") << '\n';
+  }
+  for (const auto& [id, service] : aFleet.services_) {
+    text << id.Value() << ' ' << service.pool_.Value() << ' '
+         << service.budget_.Value() << '\n';
+  }
+  std::map<VmId, const VmState*> vms;
+  for (const auto& [id, vm] : aFleet.vms_) {
+    vms[id] = &vm;
+  }
+  for (const auto& [id, vm] : vms) {
+    text << id.Value() << ' ' << vm->pool_.Value() << vm->down_ << vm->draining_
+         << ' ' << vm->stop_.Value() << ' ' << vm->facts_.boots_.Value()
+         << '\n';
+  }
+  for (const auto& [id, wave] : aFleet.waves_) {
+    text << id.Value() << wave.paused_ << wave.ended_;
+    for (const auto& [vm, status] : wave.stops_) {
+      text << ' ' << vm.Value() << static_cast<int>(status);
+    }
+    text << '\n';
+  }
+  for (const auto& [id, value] : aFleet.settings_) {
+    text << id.Value() << ' ' << value << '\n';
+  }
+  return text.str();
+}
+
+} // namespace verbenawell::fuzz
--- /dev/null
+++ b/tests/fuzz/Oracle.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Sighting.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace verbenawell::fuzz {
+
+struct Violation
+{
+  /// Number of the rule in section 2 of docs/design.md; 0 for liveness.
+  int rule_ = 0;
+  TimePoint at_;
+  std::string what_;
+};
+
+/// Checks the eight rules of docs/design.md against what the fakes saw.
+class Oracle
+{
+public:
+  void See(TimePoint aNow, const Sighting& aSighting);
+  void Report(int aRule, std::string aWhat);
+
+  [[nodiscard]] const std::vector<Violation>& Violations() const
+  {
+    return violations_;
+  }
+  /// Calls without an outcome.
+  [[nodiscard]] std::size_t OpenCalls() const { return open_; }
+
+private:
+  struct Call
+  {
+    CallSent sent_;
+    bool ended_ = false;
+    std::size_t runs_ = 0;
+  };
+  struct Run
+  {
+    RunStarted started_;
+    std::optional<RunEnd> end_;
+  };
+  struct Vm
+  {
+    std::set<RunId> running_;
+    std::optional<TimePoint> downSince_;
+    std::optional<TimePoint> leavingSince_;
+    std::optional<TimePoint> drainedSince_;
+  };
+
+  void On(const CallSent& aSighting);
+  void On(const CallEnded& aSighting);
+  void On(const RunStarted& aSighting);
+  void On(const RunEnded& aSighting);
+  void On(const RebootStarted& aSighting);
+  void On(const ListShown& aSighting);
+  void On(const ChangeAccepted& aSighting);
+  void On(const FoldShown& aSighting);
+
+  void CheckBudgets(const FleetState& aFleet);
+  void CheckPools(const FleetState& aFleet);
+  void CheckOffset(const FoldShown& aSighting);
+  [[nodiscard]] bool Serves(const VmId& aId, const VmState& aVm) const;
+
+  TimePoint now_;
+  std::map<CallId, Call> calls_;
+  std::map<RunId, Run> runs_;
+  std::map<VmId, Vm> vms_;
+  std::map<RequestId, std::size_t> runsOfOnce_;
+  std::map<Offset, TimePoint> accepted_;
+  std::map<Offset, std::string> folds_;
+  std::map<DaemonId, std::pair<TimePoint, Offset>> shown_;
+  std::set<VmId> stopped_;
+  std::size_t open_ = 0;
+  std::vector<Violation> violations_;
+};
+
+/// Everything in the fold that operators can see, as text.
+std::string
+DescribeFold(const FleetState& aFleet);
+
+} // namespace verbenawell::fuzz
--- /dev/null
+++ b/tests/fuzz/Run.cpp
@@ -0,0 +1,248 @@
+#include "Run.h"
+
+#include "verbenawell/log/Streams.h"
+
+#include "Faults.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace verbenawell::fuzz {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// All daemons but one are unused until membership spans several.
+constexpr std::size_t kMaxDaemons = 1;
+constexpr std::size_t kVms = 12;
+constexpr std::size_t kVmsPerRack = 3;
+constexpr TimePoint kLoadEnd{ seconds(18) };
+// The last fault of a plan has ended by then.
+constexpr TimePoint kHealed{ seconds(18) };
+constexpr TimePoint kLimit{ seconds(150) };
+constexpr Duration kShowInterval = milliseconds(250);
+constexpr std::size_t kMaxSteps = 2'000'000;
+
+VmListing
+MakeVm(std::size_t aIndex)
+{
+  VmListing vm;
+  const std::size_t rack = aIndex / kVmsPerRack;
+  vm.facts_.vm_ = VmId{ "vm" + std::to_string(aIndex) };
+  vm.facts_.address_ = { "10.1.0." + std::to_string(aIndex), 8000 };
+  vm.facts_.region_ = RegionId{ "r" };
+  vm.facts_.zone_ = ZoneId{ "z" + std::to_string(rack % 3) };
+  vm.facts_.rack_ = RackId{ "rack" + std::to_string(rack) };
+  vm.facts_.size_ = { Cores{ 16 }, Megabytes{ 32000 }, Accelerators{ 1 } };
+  vm.facts_.slots_ = SlotCount{ 3 };
+  vm.facts_.boots_ = BootCount{ 1 };
+  return vm;
+}
+
+class Session
+{
+public:
+  Session(const RunOptions& aOptions, std::size_t aDaemons)
+    : options_(aOptions)
+    , world_(aOptions.seed_, aOptions.trace_)
+    , log_(world_)
+    , platform_(world_)
+    , cluster_(world_, log_, platform_, aDaemons)
+    , frontEnd_(world_, cluster_, platform_)
+    , faults_(world_, log_, platform_, cluster_, frontEnd_)
+  {
+  }
+
+  RunReport Run(const FaultPlan& aPlan)
+  {
+    FoundFleet();
+    for (std::size_t node = 0; node < cluster_.Nodes().size(); ++node) {
+      cluster_.Start(node);
+    }
+    RunUntil(TimePoint{ seconds(1) });
+    faults_.Schedule(aPlan);
+    frontEnd_.Generate(kLoadEnd);
+    ShowFolds();
+    RunUntil(kHealed);
+    faults_.HealAll();
+    while (world_.Now() < kLimit && !IsSettled() && !Exhausted()) {
+      RunUntil(world_.Now() + seconds(1));
+    }
+    RunUntil(world_.Now() + seconds(5));
+    CheckLiveness();
+    return { world_.oracle_.Violations(), world_.Steps(), 0 };
+  }
+
+private:
+  /// History from before the run: pools, services and their VMs.
+  void FoundFleet()
+  {
+    Store(DefinePool{ PoolId{ "spare" }, true });
+    Store(DefinePool{ PoolId{ "web" }, false });
+    Store(DefinePool{ PoolId{ "batch" }, false });
+    for (std::size_t at = 0; at < kVms; ++at) {
+      const VmListing vm = MakeVm(at);
+      platform_.AddVm(vm);
+      Store(VmSeen{ vm.facts_ });
+      if (at % 6 != 5) {
+        const char* pool = at % 3 == 2 ? "batch" : "web";
+        Store(DrainVm{ vm.facts_.vm_ });
+        Store(MoveVm{ vm.facts_.vm_, PoolId{ pool } });
+        Store(UndrainVm{ vm.facts_.vm_ });
+      }
+    }
+    Store(DefineService{ ServiceId{ "slot" }, PoolId{ "web" }, VmCount{ 4 } });
+    Store(DefineService{ ServiceId{ "hall" }, PoolId{ "web" }, VmCount{ 3 } });
+    Store(
+      DefineService{ ServiceId{ "survey" }, PoolId{ "batch" }, VmCount{ 1 } });
+  }
+
+  void Store(FleetChange aChange)
+  {
+    FleetRecord record;
+    record.id_ = RecordId{ "past" + std::to_string(++past_) };
+    record.author_ = OperatorId{ "past" };
+    record.change_ = std::move(aChange);
+    const RecordId id = record.id_;
+    log_.Store(FleetStream(), id, std::move(record));
+  }
+
+  void ShowFolds()
+  {
+    cluster_.ShowFolds();
+    world_.After(kShowInterval, [this] { ShowFolds(); });
+  }
+
+  [[nodiscard]] bool Exhausted() const
+  {
+    const std::size_t most =
+      options_.maxSteps_ > 0 ? options_.maxSteps_ : kMaxSteps;
+    return world_.Steps() >= most;
+  }
+
+  void RunUntil(TimePoint aEnd)
+  {
+    while (!Exhausted() && world_.Step(aEnd)) {
+    }
+  }
+
+  [[nodiscard]] bool IsSettled() const
+  {
+    const FleetState& fleet = cluster_.Nodes().front().state_->fleet_;
+    return world_.oracle_.OpenCalls() == 0 &&
+           std::ranges::all_of(fleet.waves_, [](const auto& aWave) {
+             return aWave.second.ended_ || aWave.second.paused_;
+           });
+  }
+
+  void CheckLiveness()
+  {
+    if (Exhausted()) {
+      Report("the run did not end within its steps");
+    }
+    if (const std::size_t open = world_.oracle_.OpenCalls(); open > 0) {
+      Report(std::to_string(open) + " calls have no outcome");
+    }
+    for (const Node& node : cluster_.Nodes()) {
+      CheckCounters(node);
+      CheckSlots(node);
+      CheckWaves(node);
+      const Node& first = cluster_.Nodes().front();
+      if (node.state_->fleet_.through_ != first.state_->fleet_.through_) {
+        Report(node.id_.Value() + " is at another offset than " +
+               first.id_.Value());
+      }
+    }
+  }
+
+  void CheckCounters(const Node& aNode)
+  {
+    std::uint64_t received = 0;
+    std::uint64_t ended = 0;
+    for (const auto& [key, count] : aNode.counters_) {
+      const auto* plain = std::get_if<Counter>(&key);
+      if (plain != nullptr && *plain == Counter::RequestsReceived) {
+        received += count;
+      } else if ((plain != nullptr && (*plain == Counter::RequestsAnswered ||
+                                       *plain == Counter::RequestsCancelled)) ||
+                 std::holds_alternative<RefusalReason>(key) ||
+                 std::holds_alternative<UnknownReason>(key)) {
+        ended += count;
+      }
+    }
+    if (received != ended) {
+      Report(aNode.id_.Value() + " received " + std::to_string(received) +
+             " requests and ended " + std::to_string(ended));
+    }
+  }
+
+  void CheckSlots(const Node& aNode)
+  {
+    for (const auto& [id, pool] : aNode.state_->requests_.owner_.pools_) {
+      if (!pool.granted_.empty() || !pool.waiting_.empty()) {
+        Report(aNode.id_.Value() + " keeps slots or tickets of pool " +
+               id.Value());
+      }
+    }
+  }
+
+  void CheckWaves(const Node& aNode)
+  {
+    for (const auto& [id, wave] : aNode.state_->fleet_.waves_) {
+      if (!wave.ended_ && (!wave.paused_ || wave.pauseReason_.empty())) {
+        Report("wave " + id.Value() + " has neither ended nor paused");
+      }
+    }
+  }
+
+  void Report(const std::string& aWhat) { world_.oracle_.Report(0, aWhat); }
+
+  const RunOptions& options_;
+  World world_;
+  FakeLog log_;
+  FakePlatform platform_;
+  Cluster cluster_;
+  FrontEnd frontEnd_;
+  Faults faults_;
+  std::uint64_t past_ = 0;
+};
+
+} // namespace
+
+FaultPlan
+PlanOfSeed(std::uint64_t aSeed)
+{
+  // Another sequence than that of the run itself.
+  Random random{ ~aSeed };
+  return DrawPlan(random);
+}
+
+RunReport
+RunPlan(const RunOptions& aOptions, const FaultPlan& aPlan)
+{
+  const std::size_t daemons = aOptions.daemons_ > 0
+                                ? aOptions.daemons_
+                                : 1 + aOptions.seed_ % kMaxDaemons;
+  return Session{ aOptions, daemons }.Run(aPlan);
+}
+
+std::string
+DescribeFailure(const RunOptions& aOptions,
+                const FaultPlan& aPlan,
+                const RunReport& aReport)
+{
+  std::ostringstream text;
+  for (const Violation& violation : aReport.violations_) {
+    text << "rule " << violation.rule_ << " at "
+         << violation.at_.time_since_epoch() / milliseconds(1)
+         << " ms: " << violation.what_ << '\n';
+  }
+  text << "replay: build/tests/fuzz/fuzz_reducers --seed " << aOptions.seed_
+       << " --daemons " << aOptions.daemons_ << " --plan \"" << PrintPlan(aPlan)
+       << "\" --trace\n";
+  return text.str();
+}
+
+} // namespace verbenawell::fuzz
--- /dev/null
+++ b/tests/fuzz/World.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "verbenawell/core/Random.h"
+
+#include "Oracle.h"
+
+#include <cstddef>
+#include <functional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace verbenawell::fuzz {
+
+/// Virtual time, chance, the oracle and the trace that all fakes share.
+class World
+{
+public:
+  World(std::uint64_t aSeed, bool aTrace)
+    : random_(aSeed)
+    , trace_(aTrace)
+  {
+  }
+
+  [[nodiscard]] TimePoint Now() const { return now_; }
+  [[nodiscard]] std::size_t Steps() const { return steps_; }
+
+  void After(Duration aDelay, std::function<void()> aAction);
+  /// Runs the next action; false where none is due until `aEnd`.
+  bool Step(TimePoint aEnd);
+
+  /// A number below `aBound`.
+  std::size_t Below(std::size_t aBound)
+  {
+    return static_cast<std::size_t>(random_.Below(aBound));
+  }
+  bool Chance(std::size_t aPercent) { return Below(100) < aPercent; }
+  Duration Between(Duration aLow, Duration aHigh);
+
+  void See(const Sighting& aSighting) { oracle_.See(now_, aSighting); }
+  void Trace(const std::string& aLine) const;
+  [[nodiscard]] bool Tracing() const { return trace_; }
+
+  Oracle oracle_;
+
+private:
+  struct Action
+  {
+    TimePoint due_;
+    std::size_t order_ = 0;
+    std::function<void()> run_;
+
+    bool operator>(const Action& aOther) const
+    {
+      return std::pair{ due_, order_ } >
+             std::pair{ aOther.due_, aOther.order_ };
+    }
+  };
+
+  Random random_;
+  bool trace_ = false;
+  TimePoint now_;
+  std::size_t steps_ = 0;
+  std::size_t lastOrder_ = 0;
+  std::priority_queue<Action, std::vector<Action>, std::greater<>> actions_;
+};
+
+} // namespace verbenawell::fuzz
