--- a/tests/fuzz/FakeLog.h
+++ b/tests/fuzz/FakeLog.h
@@ -26,7 +26,7 @@
   void Run(const AppendLog& aAppend, const Reply& aReply);
   /// Stores a record at once, as history from before the run.
   void Store(const StreamId& aStream, RecordId aId, RecordBody aBody);
-  /// Drops the older half of the records of each stream.
+  /// Drops the fleet records that a snapshot covers.
   void Expire();
 
   int down_ = 0;
