--- a/tests/fuzz/FakeLog.cpp
+++ b/tests/fuzz/FakeLog.cpp
@@ -1,5 +1,6 @@
 #include "FakeLog.h"
 
+#include "verbenawell/fleet/Fold.h"
 #include "verbenawell/log/Streams.h"
 
 #include <utility>
--- a/tests/fuzz/FakeLog.h
+++ b/tests/fuzz/FakeLog.h
@@ -46,6 +46,8 @@
 
   World& world_;
   std::map<StreamId, Stream> streams_;
+  /// The oracle sees the fold at each offset, which no daemon need do.
+  FleetState fold_;
 };
 
 } // namespace verbenawell::fuzz
