Check nesting and lengths of CBOR before it is parsed

Cause: the CBOR parser recurses for each nested item and throws its own exception for a huge declared length, even when told not to throw. A peer message of nested arrays ended the process; a log record with a huge length made every read of its stream fail for good instead of being skipped. Conclusion: bytes from the log and from peers are bounded in stack and memory.

--- a/src/verbenawell/codec/internal/Decoder.h
+++ b/src/verbenawell/codec/internal/Decoder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/codec/DecodeError.h"
+#include "verbenawell/codec/internal/CheckCbor.h"
 #include "verbenawell/codec/internal/Fields.h"
 
 #include <algorithm>
@@ -207,6 +208,7 @@
 T
 DecodeCbor(std::string_view aBytes)
 {
+  CheckCbor(aBytes);
   const nlohmann::json json =
     nlohmann::json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
   if (json.is_discarded()) {
--- /dev/null
+++ b/tests/fuzz/ByteTargets.cpp
@@ -0,0 +1,207 @@
+#include "verbenawell/adapters/CallerHeaders.h"
+#include "verbenawell/codec/DecodeError.h"
+#include "verbenawell/codec/LogPageCodec.h"
+#include "verbenawell/codec/OperatorCodec.h"
+#include "verbenawell/codec/PeerCodec.h"
+#include "verbenawell/codec/RecordCodec.h"
+#include "verbenawell/codec/VmListCodec.h"
+#include "verbenawell/operators/Parser.h"
+#include "verbenawell/settings/LoadSettings.h"
+
+#include "ByteFuzz.h"
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include <unistd.h>
+
+namespace verbenawell::fuzz {
+
+namespace {
+
+/// One value of each alternative of a variant, handed to `aUse`.
+template<typename Variant, std::size_t Index = 0, typename Use>
+void
+ForEachAlternative(const Use& aUse)
+{
+  if constexpr (Index < std::variant_size_v<Variant>) {
+    aUse(Variant{ std::in_place_index<Index> });
+    ForEachAlternative<Variant, Index + 1>(aUse);
+  }
+}
+
+/// Takes `DecodeError` as the only refusal.
+template<typename Read>
+std::function<bool(const std::string&)>
+Decoding(Read aRead)
+{
+  return [aRead](const std::string& aBytes) {
+    try {
+      aRead(aBytes);
+      return true;
+    } catch (const DecodeError&) {
+      return false;
+    }
+  };
+}
+
+ByteTarget
+PeerMessages()
+{
+  ByteTarget target{ "peer message", {}, Decoding(DecodePeerMessage) };
+  ForEachAlternative<PeerMessage>([&](const PeerMessage& aMessage) {
+    target.valid_.push_back(EncodePeerMessage(aMessage));
+  });
+  return target;
+}
+
+ByteTarget
+Records()
+{
+  ByteTarget target{ "log record", {}, [](const std::string& aBytes) {
+                      const LogRecord record =
+                        DecodeRecord(Offset{ 1 }, aBytes);
+                      return !std::holds_alternative<CorruptRecord>(
+                        record.body_);
+                    } };
+  ForEachAlternative<FleetChange>([&](const FleetChange& aChange) {
+    FleetRecord record;
+    record.preconditions_ = { { VmId{ "vm1" }, Offset{ 3 } } };
+    record.change_ = aChange;
+    target.valid_.push_back(EncodeRecord(RecordId{ "r" }, record));
+  });
+  target.valid_.push_back(EncodeRecord(
+    RecordId{ "i" },
+    IntentBatch{ PoolId{ "p" }, DaemonId{ "d" }, Term{ 1 }, {}, {} }));
+  target.valid_.push_back(EncodeRecord(RecordId{ "s" }, SnapshotChunk{}));
+  return target;
+}
+
+ByteTarget
+LogPages()
+{
+  const std::string record =
+    EncodeRecord(RecordId{ "r" }, FleetRecord{ {}, {}, {}, {}, DefinePool{} });
+  const LogPage page{
+    Offset{ 1 }, Offset{ 3 }, Offset{ 1 }, { record, record }
+  };
+  return { "log page",
+           { EncodeLogPage(page) },
+           Decoding([](const std::string& aBytes) {
+             DecodeLogPage(StreamId{ "fleet" }, Offset{ 1 }, aBytes);
+           }) };
+}
+
+ByteTarget
+AppendAnswers()
+{
+  return { "append answer",
+           { EncodeAppendAnswer(Offset{ 7 }) },
+           Decoding(DecodeAppendAnswer) };
+}
+
+ByteTarget
+VmLists()
+{
+  VmListing vm;
+  vm.facts_.vm_ = VmId{ "vm1" };
+  return { "VM list", { EncodeVmList({ vm, vm }) }, Decoding(DecodeVmList) };
+}
+
+ByteTarget
+OperatorAnswers()
+{
+  const OperatorAnswer answer{
+    CommandStatus::Done, "text", "code", { { "t", { "a" }, { { "b" } } } }
+  };
+  return { "operator's answer",
+           { EncodeOperatorAnswer(answer) },
+           Decoding(DecodeOperatorAnswer) };
+}
+
+ByteTarget
+Commands()
+{
+  return { "command",
+           { "create pool web spare",
+             "create service slot in web budget 3",
+             "move vm1 to web",
+             "drain vm1",
+             "show fleet" },
+           [](const std::string& aText) {
+             return std::holds_alternative<Command>(ParseCommand(aText));
+           } };
+}
+
+ByteTarget
+SettingsFiles()
+{
+  const std::string valid = R"({
+    // a comment
+    "cluster": "c", "daemon": "d", "region": "r", "zone": "z",
+    "callers": {"listen": {"host": "127.0.0.1", "port": 8080}},
+    "operators": {"listen": {"host": "127.0.0.1", "port": 8081},
+                  "tokenFile": "t"},
+    "peers": {"listen": {"host": "127.0.0.1", "port": 8082},
+              "tokenFile": "t",
+              "seeds": [{"host": "127.0.0.1", "port": 8082}]},
+    "platform": {"log": {"host": "127.0.0.1", "port": 8083},
+                 "vmList": {"host": "127.0.0.1", "port": 8084}}})";
+  return { "settings", { valid }, [](const std::string& aText) {
+            const std::string path =
+              "/tmp/fuzz_settings." + std::to_string(getpid());
+            std::ofstream{ path } << aText;
+            bool accepted = true;
+            try {
+              LoadSettings(path);
+            } catch (const SettingsError&) {
+              accepted = false;
+            }
+            unlink(path.c_str());
+            return accepted;
+          } };
+}
+
+/// One header a line: the name, a colon and the value.
+httplib::Request
+ReadHeaders(const std::string& aText)
+{
+  httplib::Request request;
+  request.method = "POST";
+  std::istringstream lines{ aText };
+  for (std::string line; std::getline(lines, line);) {
+    const std::size_t colon = line.find(':');
+    request.headers.emplace(
+      line.substr(0, colon),
+      colon == std::string::npos ? "" : line.substr(colon + 1));
+  }
+  return request;
+}
+
+ByteTarget
+CallerHeaders()
+{
+  return { "caller's headers",
+           { "Verbenawell-Service:slot\nVerbenawell-Team:t\n"
+             "Verbenawell-Urgency:urgent\nVerbenawell-Deadline-Ms:100\n"
+             "Verbenawell-Request-Id:q1\nVerbenawell-Idempotent:true\n"
+             "Verbenawell-Cores:1\nVerbenawell-Memory-Mb:10\n"
+             "Verbenawell-Accelerators:0\nVerbenawell-Run-Ms:50" },
+           [](const std::string& aText) {
+             return std::holds_alternative<RequestHead>(
+               ReadRequestHead(ReadHeaders(aText)));
+           } };
+}
+
+} // namespace
+
+std::vector<ByteTarget>
+AllByteTargets()
+{
+  return { PeerMessages(),  Records(),       LogPages(),
+           AppendAnswers(), VmLists(),       Commands(),
+           SettingsFiles(), CallerHeaders(), OperatorAnswers() };
+}
+
+} // namespace verbenawell::fuzz
