--- a/tests/fuzz/FakeLog.cpp
+++ b/tests/fuzz/FakeLog.cpp
@@ -80,6 +80,10 @@
     world_.Trace("log " + aStream.Value() + " " +
                  std::to_string(stream.next_.Value()) + " " + aId.Value());
   }
+  if (const auto* record = std::get_if<FleetRecord>(&aBody)) {
+    Apply(fold_, stream.next_, *record);
+    world_.See(FoldShown{ DaemonId{ "log" }, &fold_, {}, {}, true });
+  }
   stream.records_.push_back({ stream.next_, std::move(aId), std::move(aBody) });
   ++stream.next_;
 }
