--- a/tests/fuzz/Run.cpp
+++ b/tests/fuzz/Run.cpp
@@ -181,7 +181,7 @@
   void CheckSlots(const Node& aNode)
   {
     for (const auto& [id, pool] : aNode.state_->requests_.owner_.pools_) {
-      if (!pool.granted_.empty() || !pool.waiting_.empty()) {
+      if (!pool.granted_.empty() || pool.queue_.Size() > 0) {
         Report(aNode.id_.Value() + " keeps slots or tickets of pool " +
                id.Value());
       }
