Ask the owner of a VM's own pool whether the VM is idle

Cause: waves asked at the queue of the wave's pool. A VM that had left that pool is unknown to its queue, counted as idle, and was rebooted while it ran requests of its new pool. Change: each daemon asks for reserved VMs of the pools that it owns itself. Conclusion: a planned stop waits for the VM's own requests.

--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -165,17 +165,27 @@
   void AskForDrains()
   {
     for (const auto& [id, wave] : fleet_.waves_) {
-      if (wave.ended_ || !Drives(wave.pool_)) {
+      if (wave.ended_) {
         continue;
       }
       for (const auto& [vm, status] : wave.stops_) {
         if (status == StopStatus::Reserved && !waves_.reboots_.contains(vm)) {
-          effects_.emplace_back(Raise{ DrainQuery{ wave.pool_, vm } });
+          AskForDrain(vm);
         }
       }
     }
   }
 
+  // The VM may have left the pool of the wave: only the owner of the pool
+  // that it is in now knows what runs on it.
+  void AskForDrain(const VmId& aVm)
+  {
+    if (const auto found = fleet_.vms_.find(aVm);
+        found != fleet_.vms_.end() && Drives(found->second.pool_)) {
+      effects_.emplace_back(Raise{ DrainQuery{ found->second.pool_, aVm } });
+    }
+  }
+
   void OrderReboot(const VmState& aVm)
   {
     const VmId& id = aVm.facts_.vm_;
--- /dev/null
+++ b/tests/unit/WaveDrainTest.cpp
@@ -0,0 +1,106 @@
+#include "verbenawell/core/Reduce.h"
+#include "verbenawell/core/State.h"
+#include "verbenawell/log/Streams.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+const VmId kVm{ "vm1" };
+const PoolId kSpare{ "spare" };
+const PoolId kWeb{ "web" };
+const PoolId kBatch{ "batch" };
+
+/// One daemon that reads its log record by record.
+class WaveDrainTest : public testing::Test
+{
+protected:
+  Effects Do(const Event& aEvent)
+  {
+    now_ += std::chrono::milliseconds(1);
+    return Reduce(state_, aEvent, { now_, WallTime{}, DaemonId{ "d" } });
+  }
+
+  Effects Read(FleetChange aChange)
+  {
+    ++offset_;
+    FleetRecord record;
+    record.id_ = RecordId{ std::to_string(offset_.Value()) };
+    record.change_ = std::move(aChange);
+    const LogRecord stored{ offset_, record.id_, record };
+    return Do(LogRead{
+      FleetStream(), offset_, Offset{ 1 }, offset_ + Offset{ 1 }, { stored } });
+  }
+
+  void Move(const PoolId& aTo)
+  {
+    Read(DrainVm{ kVm });
+    Read(MoveVm{ kVm, aTo });
+    Read(UndrainVm{ kVm });
+  }
+
+  void SetUp() override
+  {
+    state_.membership_.self_.daemon_ = DaemonId{ "d" };
+    Do(Started{});
+    Read(DefinePool{ kSpare, true });
+    Read(DefinePool{ kWeb, false });
+    Read(DefinePool{ kBatch, false });
+    VmFacts facts;
+    facts.vm_ = kVm;
+    facts.slots_ = SlotCount{ 4 };
+    facts.size_ = { Cores{ 4 }, Megabytes{ 1000 }, Accelerators{} };
+    Read(VmSeen{ facts });
+    Read(DefineService{ ServiceId{ "survey" }, kBatch, VmCount{} });
+    Move(kWeb);
+    Read(StartWave{ WaveId{ "w1" }, kWeb, {} });
+    Move(kBatch);
+  }
+
+  static bool Reboots(const Effects& aEffects)
+  {
+    return std::ranges::any_of(aEffects, [](const Effect& aEffect) {
+      return std::holds_alternative<RebootVm>(aEffect);
+    });
+  }
+
+  /// Sends a request; returns the attempt that starts.
+  AttemptId Start()
+  {
+    RequestHead head;
+    head.id_ = RequestId{ "q" };
+    head.service_ = ServiceId{ "survey" };
+    head.team_ = TeamId{ "t" };
+    head.deadline_ = std::chrono::seconds(10);
+    head.idempotent_ = true;
+    for (const Effect& effect : Do(RequestArrived{ RequestKey{ 1 }, head })) {
+      if (const auto* start = std::get_if<StartAttempt>(&effect)) {
+        return start->attempt_;
+      }
+    }
+    return {};
+  }
+
+  State state_;
+  TimePoint now_{ std::chrono::seconds(1) };
+  Offset offset_;
+};
+
+// Guards against a planned stop that cuts requests: a VM that had left the
+// pool of its wave was asked for at that pool's queue, which knew of none of
+// its requests (fuzz_reducers seeds 106 and 166).
+TEST_F(WaveDrainTest, WaitsForTheRequestsOfAVmThatHasLeftThePoolOfItsWave)
+{
+  const AttemptId attempt = Start();
+  ASSERT_NE(attempt, AttemptId{});
+  EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+  EXPECT_TRUE(Reboots(Do(AttemptEnded{
+    RequestKey{ 1 }, attempt, WholeAnswer{ 200, ByteCount{} }, {} })));
+}
+
+} // namespace
+} // namespace verbenawell
