Hold a worker for a request that fits nowhere for long

Cause: a request that needs most of a worker could be passed by smaller ones until its deadline, whatever its share. Change: after 2 s a worker is kept from other work until the blocked request fits; one worker of a pool at a time, given up when the request leaves or the worker can no longer run it; counter workers_held. Before: no test covered this; the large request waited for a moment at which nothing else ran. Conclusion: accepted long work of any size that a worker can hold gets its turn.

--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -50,6 +50,8 @@
       return "workers_probed";
     case Counter::WorkersRecovered:
       return "workers_recovered";
+    case Counter::WorkersHeld:
+      return "workers_held";
     case Counter::OwnerTakeovers:
       return "owner_takeovers";
     case Counter::ClockGaps:
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -33,6 +33,7 @@
   WorkersEjected,
   WorkersProbed,
   WorkersRecovered,
+  WorkersHeld,
   OwnerTakeovers,
   ClockGaps,
   SnapshotsWritten,
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -37,6 +37,7 @@
       ExpireTickets(scope_, queue);
       ExpireSlots(scope_, id, queue);
       ProbeWorkers(scope_, queue);
+      HoldWorkerForBlocked(scope_, queue);
     }
     GrantInAllPools();
     scope_.effects_.emplace_back(SetTimer{ OwnerTick{}, kOwnerInterval });
--- a/src/verbenawell/requests/OwnerState.h
+++ b/src/verbenawell/requests/OwnerState.h
@@ -5,6 +5,7 @@
 #include "verbenawell/requests/WorkerIndex.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -41,6 +42,13 @@
   TimePoint until_;
 };
 
+/// A worker kept free for a request that long fitted beside nothing.
+struct HeldWorker
+{
+  ShareKey share_;
+  VmId vm_;
+};
+
 struct PoolQueue
 {
   Term term_;
@@ -52,6 +60,7 @@
   std::map<SlotKey, GrantedSlot> granted_;
   std::set<std::pair<TimePoint, SlotKey>> expiries_;
   std::map<VmId, UnconfirmedSlots> unconfirmed_;
+  std::optional<HeldWorker> held_;
 };
 
 /// Queues of the pools that this daemon owns.
--- a/src/verbenawell/requests/SlotGranting.cpp
+++ b/src/verbenawell/requests/SlotGranting.cpp
@@ -15,12 +15,40 @@
 // Blocked requests looked at for each release, so that its cost is bounded.
 constexpr std::size_t kBlockedLooks = 8;
 
+// Requests wait this long for room that others leave before a worker is kept
+// free for them.
+constexpr Duration kHoldAfter = std::chrono::seconds(2);
+
 WorkerNeed
 NeedOf(const QueuedTicket& aTicket)
 {
   return { aTicket.request_.head_.declared_, aTicket.request_.tried_ };
 }
 
+void
+EndHold(PoolQueue& aQueue)
+{
+  aQueue.workers_.SetHeld(aQueue.held_->vm_, false);
+  aQueue.held_.reset();
+}
+
+/// Tells whether the worker is kept free for another request.
+bool
+IsHeldForOther(const PoolQueue& aQueue, const ShareKey& aShare, const VmId& aVm)
+{
+  return aQueue.held_ && aQueue.held_->vm_ == aVm &&
+         aQueue.held_->share_ != aShare;
+}
+
+/// Tells whether the request that the worker is held for still needs it.
+bool
+IsHoldNeeded(const PoolQueue& aQueue)
+{
+  const auto& [share, vm] = *aQueue.held_;
+  return aQueue.queue_.Blocked().contains(share) &&
+         aQueue.workers_.CouldHold(vm, NeedOf(aQueue.queue_.Head(share)));
+}
+
 } // namespace
 
 void
@@ -54,13 +82,40 @@
               std::min(all.size(), kBlockedLooks),
               std::back_inserter(blocked));
   for (const ShareKey& share : blocked) {
-    if (aQueue.queue_.MayHoldMore(share) &&
+    if (!IsHeldForOther(aQueue, share, aVm) &&
+        aQueue.queue_.MayHoldMore(share) &&
         aQueue.workers_.HasPlace(aVm, NeedOf(aQueue.queue_.Head(share)))) {
       aQueue.queue_.Unblock(share);
       Grant(aScope, aPool, aQueue, share, aVm);
+      if (aQueue.held_ && aQueue.held_->share_ == share) {
+        EndHold(aQueue);
+      }
     }
   }
   GrantFreeSlots(aScope, aPool, aQueue);
 }
 
+void
+HoldWorkerForBlocked(OwnerScope& aScope, PoolQueue& aQueue)
+{
+  if (aQueue.held_ && !IsHoldNeeded(aQueue)) {
+    EndHold(aQueue);
+  }
+  if (aQueue.held_) {
+    return;
+  }
+  for (const ShareKey& share : aQueue.queue_.Blocked()) {
+    const QueuedTicket& head = aQueue.queue_.Head(share);
+    if (aScope.context_.now_ - head.queuedAt_ < kHoldAfter) {
+      continue;
+    }
+    if (const auto vm = aQueue.workers_.FindToHold(NeedOf(head))) {
+      aQueue.workers_.SetHeld(*vm, true);
+      aQueue.held_ = HeldWorker{ share, *vm };
+      aScope.effects_.emplace_back(Count{ Counter::WorkersHeld });
+      return;
+    }
+  }
+}
+
 } // namespace verbenawell
--- a/src/verbenawell/requests/SlotGranting.h
+++ b/src/verbenawell/requests/SlotGranting.h
@@ -19,4 +19,9 @@
              PoolQueue& aQueue,
              const VmId& aVm);
 
+/// Keeps a worker free for the request that has fitted nowhere for too long,
+/// so that smaller requests cannot pass it for ever.
+void
+HoldWorkerForBlocked(OwnerScope& aScope, PoolQueue& aQueue);
+
 } // namespace verbenawell
--- a/src/verbenawell/requests/WorkerIndex.cpp
+++ b/src/verbenawell/requests/WorkerIndex.cpp
@@ -19,12 +19,6 @@
 constexpr int kSameZone = 1;
 constexpr int kSameRack = 2;
 
-SlotCount
-SlotsOf(const SlotCount& aSlots, const SlotCount& aCap)
-{
-  return std::min(aSlots, aCap);
-}
-
 bool
 WasTried(const WorkerNeed& aNeed, const VmId& aVm)
 {
@@ -75,12 +69,49 @@
     Update(position, [](Worker& aWorker) {
       aWorker.use_ = {};
       aWorker.inPool_ = false;
+      aWorker.held_ = false;
       aWorker.cap_ = kNoCap;
     });
     Erase(position);
   }
 }
 
+void
+WorkerIndex::SetHeld(const VmId& aVm, bool aHeld)
+{
+  if (const auto found = positions_.find(aVm); found != positions_.end()) {
+    Update(found->second, [&](Worker& aWorker) { aWorker.held_ = aHeld; });
+  }
+}
+
+bool
+WorkerIndex::CouldHold(const VmId& aVm, const WorkerNeed& aNeed) const
+{
+  const Worker* worker = Find(aVm);
+  return worker != nullptr && CouldHold(*worker, aNeed);
+}
+
+bool
+WorkerIndex::CouldHold(const Worker& aWorker, const WorkerNeed& aNeed)
+{
+  return aWorker.use_.usable_ && aWorker.cap_ != SlotCount{} &&
+         FitsWithin(aNeed.size_, aWorker.facts_.size_) &&
+         !WasTried(aNeed, aWorker.facts_.vm_);
+}
+
+std::optional<VmId>
+WorkerIndex::FindToHold(const WorkerNeed& aNeed) const
+{
+  const Worker* best = nullptr;
+  for (const Worker& worker : workers_) {
+    if (CouldHold(worker, aNeed) &&
+        (best == nullptr || worker.running_ < best->running_)) {
+      best = &worker;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional{ best->facts_.vm_ };
+}
+
 void
 WorkerIndex::SetCap(const VmId& aVm, SlotCount aCap)
 {
@@ -144,7 +175,10 @@
 bool
 WorkerIndex::HasPlace(const Worker& aWorker, const WorkerNeed& aNeed)
 {
-  return aWorker.openAt_ &&
+  const bool heldWithSlot =
+    aWorker.held_ && aWorker.use_.usable_ &&
+    aWorker.running_ < std::min(aWorker.facts_.slots_, aWorker.cap_);
+  return (aWorker.openAt_ || heldWithSlot) &&
          FitsWithin(Sum(aWorker.reserved_, aNeed.size_),
                     aWorker.facts_.size_) &&
          !WasTried(aNeed, aWorker.facts_.vm_);
@@ -218,7 +252,7 @@
 void
 WorkerIndex::CountIn(Worker& aWorker, Position aPosition)
 {
-  const SlotCount slots = SlotsOf(aWorker.facts_.slots_, aWorker.cap_);
+  const SlotCount slots = std::min(aWorker.facts_.slots_, aWorker.cap_);
   mayServe_ += aWorker.use_.mayServe_ ? 1 : 0;
   if (aWorker.inPool_) {
     CountSize(aWorker.facts_.size_, true);
@@ -228,7 +262,7 @@
   }
   ++serving_;
   usableSlots_ += slots;
-  if (aWorker.running_ < slots) {
+  if (aWorker.running_ < slots && !aWorker.held_) {
     std::vector<Position>& open = OpenListOf(aWorker);
     aWorker.openAt_ = open.size();
     open.push_back(aPosition);
@@ -238,7 +272,7 @@
 void
 WorkerIndex::CountOut(Worker& aWorker)
 {
-  const SlotCount slots = SlotsOf(aWorker.facts_.slots_, aWorker.cap_);
+  const SlotCount slots = std::min(aWorker.facts_.slots_, aWorker.cap_);
   mayServe_ -= aWorker.use_.mayServe_ ? 1 : 0;
   if (aWorker.inPool_) {
     CountSize(aWorker.facts_.size_, false);
--- a/src/verbenawell/requests/WorkerIndex.h
+++ b/src/verbenawell/requests/WorkerIndex.h
@@ -41,6 +41,15 @@
   /// Takes a worker out of the pool; what runs there is still counted.
   void Remove(const VmId& aVm);
 
+  /// Keeps a worker from other work until a request has room there.
+  void SetHeld(const VmId& aVm, bool aHeld);
+
+  /// Tells whether the request fits on the worker once nothing else runs.
+  [[nodiscard]] bool CouldHold(const VmId& aVm, const WorkerNeed& aNeed) const;
+
+  /// The least used worker that could run the request; looks at all workers.
+  [[nodiscard]] std::optional<VmId> FindToHold(const WorkerNeed& aNeed) const;
+
   /// Limits the slots of a worker that is being ejected or readmitted.
   void SetCap(const VmId& aVm, SlotCount aCap);
 
@@ -87,6 +96,7 @@
     VmFacts facts_;
     WorkerUse use_;
     bool inPool_ = true;
+    bool held_ = false;
     SlotCount cap_ = kNoCap;
     SlotCount running_;
     Resources reserved_;
@@ -110,6 +120,8 @@
 
   [[nodiscard]] static bool HasPlace(const Worker& aWorker,
                                      const WorkerNeed& aNeed);
+  [[nodiscard]] static bool CouldHold(const Worker& aWorker,
+                                      const WorkerNeed& aNeed);
   [[nodiscard]] const Worker* Find(const VmId& aVm) const;
   [[nodiscard]] std::vector<Position>& OpenListOf(const Worker& aWorker);
   [[nodiscard]] std::optional<Position> ChooseFrom(
--- a/tests/unit/OwnerReducerTest.cpp
+++ b/tests/unit/OwnerReducerTest.cpp
@@ -287,5 +287,25 @@
   EXPECT_EQ(grants_.size(), 3U);
 }
 
+// Guards against a large request that small ones pass for ever.
+TEST_F(OwnerReducerTest, HoldsAWorkerForARequestThatFitsNowhereForLong)
+{
+  AddVm("vm1");
+  const Resources small{ Cores{ 2 }, Megabytes{}, {} };
+  Ask(Urgency::Interactive, 60s, small);
+  Ask(Urgency::Interactive, 60s, small);
+  Ask(Urgency::Long, 60s, { Cores{ 4 }, Megabytes{}, {} });
+  const RequestKey large = lastKey_;
+  now_ += 2s;
+  EXPECT_EQ(Counted(Tick(), Counter::WorkersHeld), 1);
+  Ask(Urgency::Interactive, 60s, small);
+  Release(grants_[0], WholeAnswer{ 200, {} });
+  EXPECT_EQ(grants_.size(), 2U);
+  Release(grants_[1], WholeAnswer{ 200, {} });
+  EXPECT_EQ(grants_.back().key_, large);
+  Release(grants_.back(), WholeAnswer{ 200, {} });
+  EXPECT_EQ(grants_.size(), 4U);
+}
+
 } // namespace
 } // namespace verbenawell
