--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -34,6 +34,7 @@
   WorkersEjected,
   WorkersProbed,
   WorkersRecovered,
+  WorkersHeld,
   OwnerTakeovers,
   ClockGaps,
   SnapshotsWritten,
