--- a/src/verbenawell/adapters/CallerExchange.cpp
+++ b/src/verbenawell/adapters/CallerExchange.cpp
@@ -153,6 +153,7 @@
                                BackendConnections& aBackends,
                                EventSink aSink)
   : key_(aKey)
+  , id_(aHead.id_)
   , idempotent_(aHead.idempotent_)
   , declaredRunTime_(aHead.declaredRunTime_)
   , maxBody_(aMaxBody)
@@ -294,6 +295,10 @@
   request.method = aRequest.method;
   request.path = aRequest.target;
   request.headers = PassedOn(aRequest.headers);
+  // The backend server learns the id that was assigned where there was none.
+  if (!aRequest.has_header("Verbenawell-Request-Id")) {
+    request.set_header("Verbenawell-Request-Id", id_.Value());
+  }
   request.body = aRequest.body;
   bool oversize = false;
   std::string body;
--- a/src/verbenawell/adapters/CallerExchange.h
+++ b/src/verbenawell/adapters/CallerExchange.h
@@ -52,6 +52,7 @@
   [[nodiscard]] Duration FirstByteLimit(Duration aTimeLeft) const;
 
   RequestKey key_;
+  RequestId id_;
   bool idempotent_;
   Duration declaredRunTime_;
   ByteCount maxBody_;
