--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -16,6 +16,7 @@
 DEFINE_string(host, "127.0.0.1", "IP number to listen on");
 DEFINE_int32(port, 7491, "port to listen on");
 DEFINE_string(vms, "", "file with the VM list as JSON");
+DEFINE_bool(workers, true, "run a backend server for each VM");
 DEFINE_uint64(reboot_ms, 500, "time that a reboot takes");
 
 namespace {
@@ -27,6 +28,7 @@
 
 constexpr std::size_t kMaxConnections = 512;
 constexpr int kNotFound = 404;
+constexpr int kNotModified = 304;
 
 WorkerMode
 ParseMode(const std::string& aName)
@@ -57,8 +59,16 @@
 void
 Serve(HttpServer& aServer, standins::Platform& aPlatform)
 {
-  aServer.Get("/vms", [&](const Request&, Response& aResponse) {
-    aResponse.set_content(aPlatform.ListAsJson(), "application/json");
+  aServer.Get("/vms", [&](const Request& aRequest, Response& aResponse) {
+    const std::string list = aPlatform.ListAsJson();
+    const std::string tag =
+      '"' + std::to_string(std::hash<std::string>{}(list)) + '"';
+    aResponse.set_header("ETag", tag);
+    if (aRequest.get_header_value("If-None-Match") == tag) {
+      aResponse.status = kNotModified;
+    } else {
+      aResponse.set_content(list, "application/json");
+    }
   });
   aServer.Get("/ledger", [&](const Request&, Response& aResponse) {
     aResponse.set_content(aPlatform.LedgerAsJson(), "application/json");
@@ -104,7 +114,8 @@
   try {
     standins::SignalWaiter signals;
     standins::Platform platform{ verbenawell::DecodeVmList(ReadFile(FLAGS_vms)),
-                                 std::chrono::milliseconds(FLAGS_reboot_ms) };
+                                 std::chrono::milliseconds(FLAGS_reboot_ms),
+                                 FLAGS_workers };
     HttpServer server{ { kMaxConnections } };
     Serve(server, platform);
     server.Start({ FLAGS_host, static_cast<std::uint16_t>(FLAGS_port) });
