--- /dev/null
+++ b/standins/Proxy.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Random.h"
+
+#include "Fault.h"
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+namespace standins {
+
+class ProxyConnection;
+
+/// Forwards TCP connections from one address to another and breaks them by
+/// rule. Runs on the thread of its `io_context`.
+class Proxy
+{
+public:
+  Proxy(asio::io_context& aIo,
+        const verbenawell::Endpoint& aListen,
+        verbenawell::Endpoint aTo,
+        std::uint64_t aSeed);
+
+  /// The rule for coming connections replaces earlier ones of the same client.
+  void Apply(const Rule& aRule);
+
+private:
+  void Accept();
+  void Admit(asio::ip::tcp::socket aClient);
+  bool Hits(const Rule& aRule, const std::string& aFrom);
+
+  asio::io_context& io_;
+  verbenawell::Endpoint to_;
+  verbenawell::Random random_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::vector<Rule> rules_;
+  std::list<std::weak_ptr<ProxyConnection>> connections_;
+};
+
+} // namespace standins
