--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -137,9 +137,9 @@
                },
                [&](const Count& aCount) { metrics_.Increment(aCount.key_); },
                [&](const SetGauge& aGauge) {
-        metrics_.Set(aGauge.gauge_, aGauge.value_);
-      },
-      [&](const Observe& aObserve) {
+                 metrics_.Set(aGauge.gauge_, aGauge.value_);
+               },
+               [&](const Observe& aObserve) {
                  metrics_.Record(aObserve.metric_, aObserve.value_);
                },
                [&](const LogLine& aLine) { WriteLogLine(aLine); },
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -64,7 +64,8 @@
   FleetOffset,
 };
 
-std::string_view ToString(Gauge aGauge);
+std::string_view
+ToString(Gauge aGauge);
 
 /// Durations whose distribution is recorded.
 enum class LatencyMetric : std::uint8_t
--- a/tests/integration/MembershipTest.cpp
+++ b/tests/integration/MembershipTest.cpp
@@ -69,7 +69,7 @@
       }));
     }
     ASSERT_TRUE(WaitFor([&] { return cluster.Running() == kSlots; }));
-    cluster.Daemon(victim).End(SIGKILL);
+    cluster.End(victim, SIGKILL);
     cut.clear();
     EXPECT_EQ(FailuresOnAllSlots(cluster, (victim + 1) % kDaemons), "");
     EXPECT_EQ(FailuresOnAllSlots(cluster, (victim + 2) % kDaemons), "");
@@ -87,7 +87,7 @@
     return cluster.Ask(1, { "long", true, std::chrono::milliseconds(2000) });
   });
   ASSERT_TRUE(WaitFor([&] { return cluster.Running() == 1; }));
-  cluster.Daemon(1).End(SIGKILL);
+  cluster.End(1, SIGKILL);
   cluster.StartDaemon(1);
   EXPECT_TRUE(WaitFor([&] { return cluster.AreReady(); }));
   for (std::size_t index = 0; index < kDaemons; ++index) {
@@ -111,11 +111,11 @@
                            { id, false, std::chrono::milliseconds(300) });
       }));
     }
-    cluster.Daemon(paused).Signal(SIGSTOP);
+    cluster.Signal(paused, SIGSTOP);
     const auto resumeAt =
       std::chrono::steady_clock::now() + std::chrono::seconds(3);
     WaitFor([&] { return std::chrono::steady_clock::now() > resumeAt; });
-    cluster.Daemon(paused).Signal(SIGCONT);
+    cluster.Signal(paused, SIGCONT);
     answers.clear();
     EXPECT_TRUE(WaitFor(
       [&] { return cluster.CounterAt(paused, "clock_gaps_total") > gaps; }));
@@ -156,7 +156,7 @@
 TEST(Membership, ADaemonThatIsToldToStopLeaves)
 {
   Cluster cluster;
-  EXPECT_EQ(cluster.Daemon(2).End(SIGTERM), 0);
+  EXPECT_EQ(cluster.End(2, SIGTERM), 0);
   EXPECT_TRUE(cluster.IsAnswered(0));
   EXPECT_TRUE(cluster.IsAnswered(1));
 }
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -2,7 +2,6 @@
 
 #include "FreePort.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -160,15 +159,15 @@
   }
 }
 
-std::unique_ptr<ChildProcess>
+std::unique_ptr<standins::ChildProcess>
 Cluster::Spawn(const std::string& aProgram,
                std::vector<std::string> aArguments,
                const std::string& aName) const
 {
   aArguments.insert(aArguments.begin(),
                     std::string(VERBENAWELL_BUILD_DIR) + "/" + aProgram);
-  return std::make_unique<ChildProcess>(aArguments,
-                                        folder_ + "/" + aName + ".log");
+  return std::make_unique<standins::ChildProcess>(
+    aArguments, folder_ + "/" + aName + ".log");
 }
 
 void
@@ -203,6 +202,19 @@
     Spawn("verbenawelld", { "--config", folder_ + "/" + name + ".json" }, name);
 }
 
+void
+Cluster::Signal(std::size_t aIndex, int aSignal) const
+{
+  daemons_.at(aIndex)->Signal(aSignal);
+}
+
+int
+Cluster::End(std::size_t aIndex, int aSignal)
+{
+  Signal(aIndex, aSignal);
+  return daemons_.at(aIndex)->Wait();
+}
+
 bool
 Cluster::IsReady(std::size_t aIndex) const
 {
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -43,7 +43,12 @@
   ~Cluster();
 
   void StartDaemon(std::size_t aIndex);
-  ChildProcess& Daemon(std::size_t aIndex) { return *daemons_.at(aIndex); }
+
+  /// Sends the signal to a daemon.
+  void Signal(std::size_t aIndex, int aSignal) const;
+
+  /// Ends a daemon by the signal; its exit code, or 128 and more for a signal.
+  int End(std::size_t aIndex, int aSignal);
 
   [[nodiscard]] bool IsReady(std::size_t aIndex) const;
   [[nodiscard]] bool AreReady() const;
@@ -87,17 +92,18 @@
   void StartStandins();
   void Command(const std::string& aText) const;
   void DefineFleet() const;
-  std::unique_ptr<ChildProcess> Spawn(const std::string& aProgram,
-                                      std::vector<std::string> aArguments,
-                                      const std::string& aName) const;
+  std::unique_ptr<standins::ChildProcess> Spawn(
+    const std::string& aProgram,
+    std::vector<std::string> aArguments,
+    const std::string& aName) const;
 
   std::string folder_;
   std::uint16_t logPort_ = 0;
   std::uint16_t platformPort_ = 0;
   std::vector<std::uint16_t> workerPorts_;
   std::vector<Ports> ports_;
-  std::vector<std::unique_ptr<ChildProcess>> standins_;
-  std::vector<std::unique_ptr<ChildProcess>> daemons_;
+  std::vector<std::unique_ptr<standins::ChildProcess>> standins_;
+  std::vector<std::unique_ptr<standins::ChildProcess>> daemons_;
 };
 
 } // namespace verbenawell::tests
