--- a/src/verbenawell/log/LogRecord.h
+++ b/src/verbenawell/log/LogRecord.h
@@ -41,7 +41,7 @@
   /// Counts the batches of one owner and term, so that a batch that stands
   /// twice in the log takes effect once.
   std::uint64_t sequence_ = 0;
-  WallTime at_;
+  WallTime at_{};
 };
 
 /// A part of a snapshot of the fleet stream's fold.
@@ -56,7 +56,7 @@
   std::uint64_t checksum_ = 0;
   std::string bytes_;
   /// When the snapshot was encoded.
-  WallTime at_;
+  WallTime at_{};
 };
 
 /// A record that cannot be decoded; it is skipped and counted.
--- a/src/verbenawell/membership/MembershipState.h
+++ b/src/verbenawell/membership/MembershipState.h
@@ -18,7 +18,7 @@
   /// Last message from the member, or word from another one that hears it.
   TimePoint heardAt_;
   /// Last change of `latest_.status_`.
-  TimePoint changedAt_;
+  TimePoint changedAt_{};
   /// Messages that still carry `latest_` because it is news.
   std::uint32_t tellLeft_ = 0;
   /// The member counts in the number of which this daemon needs a majority.
