Refuse a request without an owner as such

Cause: a request whose deadline passed while its pool had no owner was refused as 'deadline', so that the minority side of a partition looked slow instead of cut off (Membership.OnlyTheMajoritySideOfAPartitionServes failed). Change: the refusal names no-owner; tests that edit members drop the cached owners.

--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -338,7 +338,10 @@
     if (const auto* waiting = std::get_if<WaitingForSlot>(&aRequest.phase_)) {
       actions_.Withdraw(aKey, *waiting);
     }
-    actions_.Refuse(aKey, NotRun{ RefusalReason::Deadline });
+    const RefusalReason reason = entry_.ownerless_.contains(aKey)
+                                   ? RefusalReason::NoOwner
+                                   : RefusalReason::Deadline;
+    actions_.Refuse(aKey, NotRun{ reason, kRetryAfter });
   }
 
   RequestsState& requests_;
--- a/tests/unit/Daemons.cpp
+++ b/tests/unit/Daemons.cpp
@@ -139,6 +139,8 @@
   for (auto& [name, state] : states_) {
     state.membership_.members_.at(DaemonId{ aName }).latest_.status_ =
       MemberStatus::Dead;
+    // The membership module does so with each change of the members.
+    state.membership_.owners_.clear();
   }
   std::vector<std::string> names;
   for (const auto& [name, state] : states_) {
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -58,6 +58,8 @@
     Move(kWeb);
     Read(StartWave{ WaveId{ "w1" }, kWeb, {} });
     Move(kBatch);
+    Do(TimerDue{ MembershipTick{} });
+    Do(TimerDue{ TakeoverTick{} });
   }
 
   static bool Reboots(const Effects& aEffects)
