--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -145,7 +145,7 @@
 MeasureByVms()
 {
   std::vector<Sample> samples;
-  for (const std::size_t vms : { 50, 200, 500, 1000, 2000 }) {
+  for (const std::size_t vms : { 50U, 200U, 500U, 1000U, 2000U }) {
     Sample sample = Measure(vms, 3);
     sample.x_ = static_cast<double>(vms);
     PrintSample("vms", sample);
@@ -163,7 +163,7 @@
 void
 MeasureByDaemons()
 {
-  for (const std::size_t daemons : { 3, 6, 9, 18, 36 }) {
+  for (const std::size_t daemons : { 3U, 6U, 9U, 18U, 36U }) {
     Sample sample = Measure(50, daemons);
     sample.x_ = static_cast<double>(daemons);
     PrintSample("daemons", sample);
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -46,6 +46,8 @@
   {
     state_.membership_.self_.daemon_ = DaemonId{ "d" };
     Do(Started{});
+    // There is no snapshot: the fleet stream is read from its beginning.
+    Do(LogRead{ SnapshotStream(), Offset{ 1 }, Offset{ 1 }, Offset{ 1 }, {} });
     Read(DefinePool{ kSpare, true });
     Read(DefinePool{ kWeb, false });
     Read(DefinePool{ kBatch, false });
