Refuse non-idempotent work of a service that has just moved

Ruled out: reading the old pool's stream as well, which needs a fence against the old owner's last batches. Change: the fold notes when a service changed its pool; for 11 minutes its non-idempotent requests are refused as service-moved, and operators are warned first. Unused grants have an outcome of their own, so that their intents open again. Control bytes and the offset in force are exposed; field lists split by module. Conclusion: safe at the price of an availability window that is shown.

--- a/src/verbenawell/adapters/LogClient.cpp
+++ b/src/verbenawell/adapters/LogClient.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kThreads = 2;
 constexpr int kOk = 200;
+// About what the headers of one request and its answer take.
+constexpr std::size_t kHeaderBytes = 400;
 constexpr std::chrono::seconds kTimeout{ 2 };
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 };
 
@@ -47,8 +49,9 @@
 
 } // namespace
 
-LogClient::LogClient(Endpoint aLog, EventSink aSink)
+LogClient::LogClient(Endpoint aLog, Metrics& aMetrics, EventSink aSink)
   : log_(std::move(aLog))
+  , metrics_(aMetrics)
   , sink_(std::move(aSink))
   , readers_(kThreads)
   , writers_(kThreads)
@@ -80,6 +83,8 @@
                            "&from=" + std::to_string(aEffect.from_.Value()) +
                            "&limit=" + std::to_string(aEffect.limit_);
   const auto result = ThreadClient(log_).Get(path);
+  metrics_.Increment(Counter::ControlBytes,
+                     kHeaderBytes + (result ? result->body.size() : 0));
   if (!result || result->status != kOk) {
     return LogReadFailed{ aEffect.stream_, Describe(result) };
   }
@@ -96,6 +101,7 @@
   const std::string body = EncodeRecord(aEffect.id_, aEffect.body_);
   const auto result = ThreadClient(log_).Post(
     PathOf(aEffect.stream_), body, "application/octet-stream");
+  metrics_.Increment(Counter::ControlBytes, kHeaderBytes + body.size());
   if (!result) {
     const bool surelyAbsent =
       result.error() == httplib::Error::Connection ||
--- a/src/verbenawell/adapters/LogClient.h
+++ b/src/verbenawell/adapters/LogClient.h
@@ -3,6 +3,7 @@
 #include "verbenawell/adapters/EventSink.h"
 #include "verbenawell/core/Effect.h"
 #include "verbenawell/core/Endpoint.h"
+#include "verbenawell/metrics/Metrics.h"
 
 #include <asio/thread_pool.hpp>
 
@@ -12,7 +13,7 @@
 class LogClient
 {
 public:
-  LogClient(Endpoint aLog, EventSink aSink);
+  LogClient(Endpoint aLog, Metrics& aMetrics, EventSink aSink);
   ~LogClient();
 
   void Run(const ReadLog& aEffect);
@@ -23,6 +24,7 @@
   Event Append(const AppendLog& aEffect) const;
 
   Endpoint log_;
+  Metrics& metrics_;
   EventSink sink_;
   // Apart, so that appends do not wait behind slow reads.
   asio::thread_pool readers_;
--- a/src/verbenawell/adapters/PlatformClient.cpp
+++ b/src/verbenawell/adapters/PlatformClient.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t kThreads = 2;
 constexpr int kOk = 200;
+// About what the headers of one request and its answer take.
+constexpr std::size_t kHeaderBytes = 400;
 constexpr int kNotModified = 304;
 constexpr std::size_t kRepeatUnchangedAfter = 4;
 constexpr std::chrono::seconds kTimeout{ 2 };
@@ -38,8 +40,11 @@
 
 } // namespace
 
-PlatformClient::PlatformClient(Endpoint aVmList, EventSink aSink)
+PlatformClient::PlatformClient(Endpoint aVmList,
+                               Metrics& aMetrics,
+                               EventSink aSink)
   : vmList_(std::move(aVmList))
+  , metrics_(aMetrics)
   , sink_(std::move(aSink))
   , threads_(kThreads)
 {
@@ -75,6 +80,8 @@
     headers.emplace("If-None-Match", entityTag);
   }
   const auto result = ThreadClient(vmList_).Get("/vms", headers);
+  metrics_.Increment(Counter::ControlBytes,
+                     kHeaderBytes + (result ? result->body.size() : 0));
   if (result && result->status == kNotModified) {
     Repeat();
   } else if (!result || result->status != kOk) {
--- a/src/verbenawell/adapters/PlatformClient.h
+++ b/src/verbenawell/adapters/PlatformClient.h
@@ -3,6 +3,7 @@
 #include "verbenawell/adapters/EventSink.h"
 #include "verbenawell/core/Effect.h"
 #include "verbenawell/core/Endpoint.h"
+#include "verbenawell/metrics/Metrics.h"
 
 #include <cstddef>
 #include <mutex>
@@ -18,7 +19,7 @@
 class PlatformClient
 {
 public:
-  PlatformClient(Endpoint aVmList, EventSink aSink);
+  PlatformClient(Endpoint aVmList, Metrics& aMetrics, EventSink aSink);
   ~PlatformClient();
 
   void Run(const ReadVmList& aEffect);
@@ -31,6 +32,7 @@
   void Repeat();
 
   Endpoint vmList_;
+  Metrics& metrics_;
   EventSink sink_;
   std::mutex mutex_;
   /// Entity tag of the list that was read last.
--- a/src/verbenawell/adapters/internal/Http2Connection.cpp
+++ b/src/verbenawell/adapters/internal/Http2Connection.cpp
@@ -33,9 +33,11 @@
 
 Http2Connection::Http2Connection(asio::ip::tcp::socket aSocket,
                                  Http2Role aRole,
-                                 Http2Handler aHandler)
+                                 Http2Handler aHandler,
+                                 Metrics& aMetrics)
   : socket_(std::move(aSocket))
   , handler_(std::move(aHandler))
+  , metrics_(aMetrics)
   , heardAt_(Clock::now())
 {
   CreateSession(aRole);
@@ -105,18 +107,19 @@
     return;
   }
   writing_ = true;
-  asio::async_write(
-    socket_,
-    asio::buffer(output_),
-    [self = shared_from_this()](const std::error_code& aError, std::size_t) {
-      self->writing_ = false;
-      self->output_.clear();
-      if (aError) {
-        self->Close(aError.message());
-      } else {
-        self->Flush();
-      }
-    });
+  asio::async_write(socket_,
+                    asio::buffer(output_),
+                    [self = shared_from_this()](const std::error_code& aError,
+                                                std::size_t aSize) {
+                      self->metrics_.Increment(Counter::ControlBytes, aSize);
+                      self->writing_ = false;
+                      self->output_.clear();
+                      if (aError) {
+                        self->Close(aError.message());
+                      } else {
+                        self->Flush();
+                      }
+                    });
 }
 
 void
@@ -187,6 +190,7 @@
 void
 Http2Connection::Receive(std::size_t aSize)
 {
+  metrics_.Increment(Counter::ControlBytes, aSize);
   heardAt_ = Clock::now();
   receiving_ = true;
   const ssize_t used = nghttp2_session_mem_recv(
--- a/src/verbenawell/adapters/internal/Http2Connection.h
+++ b/src/verbenawell/adapters/internal/Http2Connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "verbenawell/metrics/Metrics.h"
+
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -41,7 +43,8 @@
 
   Http2Connection(asio::ip::tcp::socket aSocket,
                   Http2Role aRole,
-                  Http2Handler aHandler);
+                  Http2Handler aHandler,
+                  Metrics& aMetrics);
   ~Http2Connection();
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
@@ -96,6 +99,7 @@
 
   asio::ip::tcp::socket socket_;
   Http2Handler handler_;
+  Metrics& metrics_;
   nghttp2_session* session_ = nullptr;
   std::array<char, 16U << 10U> input_{};
   std::string output_;
--- a/src/verbenawell/adapters/internal/PeerInbound.cpp
+++ b/src/verbenawell/adapters/internal/PeerInbound.cpp
@@ -68,7 +68,8 @@
                   withSelf(&PeerInbound::OnHeadersEnd),
                   withSelf(&PeerInbound::OnData),
                   withSelf(&PeerInbound::OnStreamEnd),
-                  withSelf(&PeerInbound::OnClosed) });
+                  withSelf(&PeerInbound::OnClosed) },
+    metrics_);
   connection_->Start();
 }
 
--- a/src/verbenawell/adapters/internal/PeerOutbound.cpp
+++ b/src/verbenawell/adapters/internal/PeerOutbound.cpp
@@ -187,7 +187,7 @@
     }
   };
   connection_ = std::make_shared<Http2Connection>(
-    std::move(aSocket), Http2Role::Client, std::move(handler));
+    std::move(aSocket), Http2Role::Client, std::move(handler), metrics_);
   pingedAt_ = Clock::now();
   OpenStreams();
   connection_->Start();
--- a/src/verbenawell/codec/SnapshotCodec.cpp
+++ b/src/verbenawell/codec/SnapshotCodec.cpp
@@ -125,7 +125,10 @@
 void
 Fields(Archive& aArchive, T& aValue)
 {
-  aArchive(aValue.id_, aValue.state_.pool_, aValue.state_.budget_);
+  aArchive(aValue.id_,
+           aValue.state_.pool_,
+           aValue.state_.budget_,
+           aValue.state_.movedAt_);
 }
 
 template<typename Archive, codec::OneOf<QuotaImage> T>
--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "verbenawell/codec/internal/FleetFields.h"
+#include "verbenawell/codec/internal/OneOf.h"
 #include "verbenawell/core/PeerMessage.h"
 #include "verbenawell/log/LogRecord.h"
 
 #include <array>
-#include <concepts>
 #include <string_view>
 #include <variant>
 
@@ -12,23 +13,6 @@
 /// is part of the protocol: new fields go to the end.
 namespace verbenawell::codec {
 
-template<typename T, typename... Options>
-concept OneOf = (std::same_as<std::remove_const_t<T>, Options> || ...);
-
-template<typename Archive, OneOf<Endpoint> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.host_, aValue.port_);
-}
-
-template<typename Archive, OneOf<Resources> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.cores_, aValue.memory_, aValue.accelerators_);
-}
-
 template<typename Archive, OneOf<RequestHead> T>
 void
 Fields(Archive& aArchive, T& aValue)
@@ -57,7 +41,8 @@
                CutAnswer,
                LateAnswer,
                OversizeAnswer,
-               Cancelled> T>
+               Cancelled,
+               Unused> T>
 void
 Fields(Archive& aArchive, T&)
 {
@@ -209,151 +194,6 @@
   aArchive(aValue.chunk_);
 }
 
-template<typename Archive, OneOf<VmFacts> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.vm_,
-           aValue.address_,
-           aValue.region_,
-           aValue.zone_,
-           aValue.rack_,
-           aValue.size_,
-           aValue.slots_,
-           aValue.boots_);
-}
-
-template<typename Archive, OneOf<DefinePool> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.pool_, aValue.spare_);
-}
-
-template<typename Archive, OneOf<RemovePool> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.pool_);
-}
-
-template<typename Archive, OneOf<DefineService> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.service_, aValue.pool_, aValue.budget_);
-}
-
-template<typename Archive, OneOf<RemoveService> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.service_);
-}
-
-template<typename Archive, OneOf<SetQuota> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.team_, aValue.service_, aValue.weight_, aValue.limit_);
-}
-
-template<typename Archive, OneOf<SetSetting> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.setting_, aValue.value_);
-}
-
-template<typename Archive, OneOf<VmSeen> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.facts_);
-}
-
-template<typename Archive,
-         OneOf<VmDown, VmGone, DrainVm, UndrainVm, CancelMove> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.vm_);
-}
-
-template<typename Archive, OneOf<VmUp> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.vm_, aValue.boots_);
-}
-
-template<typename Archive, OneOf<MoveVm, StartMove> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.vm_, aValue.to_);
-}
-
-template<typename Archive, OneOf<StartWave> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.wave_, aValue.pool_, aValue.vms_);
-}
-
-template<typename Archive, OneOf<ReserveStop, FailStop> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.wave_, aValue.vm_);
-}
-
-template<typename Archive, OneOf<FinishStop> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.wave_, aValue.vm_, aValue.boots_);
-}
-
-template<typename Archive, OneOf<PauseWave> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.wave_, aValue.reason_);
-}
-
-template<typename Archive, OneOf<ResumeWave, EndWave> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.wave_);
-}
-
-template<typename Archive, OneOf<UnknownChange> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.kind_);
-}
-
-template<typename Archive, OneOf<Precondition> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.subject_, aValue.version_);
-}
-
-template<typename Archive, OneOf<FleetRecord> T>
-void
-Fields(Archive& aArchive, T& aValue)
-{
-  aArchive(aValue.id_,
-           aValue.at_,
-           aValue.author_,
-           aValue.preconditions_,
-           aValue.change_);
-}
-
 template<typename Archive, OneOf<IntentOwner> T>
 void
 Fields(Archive& aArchive, T& aValue)
@@ -428,7 +268,7 @@
 inline constexpr Urgency kLastOf<Urgency> = Urgency::Long;
 template<>
 inline constexpr RefusalReason kLastOf<RefusalReason> =
-  RefusalReason::RetriesExhausted;
+  RefusalReason::ServiceMoved;
 template<>
 inline constexpr UnknownReason kLastOf<UnknownReason> =
   UnknownReason::AlreadyStarted;
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -64,8 +64,10 @@
                metrics_,
                [this](Event aEvent) { Post(std::move(aEvent)); })
   , log_(aSettings.platform_.log_,
+         metrics_,
          [this](Event aEvent) { Post(std::move(aEvent)); })
   , platform_(aSettings.platform_.vmList_,
+              metrics_,
               [this](Event aEvent) { Post(std::move(aEvent)); })
   , peers_({ aSettings.cluster_,
              std::move(aTokens.peers_),
--- a/src/verbenawell/fleet/FleetReducer.cpp
+++ b/src/verbenawell/fleet/FleetReducer.cpp
@@ -48,6 +48,7 @@
     for (const LogRecord& record : aEvent.records_) {
       Fold(record, changed);
     }
+    PublishOffset();
     effects_.emplace_back(Raise{ std::move(changed) });
   }
 
@@ -69,6 +70,7 @@
       fleet_.loaded_ || aEvent.source_ == SnapshotSource::Peer;
     fleet_ = *aEvent.fleet_;
     fleet_.loaded_ = loaded;
+    PublishOffset();
     std::ranges::copy(ListSubjects(fleet_),
                       std::back_inserter(changed.subjects_));
     effects_.emplace_back(Raise{ std::move(changed) });
@@ -93,6 +95,12 @@
   void operator()(const auto&) {}
 
 private:
+  void PublishOffset()
+  {
+    effects_.emplace_back(
+      SetGauge{ Gauge::FleetOffset, fleet_.through_.Value() });
+  }
+
   void PollVmList()
   {
     effects_.emplace_back(ReadVmList{});
--- a/src/verbenawell/fleet/FleetState.h
+++ b/src/verbenawell/fleet/FleetState.h
@@ -56,6 +56,8 @@
 {
   PoolId pool_;
   VmCount budget_;
+  /// When the service left another pool, or was defined again.
+  WallTime movedAt_{};
 };
 
 struct VmState
--- a/src/verbenawell/fleet/internal/ApplyConfiguration.cpp
+++ b/src/verbenawell/fleet/internal/ApplyConfiguration.cpp
@@ -59,7 +59,16 @@
     fleet_.pools_.at(old->second.pool_).services_.erase(aChange.service_);
     changed_.emplace_back(old->second.pool_);
   }
-  fleet_.services_[aChange.service_] = { aChange.pool_, aChange.budget_ };
+  const bool stays =
+    old != fleet_.services_.end() && old->second.pool_ == aChange.pool_;
+  const bool isNew = VersionOf(fleet_, aChange.service_) == Offset{};
+  WallTime movedAt = isNew ? WallTime{} : at_;
+  if (stays) {
+    movedAt = old->second.movedAt_;
+  }
+  fleet_.services_[aChange.service_] = { aChange.pool_,
+                                         aChange.budget_,
+                                         movedAt };
   pool->second.services_.insert(aChange.service_);
   changed_.emplace_back(aChange.service_);
   changed_.emplace_back(aChange.pool_);
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -48,7 +48,8 @@
   PeerMessagesDropped,
   CallersRefusedBusy,
   CallerFramesInvalid,
-  /// Bytes sent and received for control: peers, log and VM list.
+  /// Bytes exchanged with peers, the log and the VM list. Without requests
+  /// all of it is control.
   ControlBytes,
 };
 
--- a/src/verbenawell/operators/Consequences.cpp
+++ b/src/verbenawell/operators/Consequences.cpp
@@ -138,14 +138,23 @@
 class DangerFinder
 {
 public:
-  DangerFinder(const FleetState& aAfter, const FleetIndex& aIndex)
-    : after_(aAfter)
+  DangerFinder(const FleetState& aBefore,
+               const FleetState& aAfter,
+               const FleetIndex& aIndex)
+    : before_(aBefore)
+    , after_(aAfter)
     , index_(aIndex)
   {
   }
 
   void operator()(const DefineService& aChange)
   {
+    const auto old = before_.services_.find(aChange.service_);
+    if (old != before_.services_.end() && old->second.pool_ != aChange.pool_) {
+      dangers_.push_back("non-idempotent requests for service " +
+                         aChange.service_.Value() +
+                         " are refused for 11 minutes after the change");
+    }
     const VmCount left = LeftAfterZoneLoss(index_, aChange.pool_);
     if (aChange.budget_ < left) {
       dangers_.push_back(
@@ -177,6 +186,7 @@
   std::vector<std::string> Take() { return std::move(dangers_); }
 
 private:
+  const FleetState& before_;
   const FleetState& after_;
   const FleetIndex& index_;
   std::vector<std::string> dangers_;
@@ -223,7 +233,7 @@
   const FleetIndex indexAfter = BuildIndex(after);
   const SpareNeed spareBefore = AssessSpares(indexBefore);
   const SpareNeed spareAfter = AssessSpares(indexAfter);
-  DangerFinder finder{ after, indexAfter };
+  DangerFinder finder{ aFleet, after, indexAfter };
   std::visit(finder, aRecord.change_);
   consequences.dangers_ = finder.Take();
   if (spareBefore.covered_ && !spareAfter.covered_) {
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -258,6 +258,8 @@
         [&](const Cancelled&) {
           actions_.Refuse(aKey, MayHaveRun{ UnknownReason::BackendCut });
         },
+        // Only a grant that no attempt followed is returned unused.
+        [](const Unused&) {},
       },
       aOutcome);
   }
--- a/src/verbenawell/requests/IntentWindow.cpp
+++ b/src/verbenawell/requests/IntentWindow.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-constexpr Duration kWindow = std::chrono::minutes(10);
-// Calendar clocks of two daemons may differ by this much.
-constexpr Duration kClockSkew = std::chrono::minutes(1);
-
 IntentHash
 Hash(const std::string& aText)
 {
@@ -26,7 +22,7 @@
   const Duration age =
     std::max(Duration::zero(),
              std::chrono::duration_cast<Duration>(aWallNow - aWrittenAt));
-  return aNow + kWindow + kClockSkew - age;
+  return aNow + kIntentLifetime - age;
 }
 
 } // namespace
--- a/src/verbenawell/requests/IntentWindow.h
+++ b/src/verbenawell/requests/IntentWindow.h
@@ -21,6 +21,10 @@
 IntentHash
 HashOfTicket(const DaemonId& aEntry, RequestKey aKey);
 
+/// Time after which a request id is forgotten: ten minutes, and one for the
+/// difference between the calendar clocks of two daemons.
+inline constexpr Duration kIntentLifetime = std::chrono::minutes(11);
+
 /// A request id that may have run.
 struct Intent
 {
--- a/src/verbenawell/requests/Intents.cpp
+++ b/src/verbenawell/requests/Intents.cpp
@@ -264,8 +264,11 @@
     if (committed == pool.committed_.end() || !committed->second.granted_) {
       return;
     }
-    if (std::holds_alternative<NotSent>(aRelease.outcome_) ||
-        std::holds_alternative<RefusedByWorker>(aRelease.outcome_)) {
+    const bool surelyNotRun =
+      std::holds_alternative<NotSent>(aRelease.outcome_) ||
+      std::holds_alternative<RefusedByWorker>(aRelease.outcome_) ||
+      std::holds_alternative<Unused>(aRelease.outcome_);
+    if (surelyNotRun) {
       ReleaseIntent(pool, ticket, committed->second.request_);
       writer_.ScheduleFlush();
     }
--- a/src/verbenawell/requests/Outcomes.h
+++ b/src/verbenawell/requests/Outcomes.h
@@ -39,6 +39,10 @@
 struct Cancelled
 {};
 
+/// The grant was returned before anything was sent.
+struct Unused
+{};
+
 /// How one attempt on a backend server ended.
 using AttemptOutcome = std::variant<WholeAnswer,
                                     NotSent,
@@ -46,7 +50,8 @@
                                     CutAnswer,
                                     LateAnswer,
                                     OversizeAnswer,
-                                    Cancelled>;
+                                    Cancelled,
+                                    Unused>;
 
 /// The request did not run.
 struct NotRun
--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -82,6 +82,7 @@
       },
       [](const OversizeAnswer&) { return std::optional<bool>{}; },
       [](const Cancelled&) { return std::optional<bool>{}; },
+      [](const Unused&) { return std::optional<bool>{}; },
       [](const auto&) { return std::optional{ true }; },
     },
     aOutcome);
--- a/src/verbenawell/requests/Reasons.cpp
+++ b/src/verbenawell/requests/Reasons.cpp
@@ -32,6 +32,8 @@
       return "duplicate";
     case RefusalReason::RetriesExhausted:
       return "retries-exhausted";
+    case RefusalReason::ServiceMoved:
+      return "service-moved";
   }
   return "invalid";
 }
--- a/src/verbenawell/requests/Reasons.h
+++ b/src/verbenawell/requests/Reasons.h
@@ -21,6 +21,7 @@
   Draining,
   Duplicate,
   RetriesExhausted,
+  ServiceMoved,
 };
 
 /// Why it is unknown whether a request ran.
--- a/src/verbenawell/requests/internal/EntryActions.cpp
+++ b/src/verbenawell/requests/internal/EntryActions.cpp
@@ -130,7 +130,7 @@
 EntryActions::ReturnUnused(const DaemonId& aOwner, const SlotGrant& aGrant)
 {
   effects_.emplace_back(Count{ Counter::GrantsReturnedUnused });
-  Release({ aOwner, aGrant, context_.now_ }, Cancelled{});
+  Release({ aOwner, aGrant, context_.now_ }, Unused{});
 }
 
 void
--- a/src/verbenawell/requests/internal/IntentWriter.cpp
+++ b/src/verbenawell/requests/internal/IntentWriter.cpp
@@ -71,6 +71,10 @@
   if (IsKnown(pool, IdOf(aTicket))) {
     return;
   }
+  if (const Duration wait = WaitAfterMove(aTicket); wait > Duration::zero()) {
+    Refuse(IdOf(aTicket), NotRun{ RefusalReason::ServiceMoved, wait });
+    return;
+  }
   if (IsLogDown(found->first, pool)) {
     Refuse(IdOf(aTicket), NotRun{ RefusalReason::LogDown, kLogDownRetryAfter });
     return;
@@ -89,6 +93,20 @@
                          IntentOwner{ aId, context_.self_, aPool.term_ } } });
 }
 
+// The intents of the service's requests stand in the stream of the pool that
+// it has left. Until the last of them is forgotten, a retry could run twice.
+Duration
+IntentWriter::WaitAfterMove(const TicketReady& aTicket) const
+{
+  const auto& services = views_.fleet_.services_;
+  const auto service = services.find(aTicket.request_.head_.service_);
+  if (service == services.end()) {
+    return Duration::zero();
+  }
+  const auto age = context_.wallNow_ - service->second.movedAt_;
+  return kIntentLifetime - std::chrono::duration_cast<Duration>(age);
+}
+
 bool
 IntentWriter::IsLogDown(const PoolId& aId, const PoolIntents& aPool) const
 {
--- a/src/verbenawell/requests/internal/IntentWriter.h
+++ b/src/verbenawell/requests/internal/IntentWriter.h
@@ -38,6 +38,7 @@
               const std::variant<NotRun, MayHaveRun>& aVerdict);
 
 private:
+  [[nodiscard]] Duration WaitAfterMove(const TicketReady& aTicket) const;
   [[nodiscard]] bool IsLogDown(const PoolId& aId,
                                const PoolIntents& aPool) const;
   [[nodiscard]] Duration FlushInterval() const;
--- a/standins/Callers.cpp
+++ b/standins/Callers.cpp
@@ -161,6 +161,7 @@
     callers.emplace_back(aOptions, number);
   }
   std::vector<std::thread> threads;
+  threads.reserve(callers.size());
   for (Caller& caller : callers) {
     threads.emplace_back([&caller, end] { caller.Run(end); });
   }
--- a/standins/ChildProcess.cpp
+++ b/standins/ChildProcess.cpp
@@ -23,6 +23,7 @@
 ToArguments(const std::vector<std::string>& aCommand)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const std::string& word : aCommand) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
--- a/tests/unit/AtMostOnceTest.cpp
+++ b/tests/unit/AtMostOnceTest.cpp
@@ -118,6 +118,24 @@
   EXPECT_TRUE(LastRefusalIs(UnknownReason::AlreadyStarted));
 }
 
+// Guards against a double run after a service has moved to a pool whose owner
+// does not know the intents of the old pool (fuzz_reducers seeds 162 and 326).
+TEST_F(AtMostOnceTest, RefusesNonIdempotentRequestsOfAServiceThatHasJustMoved)
+{
+  constexpr WallTime kLaterThanAnyTest{ std::chrono::hours(1'000'000) };
+  for (const char* name : { "d1", "d2", "d3" }) {
+    auto& services = daemons_.StateOf(name).fleet_.services_;
+    services.begin()->second.movedAt_ = kLaterThanAnyTest;
+  }
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  Step();
+  EXPECT_TRUE(daemons_.started_.empty());
+  EXPECT_TRUE(LastRefusalIs(RefusalReason::ServiceMoved));
+  daemons_.Ask(entry_, RequestKey{ 2 }, "look", true);
+  Step();
+  EXPECT_EQ(daemons_.started_.size(), 1U);
+}
+
 // Guards against waiting requests that are lost with their owner.
 TEST_F(AtMostOnceTest, SendsWaitingRequestsToTheNextOwner)
 {
--- a/tests/unit/FoldTest.cpp
+++ b/tests/unit/FoldTest.cpp
@@ -104,6 +104,24 @@
   EXPECT_TRUE(fleet_.waves_.contains(WaveId{ "n199" }));
 }
 
+// Guards against a service that changes its pool unnoticed: its requests'
+// intents stand in the stream of the pool that it has left.
+TEST_F(FoldTest, NotesWhenAServiceMovesToAnotherPool)
+{
+  const ServiceId slot{ "slot" };
+  Record(DefinePool{ PoolId{ "other" }, false });
+  FleetRecord record;
+  record.id_ = RecordId{ "move" };
+  record.at_ = WallTime{ std::chrono::seconds(7) };
+  record.change_ = DefineService{ slot, PoolId{ "web" }, VmCount{ 1 } };
+  Apply(fleet_, Offset{ 101 }, record);
+  EXPECT_EQ(fleet_.services_.at(slot).movedAt_, WallTime{});
+  record.id_ = RecordId{ "move again" };
+  record.change_ = DefineService{ slot, PoolId{ "other" }, VmCount{} };
+  Apply(fleet_, Offset{ 102 }, record);
+  EXPECT_EQ(fleet_.services_.at(slot).movedAt_, record.at_);
+}
+
 // Guards against two racing operators who both believe that they have won.
 TEST_F(FoldTest, GivesARaceOfTwoOperatorsOneWinner)
 {
