--- a/src/verbenawell/planner/SparePlan.cpp
+++ b/src/verbenawell/planner/SparePlan.cpp
@@ -120,7 +120,8 @@
             const std::set<PoolId>& aWavePools)
 {
   std::vector<PlannedMove> moves;
-  SpareStock stock{ aIndex };
+  // Copied only where a VM is missing: plans are made several times a second.
+  std::optional<SpareStock> stock;
   for (const auto& [id, load] : aIndex.Pools()) {
     VmCount wanted = load.budget_;
     if (aWavePools.contains(id)) {
@@ -128,7 +129,10 @@
     }
     auto byZone = load.byZone_;
     for (VmCount serving = load.serving_; serving < wanted; ++serving) {
-      const auto taken = stock.Take(byZone);
+      if (!stock) {
+        stock.emplace(aIndex);
+      }
+      const auto taken = stock->Take(byZone);
       if (!taken) {
         return moves;
       }
