Limit the time in which a whole request must arrive

Cause: each wait for bytes was limited to 5 s, but a sender of one byte now and then could hold a thread for ever. Change: a request must arrive within 30 s; a connection whose read timed out is closed, since the library answers 400 and would read the rest as a next request. Before: HttpServerTest.ClosesAConnectionWhoseRequestArrivesTooSlowly hung. After: it passes with a limit of 200 ms. Conclusion: slow senders are bounded in time as well as in number.

--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -126,9 +126,15 @@
       const std::lock_guard lock{ mutex_ };
       idleSockets_.erase(aSocket);
     }
+    stream.SetReadDeadline(std::chrono::steady_clock::now() + limits_.request_);
     if (!readable || !process_request(stream, stopping_, closed, nullptr)) {
       return;
     }
+    // The library answers 400 to a request that did not arrive in time and
+    // would read its rest as the next request.
+    if (stream.HasTimedOut()) {
+      return;
+    }
   }
 }
 
--- a/src/verbenawell/adapters/HttpServer.h
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -23,6 +23,9 @@
   std::chrono::milliseconds idle_{ 30'000 };
   /// Longest wait for the next bytes of a request or its answer's reader.
   std::chrono::milliseconds transfer_{ 5'000 };
+  /// Longest time for a whole request to arrive. A sender of one byte now and
+  /// then would hold its thread for as long as it likes.
+  std::chrono::milliseconds request_{ 30'000 };
 };
 
 /// An HTTP listener on cpp-httplib. It replaces the library's connection
--- a/src/verbenawell/adapters/internal/SocketStream.cpp
+++ b/src/verbenawell/adapters/internal/SocketStream.cpp
@@ -53,7 +53,16 @@
 bool
 SocketStream::is_readable() const
 {
-  return HasBufferedInput() || WaitForSocket(socket_, POLLIN, timeout_);
+  if (HasBufferedInput()) {
+    return true;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (now >= readDeadline_) {
+    return false;
+  }
+  const auto left =
+    std::chrono::ceil<std::chrono::milliseconds>(readDeadline_ - now);
+  return WaitForSocket(socket_, POLLIN, std::min(timeout_, left));
 }
 
 bool
@@ -67,6 +76,7 @@
 {
   if (!HasBufferedInput()) {
     if (!is_readable()) {
+      timedOut_ = true;
       return -1;
     }
     const ssize_t got = recv(socket_, buffer_.data(), buffer_.size(), 0);
--- a/src/verbenawell/adapters/internal/SocketStream.h
+++ b/src/verbenawell/adapters/internal/SocketStream.h
@@ -22,6 +22,15 @@
   void get_local_ip_and_port(std::string& aIp, int& aPort) const override;
   [[nodiscard]] socket_t socket() const override { return socket_; }
 
+  /// Reading fails from this time on.
+  void SetReadDeadline(std::chrono::steady_clock::time_point aDeadline)
+  {
+    readDeadline_ = aDeadline;
+  }
+
+  /// Tells whether a read has failed because nothing arrived in time.
+  [[nodiscard]] bool HasTimedOut() const { return timedOut_; }
+
   /// Tells whether bytes of a next request have been read already.
   [[nodiscard]] bool HasBufferedInput() const { return begin_ < end_; }
 
@@ -30,7 +39,10 @@
 
   int socket_;
   std::chrono::milliseconds timeout_;
+  std::chrono::steady_clock::time_point readDeadline_ =
+    std::chrono::steady_clock::time_point::max();
   std::array<char, kBufferSize> buffer_{};
+  bool timedOut_ = false;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
 };
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -6,8 +6,9 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
-#include <thread>
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 namespace verbenawell::tests {
@@ -69,7 +70,8 @@
     if (std::chrono::steady_clock::now() > end) {
       return false;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    asio::io_context io;
+    asio::steady_timer{ io, std::chrono::milliseconds(20) }.wait();
   }
   return true;
 }
--- /dev/null
+++ b/tests/unit/HttpServerTest.cpp
@@ -0,0 +1,74 @@
+#include "verbenawell/adapters/HttpServer.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <system_error>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+using asio::ip::tcp;
+
+/// A port that was free a moment ago.
+std::uint16_t
+FreePort(asio::io_context& aIo)
+{
+  const tcp::acceptor acceptor{
+    aIo, tcp::endpoint{ asio::ip::address_v4::loopback(), 0 }
+  };
+  return acceptor.local_endpoint().port();
+}
+
+// Guards against a sender of one byte now and then that holds a thread for as
+// long as it likes: no single wait is long, the whole request never arrives.
+TEST(HttpServerTest, ClosesAConnectionWhoseRequestArrivesTooSlowly)
+{
+  HttpServerLimits limits;
+  limits.request_ = std::chrono::milliseconds(200);
+  HttpServer server{ limits };
+  asio::io_context io;
+  const std::uint16_t port = FreePort(io);
+  server.Start({ "127.0.0.1", port });
+  tcp::socket socket{ io };
+  socket.connect({ asio::ip::address_v4::loopback(), port });
+  asio::write(socket, asio::buffer(std::string_view("POST / HTTP/1.1\r\n")));
+  std::error_code error;
+  std::array<char, 256> answer{};
+  while (!error) {
+    socket.read_some(asio::buffer(answer), error);
+  }
+  EXPECT_TRUE(error == asio::error::eof ||
+              error == asio::error::connection_reset)
+    << error.message();
+}
+
+// Guards against an idle connection that is closed by the limit of a request.
+TEST(HttpServerTest, ServesASecondRequestAfterAPause)
+{
+  HttpServerLimits limits;
+  limits.request_ = std::chrono::milliseconds(100);
+  HttpServer server{ limits };
+  server.Get("/", [](const httplib::Request&, httplib::Response& aResponse) {
+    aResponse.set_content("whole", "text/plain");
+  });
+  asio::io_context io;
+  const std::uint16_t port = FreePort(io);
+  server.Start({ "127.0.0.1", port });
+  httplib::Client client{ "127.0.0.1", port };
+  client.set_keep_alive(true);
+  ASSERT_TRUE(client.Get("/"));
+  asio::steady_timer{ io, limits.request_ * 2 }.wait();
+  const auto second = client.Get("/");
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->body, "whole");
+}
+
+} // namespace
+} // namespace verbenawell
