Refuse settings that nest deeper than 16 levels

Ruled out: the CBOR readers, which check depth before they parse; the stack of the running test stood in the settings reader. Change: nesting beyond 16 levels is a fault with its line. Before: byte_fuzz_tests killed.

--- a/src/verbenawell/settings/SettingsText.cpp
+++ b/src/verbenawell/settings/SettingsText.cpp
@@ -48,6 +48,10 @@
   std::size_t* line_;
 };
 
+// Settings nest four levels deep. Each level's path holds the paths above it:
+// 100,000 opening brackets took 15 GB.
+constexpr std::size_t kMaxDepth = 16;
+
 /// Receives what the parser finds. The line of a member is that of its key:
 /// behind a number the parser has consumed one character too many.
 class EntryHandler
@@ -150,6 +154,11 @@
 
   void Open(std::optional<std::size_t> aIndex)
   {
+    if (scopes_.size() >= kMaxDepth) {
+      throw SyntaxError("line " + std::to_string(line_) +
+                        ": nested deeper than " + std::to_string(kMaxDepth) +
+                        " levels");
+    }
     const std::size_t line = Line();
     std::string path = NextPath();
     entries_.push_back({ path, line, Container{} });
--- a/tests/integration/PeerConnectionTest.cpp
+++ b/tests/integration/PeerConnectionTest.cpp
@@ -65,6 +65,7 @@
     { "authorization", "Bearer " + aToken },
   } };
   std::vector<nghttp2_nv> headers;
+  headers.reserve(fields.size());
   for (auto& [name, value] : fields) {
     headers.push_back(Header(name, value));
   }
--- a/tests/unit/LanguageTest.cpp
+++ b/tests/unit/LanguageTest.cpp
@@ -76,7 +76,8 @@
 
   void Record(FleetChange aChange)
   {
-    Apply(fleet_, fleet_.through_ + Offset{ 1 }, MakeRecord(aChange));
+    Apply(
+      fleet_, fleet_.through_ + Offset{ 1 }, MakeRecord(std::move(aChange)));
   }
 
   void SetUp() override
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -15,8 +15,7 @@
 
 namespace {
 
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 constexpr Duration kStep = 250ms;
 
--- a/tests/unit/PlannerTest.cpp
+++ b/tests/unit/PlannerTest.cpp
@@ -27,6 +27,7 @@
 MakeVms(int aCount, int aZones)
 {
   std::vector<VmFacts> vms;
+  vms.reserve(static_cast<std::size_t>(aCount));
   for (int number = 0; number < aCount; ++number) {
     vms.push_back(MakeVm(number, aZones));
   }
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -87,6 +87,14 @@
   EXPECT_EQ(faults[3].line_, 16U);
 }
 
+// Guards against deep nesting that takes memory for every level's path
+// (byte_fuzz_tests was killed at 15 GB).
+TEST(SettingsTest, RefusesDeepNesting)
+{
+  constexpr std::size_t kDepth = 100'000;
+  EXPECT_FALSE(FaultsOf(std::string(kDepth, '[')).empty());
+}
+
 // Guards against a misspelt setting whose default is silently in force.
 TEST(SettingsTest, NamesTheNearestSettingToAnUnknownOne)
 {
