Drive the owner's queue in the flood bench through the tickets it now gets

Cause: admission moved behind take-over, so that the owner's queue no longer reads slot requests; flood_bench waited for jobs that were never admitted (killed after 400 s without a row). Change: the bench sends TicketReady, as the daemon does, and counts the pool's serving VMs.

--- a/bench/FloodPolicies.cpp
+++ b/bench/FloodPolicies.cpp
@@ -38,14 +38,15 @@
     vm.pool_ = kPool;
     pool.vms_.insert(id);
   }
+  pool.serving_ = VmCount{ kWorkers };
 }
 
 Decisions
 OwnerPolicy::Arrive(JobNumber aNumber, const Job& aJob)
 {
   return Send(
-    PeerMessageReceived{ kEntry,
-                         SlotRequest{ RequestKey{ aNumber }, aJob.head_, {} } },
+    TicketReady{
+      kEntry, kPool, SlotRequest{ RequestKey{ aNumber }, aJob.head_, {} } },
     aJob.arrivesAt_);
 }
 
