Give the settings reader of the byte fuzzing its own token file

That file was left over on the machine where the target was written; on a new machine the reader refuses its valid input.

Change: the target makes a folder of its own with the token file and removes it at the end.

--- a/tests/fuzz/ByteTargets.cpp
+++ b/tests/fuzz/ByteTargets.cpp
@@ -10,12 +10,15 @@
 
 #include "ByteFuzz.h"
 
+#include <cerrno>
+#include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <memory>
 #include <sstream>
+#include <system_error>
 #include <utility>
 
-#include <unistd.h>
-
 namespace verbenawell::fuzz {
 
 namespace {
@@ -134,6 +137,27 @@
            } };
 }
 
+/// A folder with the token file "t" for settings, removed with the object.
+struct TokenFolder
+{
+  TokenFolder()
+  {
+    if (mkdtemp(path_.data()) == nullptr) {
+      throw std::system_error(errno, std::generic_category(), path_);
+    }
+    std::ofstream{ path_ + "/t" } << "token";
+  }
+  TokenFolder(const TokenFolder&) = delete;
+  TokenFolder& operator=(const TokenFolder&) = delete;
+  ~TokenFolder()
+  {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+
+  std::string path_ = "/tmp/fuzz_settings.XXXXXX";
+};
+
 ByteTarget
 SettingsFiles()
 {
@@ -148,18 +172,17 @@
               "seeds": [{"host": "127.0.0.1", "port": 8082}]},
     "platform": {"log": {"host": "127.0.0.1", "port": 8083},
                  "vmList": {"host": "127.0.0.1", "port": 8084}}})";
-  return { "settings", { valid }, [](const std::string& aText) {
-            const std::string path =
-              "/tmp/fuzz_settings." + std::to_string(getpid());
+  // The file is there for as long as the readers: `LoadSettings` reads it.
+  const auto folder = std::make_shared<TokenFolder>();
+  return { "settings", { valid }, [folder](const std::string& aText) {
+            const std::string path = folder->path_ + "/settings.json";
             std::ofstream{ path } << aText;
-            bool accepted = true;
             try {
               LoadSettings(path);
             } catch (const SettingsError&) {
-              accepted = false;
+              return false;
             }
-            unlink(path.c_str());
-            return accepted;
+            return true;
           } };
 }
 
