Take the ports of tests from ranges that no connection can get

The fixture asked the kernel for free ports, released them and gave them to about 20 processes. Until a server bound its port, any connection of the tests that run beside it could get the same number as its local port, and two fixtures could get the same one; the HTTP library sets port reuse, so nothing reported that.

Change: PortRange holds 1,000 ports below the ephemeral range, claimed by a listening socket without reuse. Both process fixtures and the HTTP server's test take their ports there. A fixture that does not become ready says which daemons are not, with their logs.

The fixture can now also stand proxies in front of the log, the VM list and each worker; the stand-in platform takes the IP number of its workers for it.

Conclusion: tests that run side by side share no port.

--- a/standins/LocalFleet.cpp
+++ b/standins/LocalFleet.cpp
@@ -28,20 +28,8 @@
 constexpr std::size_t kPlatformPort = 1;
 constexpr std::size_t kDaemonPorts = 10;
 constexpr std::size_t kPortsOfDaemon = 3;
-constexpr std::size_t kVmPorts = 200;
-
-// Fleets of processes that run at the same time use other ports: the base
-// follows the process id and stays below the ephemeral range.
-std::uint16_t
-ChooseBasePort()
-{
-  constexpr int kFirst = 10'000;
-  constexpr int kStep = 400;
-  constexpr int kChoices = 50;
-  static int used = 0;
-  const int choice = (getpid() + 17 * used++) % kChoices;
-  return static_cast<std::uint16_t>(kFirst + kStep * choice);
-}
+constexpr std::size_t kVmPorts = 600;
+constexpr std::size_t kMaxWorkers = 390;
 
 void
 Pause(std::chrono::milliseconds aTime)
@@ -61,7 +49,6 @@
 
 LocalFleet::LocalFleet(const LocalFleetOptions& aOptions)
   : options_(aOptions)
-  , basePort_(ChooseBasePort())
 {
   std::string pattern =
     (std::filesystem::temp_directory_path() / "verbenawell-XXXXXX").string();
@@ -73,11 +60,12 @@
   const auto programs = options_.build_ / "standins";
   log_.emplace(
     std::vector<std::string>{ programs / "standin-log",
-                              "--port=" + std::to_string(Port(kLogPort)) },
+                              "--port=" + std::to_string(ports_.At(kLogPort)) },
     folder_ / "log.log");
   platform_.emplace(
     std::vector<std::string>{ programs / "standin-platform",
-                              "--port=" + std::to_string(Port(kPlatformPort)),
+                              "--port=" +
+                                std::to_string(ports_.At(kPlatformPort)),
                               "--vms=" + (folder_ / "vms.json").string(),
                               "--reboot_ms=200",
                               options_.workers_ ? "--workers" : "--noworkers" },
@@ -118,25 +106,25 @@
 Endpoint
 LocalFleet::Callers(std::size_t aDaemon) const
 {
-  return { kHost, Port(kDaemonPorts + kPortsOfDaemon * aDaemon) };
+  return { kHost, ports_.At(kDaemonPorts + kPortsOfDaemon * aDaemon) };
 }
 
 Endpoint
 LocalFleet::Operators(std::size_t aDaemon) const
 {
-  return { kHost, Port(kDaemonPorts + kPortsOfDaemon * aDaemon + 1) };
+  return { kHost, ports_.At(kDaemonPorts + kPortsOfDaemon * aDaemon + 1) };
 }
 
 Endpoint
 LocalFleet::Log() const
 {
-  return { kHost, Port(kLogPort) };
+  return { kHost, ports_.At(kLogPort) };
 }
 
 Endpoint
 LocalFleet::Platform() const
 {
-  return { kHost, Port(kPlatformPort) };
+  return { kHost, ports_.At(kPlatformPort) };
 }
 
 std::optional<std::string>
@@ -231,7 +219,7 @@
     VmListing listing;
     auto& facts = listing.facts_;
     facts.vm_ = verbenawell::VmId{ "vm" + std::to_string(number) };
-    facts.address_ = { kHost, Port(kVmPorts + number % kVmPorts) };
+    facts.address_ = { kHost, ports_.At(kVmPorts + number % kMaxWorkers) };
     facts.region_ = verbenawell::RegionId{ "r1" };
     facts.zone_ =
       verbenawell::ZoneId{ "z" + std::to_string(number % options_.zones_) };
@@ -246,12 +234,6 @@
   return vms;
 }
 
-std::uint16_t
-LocalFleet::Port(std::size_t aOffset) const
-{
-  return static_cast<std::uint16_t>(basePort_ + aOffset);
-}
-
 void
 LocalFleet::WriteFiles() const
 {
@@ -260,7 +242,8 @@
   const std::string token = folder_ / "token";
   nlohmann::json seeds = nlohmann::json::array();
   const auto peers = [this](std::size_t aNumber) {
-    return Endpoint{ kHost, Port(kDaemonPorts + kPortsOfDaemon * aNumber + 2) };
+    return Endpoint{ kHost,
+                     ports_.At(kDaemonPorts + kPortsOfDaemon * aNumber + 2) };
   };
   for (std::size_t number = 0; number < options_.daemons_; ++number) {
     seeds.push_back(ListenAt(peers(number)));
--- a/standins/LocalFleet.h
+++ b/standins/LocalFleet.h
@@ -4,6 +4,7 @@
 #include "verbenawell/fleet/FleetEvents.h"
 
 #include "ChildProcess.h"
+#include "PortRange.h"
 
 #include <chrono>
 #include <filesystem>
@@ -73,12 +74,11 @@
 
 private:
   [[nodiscard]] std::vector<verbenawell::VmListing> MakeVms() const;
-  [[nodiscard]] std::uint16_t Port(std::size_t aOffset) const;
   void WriteFiles() const;
 
   LocalFleetOptions options_;
   std::filesystem::path folder_;
-  std::uint16_t basePort_ = 0;
+  PortRange ports_;
   std::optional<ChildProcess> log_;
   std::optional<ChildProcess> platform_;
   std::map<std::size_t, ChildProcess> daemons_;
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -10,14 +10,18 @@
 
 Platform::Platform(const std::vector<VmListing>& aVms,
                    std::chrono::milliseconds aRebootTime,
-                   bool aWorkers)
+                   const WorkerOptions& aWorkers)
   : rebootTime_(aRebootTime)
 {
   for (const VmListing& listing : aVms) {
     Vm& vm = vms_[listing.facts_.vm_.Value()];
     vm.listing_ = listing;
-    vm.worker_ = std::make_unique<Worker>(listing, ledger_);
-    if (aWorkers) {
+    VmListing served = listing;
+    if (!aWorkers.host_.empty()) {
+      served.facts_.address_.host_ = aWorkers.host_;
+    }
+    vm.worker_ = std::make_unique<Worker>(std::move(served), ledger_);
+    if (aWorkers.run_) {
       vm.worker_->Boot();
     }
   }
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -17,13 +17,23 @@
 
 namespace standins {
 
+/// The backend servers that a platform runs.
+struct WorkerOptions
+{
+  /// Without, VMs exist in the list only.
+  bool run_ = true;
+  /// IP number that they listen on, with the port of the list; empty for the
+  /// address of the list. A proxy can then stand at the listed address.
+  std::string host_;
+};
+
 /// The platform's VMs: a list, reboots and failures.
 class Platform
 {
 public:
   Platform(const std::vector<verbenawell::VmListing>& aVms,
            std::chrono::milliseconds aRebootTime,
-           bool aWorkers);
+           const WorkerOptions& aWorkers);
   ~Platform();
 
   [[nodiscard]] std::string ListAsJson();
--- /dev/null
+++ b/standins/PortRange.cpp
@@ -0,0 +1,65 @@
+#include "PortRange.h"
+
+#include <stdexcept>
+#include <string>
+#include <system_error>
+
+#include <unistd.h>
+
+namespace standins {
+
+namespace {
+
+using asio::ip::tcp;
+
+// The ephemeral ports of Linux start at 32768. A port above could become the
+// local port of another process's connection between its choice and its use.
+constexpr std::size_t kFirstPort = 10'000;
+constexpr std::size_t kRanges = 22;
+
+// The first port of a range is held as the claim. Without the option for
+// reuse, a second process cannot bind it.
+bool
+Claim(tcp::acceptor& aClaim, std::size_t aRange)
+{
+  const auto port =
+    static_cast<std::uint16_t>(kFirstPort + aRange * PortRange::kSize);
+  std::error_code error;
+  aClaim.open(tcp::v4());
+  aClaim.bind({ asio::ip::address_v4::loopback(), port }, error);
+  if (!error) {
+    aClaim.listen(1, error);
+  }
+  if (error) {
+    aClaim.close();
+  }
+  return !error;
+}
+
+} // namespace
+
+PortRange::PortRange()
+  : claim_(io_)
+{
+  const auto first = static_cast<std::size_t>(getpid());
+  for (std::size_t tried = 0; tried < kRanges; ++tried) {
+    if (Claim(claim_, (first + tried) % kRanges)) {
+      return;
+    }
+  }
+  throw std::runtime_error("all " + std::to_string(kRanges) +
+                           " ranges of loopback ports are taken");
+}
+
+std::uint16_t
+PortRange::At(std::size_t aOffset) const
+{
+  if (aOffset + 1 >= kSize) {
+    throw std::out_of_range("port offset " + std::to_string(aOffset) +
+                            " is beyond the range");
+  }
+  return static_cast<std::uint16_t>(claim_.local_endpoint().port() + 1 +
+                                    aOffset);
+}
+
+} // namespace standins
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -17,6 +17,9 @@
 DEFINE_int32(port, 7491, "port to listen on");
 DEFINE_string(vms, "", "file with the VM list as JSON");
 DEFINE_bool(workers, true, "run a backend server for each VM");
+DEFINE_string(worker_host,
+              "",
+              "IP number of the backend servers; empty for the listed one");
 DEFINE_uint64(reboot_ms, 500, "time that a reboot takes");
 
 namespace {
@@ -115,7 +118,7 @@
     standins::SignalWaiter signals;
     standins::Platform platform{ verbenawell::DecodeVmList(ReadFile(FLAGS_vms)),
                                  std::chrono::milliseconds(FLAGS_reboot_ms),
-                                 FLAGS_workers };
+                                 { FLAGS_workers, FLAGS_worker_host } };
     HttpServer server{ { kMaxConnections } };
     Serve(server, platform);
     server.Start({ FLAGS_host, static_cast<std::uint16_t>(FLAGS_port) });
--- a/tests/integration/PeerConnectionTest.cpp
+++ b/tests/integration/PeerConnectionTest.cpp
@@ -98,7 +98,7 @@
   };
   const std::uint64_t before = replaced();
   for (std::size_t index = 0; index < Cluster::kDaemons; ++index) {
-    cluster.SetRule(index, "fault=silence&coming=0");
+    cluster.SetRule(ToDaemon{ index }, "fault=silence&coming=0");
   }
   EXPECT_TRUE(WaitFor([&] { return replaced() > before; }));
   ASSERT_TRUE(WaitFor([&] { return cluster.AreReady(); }));
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -1,6 +1,8 @@
 #include "Cluster.h"
 
-#include "FreePort.h"
+#include "verbenawell/core/Overloaded.h"
+
+#include "ClusterAddresses.h"
 
 #include <cstdlib>
 #include <filesystem>
@@ -17,38 +19,26 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kWorkers = 3;
-constexpr const char* kHost = "127.0.0.1";
-
-json
-Address(const std::string& aHost, std::uint16_t aPort)
-{
-  return { { "host", aHost }, { "port", aPort } };
-}
-
-// Connections of one daemon are told apart from another's by this address.
 std::string
-PeerHost(std::size_t aIndex)
-{
-  return "127.0.0." + std::to_string(10 + aIndex);
-}
-
-void
-Write(const std::string& aPath, const std::string& aText)
+Get(const std::string& aHost, std::uint16_t aPort, const std::string& aPath)
 {
-  std::ofstream{ aPath } << aText;
-}
-
-std::string
-Get(std::uint16_t aPort, const std::string& aPath)
-{
-  httplib::Client client{ kHost, aPort };
+  httplib::Client client{ aHost, aPort };
   client.set_connection_timeout(std::chrono::seconds(1));
   client.set_read_timeout(std::chrono::seconds(1));
   const auto result = client.Get(aPath);
   return result && result->status == 200 ? result->body : "";
 }
 
+void
+Post(const std::string& aHost, std::uint16_t aPort, const std::string& aPath)
+{
+  httplib::Client client{ aHost, aPort };
+  const auto result = client.Post(aPath);
+  if (!result || result->status != 200) {
+    throw std::runtime_error("\"" + aPath + "\" was not accepted");
+  }
+}
+
 std::string
 MakeFolder()
 {
@@ -76,18 +66,18 @@
   return true;
 }
 
-Cluster::Cluster()
-  : folder_(MakeFolder())
-  , logPort_(FreePort())
-  , platformPort_(FreePort())
+Cluster::Cluster(const ClusterOptions& aOptions)
+  : options_(aOptions)
+  , folder_(MakeFolder())
   , daemons_(kDaemons)
 {
-  for (std::size_t index = 0; index < kWorkers; ++index) {
-    workerPorts_.push_back(FreePort());
-  }
   for (std::size_t index = 0; index < kDaemons; ++index) {
-    ports_.push_back(
-      { FreePort(), FreePort(), FreePort(), FreePort(), FreePort() });
+    const std::size_t first = kFirstDaemonPort + kPortsOfDaemon * index;
+    ports_.push_back({ range_.At(first),
+                       range_.At(first + 1),
+                       range_.At(first + 2),
+                       range_.At(first + 3),
+                       range_.At(first + 4) });
   }
   WriteFiles();
   StartStandins();
@@ -95,7 +85,7 @@
     StartDaemon(index);
   }
   if (!WaitFor([&] { return AreReady(); })) {
-    throw std::runtime_error("daemons are not ready; see " + folder_);
+    throw std::runtime_error(DescribeUnready());
   }
   DefineFleet();
 }
@@ -109,93 +99,6 @@
   }
 }
 
-void
-Cluster::WriteFiles()
-{
-  json vms = json::array();
-  for (std::size_t index = 0; index < kWorkers; ++index) {
-    const std::string number = std::to_string(index);
-    vms.push_back({ { "vm", "w" + number },
-                    { "host", kHost },
-                    { "port", workerPorts_[index] },
-                    { "region", "r" },
-                    { "zone", "z" + number },
-                    { "rack", "k" + number },
-                    { "cores", 8 },
-                    { "memoryMb", 1024 },
-                    { "accelerators", 0 },
-                    { "slots", 2 },
-                    { "boots", 0 },
-                    { "live", true },
-                    { "leaving", false } });
-  }
-  Write(folder_ + "/vms.json", vms.dump());
-  Write(folder_ + "/operators.token", "operators-token");
-  Write(folder_ + "/peers.token", "peers-token");
-  json seeds = json::array();
-  for (const Ports& ports : ports_) {
-    seeds.push_back(Address(kHost, ports.proxy_));
-  }
-  for (std::size_t index = 0; index < kDaemons; ++index) {
-    const Ports& ports = ports_[index];
-    const std::string name = "d" + std::to_string(index);
-    const json settings{
-      { "cluster", "test" },
-      { "daemon", name },
-      { "region", "r" },
-      { "zone", "z" + std::to_string(index) },
-      { "callers", { { "listen", Address(kHost, ports.callers_) } } },
-      { "operators",
-        { { "listen", Address(kHost, ports.operators_) },
-          { "tokenFile", folder_ + "/operators.token" } } },
-      { "peers",
-        { { "listen", Address(PeerHost(index), ports.peers_) },
-          { "advertise", Address(kHost, ports.proxy_) },
-          { "tokenFile", folder_ + "/peers.token" },
-          { "seeds", seeds } } },
-      { "platform",
-        { { "log", Address(kHost, logPort_) },
-          { "vmList", Address(kHost, platformPort_) } } }
-    };
-    Write(folder_ + "/" + name + ".json", settings.dump());
-  }
-}
-
-std::unique_ptr<standins::ChildProcess>
-Cluster::Spawn(const std::string& aProgram,
-               std::vector<std::string> aArguments,
-               const std::string& aName) const
-{
-  aArguments.insert(aArguments.begin(),
-                    std::string(VERBENAWELL_BUILD_DIR) + "/" + aProgram);
-  return std::make_unique<standins::ChildProcess>(
-    aArguments, folder_ + "/" + aName + ".log");
-}
-
-void
-Cluster::StartStandins()
-{
-  standins_.push_back(Spawn(
-    "standins/standin-log", { "--port", std::to_string(logPort_) }, "log"));
-  standins_.push_back(Spawn(
-    "standins/standin-platform",
-    { "--port", std::to_string(platformPort_), "--vms", folder_ + "/vms.json" },
-    "platform"));
-  for (std::size_t index = 0; index < kDaemons; ++index) {
-    const Ports& ports = ports_[index];
-    standins_.push_back(Spawn("standins/standin-proxy",
-                              { "--port",
-                                std::to_string(ports.proxy_),
-                                "--to_host",
-                                PeerHost(index),
-                                "--to_port",
-                                std::to_string(ports.peers_),
-                                "--control_port",
-                                std::to_string(ports.control_) },
-                              "proxy" + std::to_string(index)));
-  }
-}
-
 void
 Cluster::StartDaemon(std::size_t aIndex)
 {
@@ -220,7 +123,7 @@
 bool
 Cluster::IsReady(std::size_t aIndex) const
 {
-  return !Get(ports_.at(aIndex).operators_, "/readyz").empty();
+  return !Get(kHost, ports_.at(aIndex).operators_, "/readyz").empty();
 }
 
 bool
@@ -234,10 +137,25 @@
   return true;
 }
 
+std::string
+Cluster::DescribeUnready() const
+{
+  std::string text = "not ready:";
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    if (!IsReady(index)) {
+      const std::string name = "d" + std::to_string(index);
+      std::ifstream log{ folder_ + "/" + name + ".log" };
+      text += "\n" + name + ":\n" +
+              std::string{ std::istreambuf_iterator<char>{ log }, {} };
+    }
+  }
+  return text;
+}
+
 std::uint64_t
 Cluster::CounterAt(std::size_t aIndex, const std::string& aName) const
 {
-  const std::string text = Get(ports_.at(aIndex).operators_, "/metrics");
+  const std::string text = Get(kHost, ports_.at(aIndex).operators_, "/metrics");
   const std::string start = "verbenawell_" + aName + " ";
   const std::size_t found = text.find(start);
   return found == std::string::npos
@@ -270,14 +188,16 @@
 std::size_t
 Cluster::RunsOf(const std::string& aId) const
 {
-  const json ledger = json::parse(Get(platformPort_, "/ledger"));
+  const json ledger =
+    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
   return ledger.at("runs").value(aId, std::size_t{ 0 });
 }
 
 std::size_t
 Cluster::Running() const
 {
-  const json ledger = json::parse(Get(platformPort_, "/ledger"));
+  const json ledger =
+    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
   std::size_t running = 0;
   for (const auto& [vm, load] : ledger.at("vms").items()) {
     running += load.at("running").get<std::size_t>();
@@ -285,14 +205,42 @@
   return running;
 }
 
+std::string
+Cluster::PlatformHost() const
+{
+  return options_.proxiedPlatform_ ? kHiddenHost : kHost;
+}
+
+std::uint16_t
+Cluster::ControlPort(const Link& aLink) const
+{
+  return std::visit(
+    Overloaded{
+      [&](const ToDaemon& aTo) { return ports_.at(aTo.index_).control_; },
+      [&](const ToLog&) { return range_.At(kControlPorts + kLogPort); },
+      [&](const ToVmList&) { return range_.At(kControlPorts + kVmListPort); },
+      [&](const ToWorker& aTo) {
+        return range_.At(kControlPorts + kFirstWorkerPort + aTo.index_);
+      } },
+    aLink);
+}
+
 void
-Cluster::SetRule(std::size_t aIndex, const std::string& aQuery) const
+Cluster::SetRule(const Link& aLink, const std::string& aQuery) const
 {
-  httplib::Client client{ kHost, ports_.at(aIndex).control_ };
-  const auto result = client.Post("/rule?" + aQuery);
-  if (!result || result->status != 200) {
-    throw std::runtime_error("rule \"" + aQuery + "\" was not accepted");
-  }
+  Post(kHost, ControlPort(aLink), "/rule?" + aQuery);
+}
+
+void
+Cluster::PostToLog(const std::string& aPath) const
+{
+  Post(PlatformHost(), range_.At(kLogPort), aPath);
+}
+
+void
+Cluster::PostToPlatform(const std::string& aPath) const
+{
+  Post(PlatformHost(), range_.At(kVmListPort), aPath);
 }
 
 void
@@ -302,8 +250,8 @@
     aIsolated ? "fault=silence&from=" : "fault=pass&from=";
   for (std::size_t other = 0; other < kDaemons; ++other) {
     if (other != aIndex) {
-      SetRule(aIndex, fault + PeerHost(other));
-      SetRule(other, fault + PeerHost(aIndex));
+      SetRule(ToDaemon{ aIndex }, fault + PeerHost(other));
+      SetRule(ToDaemon{ other }, fault + PeerHost(aIndex));
     }
   }
 }
@@ -314,16 +262,22 @@
   return { PeerHost(aIndex), ports_.at(aIndex).peers_ };
 }
 
+httplib::Result
+Cluster::GiveCommand(std::size_t aIndex, const std::string& aText) const
+{
+  httplib::Client client{ kHost, ports_.at(aIndex).operators_ };
+  client.set_read_timeout(std::chrono::seconds(20));
+  const httplib::Headers headers{ { "Authorization", "Bearer operators-token" },
+                                  { "Verbenawell-Operator", "test" } };
+  return client.Post("/command", headers, aText, "text/plain");
+}
+
 void
 Cluster::Command(const std::string& aText) const
 {
   // A VM is in the fleet some time after it is in the list.
   const bool done = WaitFor([&] {
-    httplib::Client client{ kHost, ports_.front().operators_ };
-    const httplib::Headers headers{ { "Authorization",
-                                      "Bearer operators-token" },
-                                    { "Verbenawell-Operator", "test" } };
-    const auto result = client.Post("/command", headers, aText, "text/plain");
+    const auto result = GiveCommand(0, aText);
     return result && result->status == 200 &&
            result->body.find("in effect") != std::string::npos;
   });
@@ -337,8 +291,9 @@
 {
   Command("create pool spare spare");
   Command("create pool p");
-  Command("move w0 to p");
-  Command("move w1 to p");
+  for (std::size_t index = 0; index + 1 < options_.workers_; ++index) {
+    Command("move w" + std::to_string(index) + " to p");
+  }
   Command("create service s in p budget 1");
   for (std::size_t index = 0; index < kDaemons; ++index) {
     if (!WaitFor([&] { return IsAnswered(index); })) {
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Endpoint.h"
 
 #include "ChildProcess.h"
+#include "PortRange.h"
 
 #include <chrono>
 #include <cstddef>
@@ -10,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <httplib.h>
@@ -29,6 +31,32 @@
   std::chrono::milliseconds runTime_{ 0 };
 };
 
+struct ClusterOptions
+{
+  std::size_t workers_ = 3;
+  std::size_t slots_ = 2;
+  std::chrono::milliseconds reboot_{ 500 };
+  /// Records that the log keeps a stream; 0 keeps all.
+  std::uint64_t logRetention_ = 0;
+  /// Proxies stand in front of the log, the VM list and each worker too.
+  bool proxiedPlatform_ = false;
+};
+
+/// The server that a proxy stands in front of.
+struct ToDaemon
+{
+  std::size_t index_ = 0;
+};
+struct ToLog
+{};
+struct ToVmList
+{};
+struct ToWorker
+{
+  std::size_t index_ = 0;
+};
+using Link = std::variant<ToDaemon, ToLog, ToVmList, ToWorker>;
+
 /// Stand-ins and three daemons on free loopback ports. Each daemon is reached
 /// by the others through a proxy of its own and connects from an IP number of
 /// its own, so that a test can break single paths.
@@ -37,9 +65,10 @@
 public:
   static constexpr std::size_t kDaemons = 3;
 
-  /// Starts everything, with the service "s" on the pool "p" of two workers
-  /// with two slots each, and waits until every daemon is ready.
-  Cluster();
+  /// Starts everything, with the service "s" of budget 1 on the pool "p" of
+  /// all workers but the last, which is the spare one, and waits until every
+  /// daemon answers.
+  explicit Cluster(const ClusterOptions& aOptions = {});
   ~Cluster();
 
   void StartDaemon(std::size_t aIndex);
@@ -67,9 +96,19 @@
   /// Requests that run on workers now.
   [[nodiscard]] std::size_t Running() const;
 
-  /// Sets the rule of the proxy in front of a daemon; `aQuery` as for
-  /// `standin-proxy`.
-  void SetRule(std::size_t aIndex, const std::string& aQuery) const;
+  /// Sets the rule of a proxy; `aQuery` as for `standin-proxy`.
+  void SetRule(const Link& aLink, const std::string& aQuery) const;
+
+  /// Posts to the log service itself, for example "/faults?down=1".
+  void PostToLog(const std::string& aPath) const;
+  /// Posts to the platform itself, for example "/mode?vm=w0&mode=silent".
+  void PostToPlatform(const std::string& aPath) const;
+
+  /// Gives an operator's command through a daemon; the whole answer.
+  [[nodiscard]] httplib::Result GiveCommand(std::size_t aIndex,
+                                            const std::string& aText) const;
+  /// Repeats a command until it is in effect.
+  void Command(const std::string& aText) const;
 
   /// Breaks, or mends, all paths between one daemon and the others.
   void Isolate(std::size_t aIndex, bool aIsolated) const;
@@ -88,19 +127,25 @@
     std::uint16_t control_;
   };
 
+  /// Names the daemons that are not ready, with their logs.
+  [[nodiscard]] std::string DescribeUnready() const;
   void WriteFiles();
   void StartStandins();
-  void Command(const std::string& aText) const;
   void DefineFleet() const;
+  void StartProxy(const Endpoint& aListen,
+                  const Endpoint& aTo,
+                  std::uint16_t aControl,
+                  const std::string& aName);
+  [[nodiscard]] std::string PlatformHost() const;
+  [[nodiscard]] std::uint16_t ControlPort(const Link& aLink) const;
   std::unique_ptr<standins::ChildProcess> Spawn(
     const std::string& aProgram,
     std::vector<std::string> aArguments,
     const std::string& aName) const;
 
+  ClusterOptions options_;
   std::string folder_;
-  std::uint16_t logPort_ = 0;
-  std::uint16_t platformPort_ = 0;
-  std::vector<std::uint16_t> workerPorts_;
+  standins::PortRange range_;
   std::vector<Ports> ports_;
   std::vector<std::unique_ptr<standins::ChildProcess>> standins_;
   std::vector<std::unique_ptr<standins::ChildProcess>> daemons_;
--- a/tests/unit/HttpServerTest.cpp
+++ b/tests/unit/HttpServerTest.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/adapters/HttpServer.h"
 
+#include "PortRange.h"
+
 #include <array>
 #include <cstdint>
 #include <string_view>
@@ -16,16 +18,6 @@
 
 using asio::ip::tcp;
 
-/// A port that was free a moment ago.
-std::uint16_t
-FreePort(asio::io_context& aIo)
-{
-  const tcp::acceptor acceptor{
-    aIo, tcp::endpoint{ asio::ip::address_v4::loopback(), 0 }
-  };
-  return acceptor.local_endpoint().port();
-}
-
 // Guards against a sender of one byte now and then that holds a thread for as
 // long as it likes: no single wait is long, the whole request never arrives.
 TEST(HttpServerTest, ClosesAConnectionWhoseRequestArrivesTooSlowly)
@@ -34,7 +26,8 @@
   limits.request_ = std::chrono::milliseconds(200);
   HttpServer server{ limits };
   asio::io_context io;
-  const std::uint16_t port = FreePort(io);
+  const standins::PortRange ports;
+  const std::uint16_t port = ports.At(0);
   server.Start({ "127.0.0.1", port });
   tcp::socket socket{ io };
   socket.connect({ asio::ip::address_v4::loopback(), port });
@@ -59,7 +52,8 @@
     aResponse.set_content("whole", "text/plain");
   });
   asio::io_context io;
-  const std::uint16_t port = FreePort(io);
+  const standins::PortRange ports;
+  const std::uint16_t port = ports.At(0);
   server.Start({ "127.0.0.1", port });
   httplib::Client client{ "127.0.0.1", port };
   client.set_keep_alive(true);
