Dispatch messages between daemons by visitors

Cause: five reducers told messages and records apart by chains of get_if, against the house style (`std::variant` with visitors), and two of them stood alike.

Change: each names the alternatives it takes in a visitor; the handling of a batch of intents is a function of its own. No behaviour changes.

Conclusion: one way to take a message apart.

--- a/src/verbenawell/log/SnapshotReducer.cpp
+++ b/src/verbenawell/log/SnapshotReducer.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/log/SnapshotReducer.h"
 
+#include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/log/LogState.h"
 #include "verbenawell/log/Peers.h"
@@ -51,12 +52,16 @@
 
   void operator()(const TimerDue& aEvent)
   {
-    if (std::holds_alternative<StateTransfer>(aEvent.key_)) {
-      Transfer();
-    } else if (const auto* poll = std::get_if<LogPoll>(&aEvent.key_);
-               poll != nullptr && poll->stream_ == FleetStream()) {
-      Tend();
-    }
+    std::visit(Overloaded{
+                 [&](const StateTransfer&) { Transfer(); },
+                 [&](const LogPoll& aPoll) {
+                   if (aPoll.stream_ == FleetStream()) {
+                     Tend();
+                   }
+                 },
+                 [](const auto&) {},
+               },
+               aEvent.key_);
   }
 
   void operator()(const StreamGap& aEvent)
@@ -168,11 +173,13 @@
     if (aEvent.from_ == context_.self_) {
       return;
     }
-    if (const auto* request = std::get_if<StateRequest>(&aEvent.message_)) {
-      Receive(aEvent.from_, *request);
-    } else if (const auto* part = std::get_if<StateChunk>(&aEvent.message_)) {
-      Receive(part->chunk_);
-    }
+    std::visit(
+      Overloaded{
+        [&](const StateRequest& aRequest) { Receive(aEvent.from_, aRequest); },
+        [&](const StateChunk& aPart) { Receive(aPart.chunk_); },
+        [](const auto&) {},
+      },
+      aEvent.message_);
   }
 
   void operator()(const auto&) {}
--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/membership/MembershipReducer.h"
 
+#include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/log/LogState.h"
 #include "verbenawell/log/Streams.h"
@@ -93,14 +94,16 @@
       return;
     }
     MarkHeard(aEvent.from_);
-    if (const auto* ping = std::get_if<Ping>(&aEvent.message_)) {
-      AnswerPing(aEvent.from_, *ping);
-    } else if (const auto* ack = std::get_if<Ack>(&aEvent.message_)) {
-      TakeAck(aEvent.from_, *ack);
-    } else if (const auto* request =
-                 std::get_if<PingRequest>(&aEvent.message_)) {
-      RelayPing(membership_, aEvent.from_, *request, context_, effects_);
-    }
+    std::visit(Overloaded{
+                 [&](const Ping& aPing) { AnswerPing(aEvent.from_, aPing); },
+                 [&](const Ack& aAck) { TakeAck(aEvent.from_, aAck); },
+                 [&](const PingRequest& aRequest) {
+                   RelayPing(
+                     membership_, aEvent.from_, aRequest, context_, effects_);
+                 },
+                 [](const auto&) {},
+               },
+               aEvent.message_);
   }
 
   void operator()(const auto&) {}
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -136,15 +136,18 @@
 
   void operator()(const PeerMessageReceived& aEvent)
   {
-    if (const auto* grant = std::get_if<SlotGrant>(&aEvent.message_)) {
-      TakeGrant(aEvent.from_, *grant);
-    } else if (const auto* refusal =
-                 std::get_if<SlotRefusal>(&aEvent.message_)) {
-      TakeRefusal(aEvent.from_, *refusal);
-    } else if (const auto* announce =
-                 std::get_if<OwnerAnnounce>(&aEvent.message_)) {
-      Report(aEvent.from_, *announce);
-    }
+    std::visit(
+      Overloaded{
+        [&](const SlotGrant& aGrant) { TakeGrant(aEvent.from_, aGrant); },
+        [&](const SlotRefusal& aRefusal) {
+          TakeRefusal(aEvent.from_, aRefusal);
+        },
+        [&](const OwnerAnnounce& aAnnounce) {
+          Report(aEvent.from_, aAnnounce);
+        },
+        [](const auto&) {},
+      },
+      aEvent.message_);
   }
 
   void operator()(const auto&) {}
--- a/src/verbenawell/requests/Intents.cpp
+++ b/src/verbenawell/requests/Intents.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/requests/Intents.h"
 
+#include "verbenawell/core/Overloaded.h"
 #include "verbenawell/log/Streams.h"
 #include "verbenawell/requests/IntentsState.h"
 #include "verbenawell/requests/internal/IntentWriter.h"
@@ -166,12 +167,16 @@
 
   void operator()(const PeerMessageReceived& aEvent)
   {
-    if (const auto* cancel = std::get_if<SlotCancel>(&aEvent.message_)) {
-      Withdraw(cancel->pool_, { aEvent.from_, cancel->key_ });
-    } else if (const auto* release =
-                 std::get_if<SlotRelease>(&aEvent.message_)) {
-      TakeRelease(aEvent.from_, *release);
-    }
+    std::visit(Overloaded{
+                 [&](const SlotCancel& aCancel) {
+                   Withdraw(aCancel.pool_, { aEvent.from_, aCancel.key_ });
+                 },
+                 [&](const SlotRelease& aRelease) {
+                   TakeRelease(aEvent.from_, aRelease);
+                 },
+                 [](const auto&) {},
+               },
+               aEvent.message_);
   }
 
   void operator()(const auto&) {}
@@ -179,19 +184,28 @@
 private:
   void Apply(const PoolId& aId, PoolIntents& aPool, const LogRecord& aRecord)
   {
-    if (const auto* claim = std::get_if<IntentOwner>(&aRecord.body_)) {
-      TakeClaim(aId, aPool, *claim);
-    } else if (const auto* batch = std::get_if<IntentBatch>(&aRecord.body_)) {
-      const bool valid = verbenawell::Apply(
-        aPool.window_, *batch, context_.now_, context_.wallNow_);
-      const bool own = batch->owner_ == context_.self_ &&
-                       batch->term_ == aPool.term_ && aPool.inFlight_ &&
-                       aPool.inFlight_->sequence_ == batch->sequence_;
-      if (valid && own) {
-        writer_.Settle(aPool);
-      } else if (valid && batch->owner_ == context_.self_) {
-        ReleaseStrays(aPool, *batch);
-      }
+    std::visit(
+      Overloaded{
+        [&](const IntentOwner& aClaim) { TakeClaim(aId, aPool, aClaim); },
+        [&](const IntentBatch& aBatch) { TakeBatch(aPool, aBatch); },
+        [](const auto&) {},
+      },
+      aRecord.body_);
+  }
+
+  void TakeBatch(PoolIntents& aPool, const IntentBatch& aBatch)
+  {
+    const bool valid = verbenawell::Apply(
+      aPool.window_, aBatch, context_.now_, context_.wallNow_);
+    if (!valid || aBatch.owner_ != context_.self_) {
+      return;
+    }
+    const bool inFlight = aBatch.term_ == aPool.term_ && aPool.inFlight_ &&
+                          aPool.inFlight_->sequence_ == aBatch.sequence_;
+    if (inFlight) {
+      writer_.Settle(aPool);
+    } else {
+      ReleaseStrays(aPool, aBatch);
     }
   }
 
@@ -317,12 +331,17 @@
     if (send == nullptr) {
       continue;
     }
-    if (const auto* grant = std::get_if<SlotGrant>(&send->message_)) {
-      MarkGranted(aIntents, { send->to_, grant->key_ }, grant->pool_);
-    } else if (const auto* refusal =
-                 std::get_if<SlotRefusal>(&send->message_)) {
-      MarkRefused(aIntents, { send->to_, refusal->key_ });
-    }
+    std::visit(
+      Overloaded{
+        [&](const SlotGrant& aGrant) {
+          MarkGranted(aIntents, { send->to_, aGrant.key_ }, aGrant.pool_);
+        },
+        [&](const SlotRefusal& aRefusal) {
+          MarkRefused(aIntents, { send->to_, aRefusal.key_ });
+        },
+        [](const auto&) {},
+      },
+      send->message_);
   }
 }
 
--- a/src/verbenawell/requests/TakeoverReducer.cpp
+++ b/src/verbenawell/requests/TakeoverReducer.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/requests/TakeoverReducer.h"
 
+#include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/MembershipState.h"
 #include "verbenawell/membership/Ownership.h"
@@ -126,17 +127,17 @@
 
   void operator()(const PeerMessageReceived& aEvent)
   {
-    if (const auto* request = std::get_if<SlotRequest>(&aEvent.message_)) {
-      Admit(aEvent.from_, *request);
-    } else if (const auto* cancel = std::get_if<SlotCancel>(&aEvent.message_)) {
-      Withdraw(aEvent.from_, *cancel);
-    } else if (const auto* announce =
-                 std::get_if<OwnerAnnounce>(&aEvent.message_)) {
-      YieldTo(aEvent.from_, *announce);
-    } else if (const auto* report =
-                 std::get_if<OwnerReport>(&aEvent.message_)) {
-      TakeReport(aEvent.from_, *report);
-    }
+    std::visit(
+      Overloaded{
+        [&](const SlotRequest& aRequest) { Admit(aEvent.from_, aRequest); },
+        [&](const SlotCancel& aCancel) { Withdraw(aEvent.from_, aCancel); },
+        [&](const OwnerAnnounce& aAnnounce) {
+          YieldTo(aEvent.from_, aAnnounce);
+        },
+        [&](const OwnerReport& aReport) { TakeReport(aEvent.from_, aReport); },
+        [](const auto&) {},
+      },
+      aEvent.message_);
   }
 
   void operator()(const auto&) {}
