Run several daemons in the fuzzing of the reducers

Cause: kMaxDaemons was 1, so that no peer message, take-over, partition or replacement was ever fuzzed; the handling of peers was written and idle.

A node's membership is set up as the main program does it: seeds, region and zone, incarnation and run from its own calendar clock, random seed. A link keeps the order of messages, holds them while a partition lasts and loses them with its connection after 1.5 s. New faults: daemon-stopped, log-cut. A retry reaches another daemon than the call before. Faults are one table.

Oracle: the runs on a VM against its slots, but for 3 s after daemons stop hearing each other; what the VM list shows counts per daemon; a replaced daemon that is ready gets no 4 s of grace; an answer to a drain that comes after another operator lifted it no longer counts as a drain. The last two were wrong with one daemon, too. The fake platform now ends an attempt whose connection closed before the worker saw it; before, it never ended.

--- a/tests/fuzz/FrontEnd.h
+++ b/tests/fuzz/FrontEnd.h
@@ -12,25 +12,20 @@
 
   /// Sends requests until `aEnd`.
   void Generate(TimePoint aEnd);
-  /// The connections of the daemon's callers break.
-  void Break(std::size_t aNode);
   /// Callers hang up, a part of them at once.
   void HangUp(std::size_t aPercent);
   /// Sends the command to a daemon; it may be lost with the daemon.
   void Command(std::size_t aNode, const std::string& aText);
   void RandomCommand();
 
-  int floodLong_ = 0;
-  int floodUrgent_ = 0;
-  int wrongRunTimes_ = 0;
-  int neverFits_ = 0;
-
 private:
   struct Request
   {
     RequestHead head_;
     Duration runTime_{};
     std::size_t retriesLeft_ = 0;
+    /// The daemon that the call before reached.
+    std::optional<std::size_t> before_;
   };
   struct Call
   {
@@ -48,6 +43,8 @@
   void On(std::size_t aNode, const RefuseCaller& aEffect);
   void On(std::size_t aNode, const AnswerOperator& aEffect);
 
+  /// The connections of the daemon's callers break.
+  void Break(std::size_t aNode);
   Request Draw(Urgency aUrgency);
   void Submit(const Request& aRequest);
   void End(const ExchangeId& aId, const CallOutcome& aOutcome);
--- a/tests/fuzz/World.h
+++ b/tests/fuzz/World.h
@@ -12,6 +12,34 @@
 
 namespace verbenawell::fuzz {
 
+enum class WorkerMode : std::uint8_t
+{
+  Healthy,
+  /// Fails everything it starts, at once.
+  FailingFast,
+  Cutting,
+  Silent,
+  RefusingConnections,
+  /// Answers that it did not run the request.
+  Busy,
+};
+
+/// How many faults of each kind are in force.
+struct Switches
+{
+  int logDown_ = 0;
+  int logSlow_ = 0;
+  int logLosesAnswers_ = 0;
+  int logRefuses_ = 0;
+  int listLate_ = 0;
+  int listStale_ = 0;
+  int bootsHang_ = 0;
+  int floodLong_ = 0;
+  int floodUrgent_ = 0;
+  int wrongRunTimes_ = 0;
+  int neverFits_ = 0;
+};
+
 /// Virtual time, chance, the oracle and the trace that all fakes share.
 class World
 {
@@ -42,6 +70,7 @@
   [[nodiscard]] bool Tracing() const { return trace_; }
 
   Oracle oracle_;
+  Switches switches_;
 
 private:
   struct Action
