--- a/src/verbenawell/codec/SnapshotCodec.cpp
+++ b/src/verbenawell/codec/SnapshotCodec.cpp
@@ -17,8 +17,13 @@
 void
 Fields(Archive& aArchive, T& aValue)
 {
-  aArchive(
-    aValue.facts_, aValue.pool_, aValue.down_, aValue.draining_, aValue.stop_);
+  aArchive(aValue.facts_,
+           aValue.pool_,
+           aValue.down_,
+           aValue.draining_,
+           aValue.stop_,
+           aValue.movingTo_,
+           aValue.maintainedAt_);
 }
 
 template<typename Archive, codec::OneOf<WaveFailure> T>
--- a/tests/unit/SnapshotTest.cpp
+++ b/tests/unit/SnapshotTest.cpp
@@ -69,6 +69,25 @@
   EXPECT_EQ(decoded.pools_.at(spare).vms_, fleet.pools_.at(spare).vms_);
 }
 
+// Guards against a daemon that loads a snapshot and no longer knows that a VM
+// was on its way to another pool, or when a wave rebooted it.
+TEST(SnapshotCodecTest, KeepsMovesInProgressAndMaintenanceTimes)
+{
+  FleetState fleet = MakeFleet(2);
+  const VmId vm{ "vm2" };
+  Apply(
+    fleet, Offset{ 4 }, MakeRecord(4, DefinePool{ PoolId{ "web" }, false }));
+  ASSERT_EQ(
+    Apply(fleet, Offset{ 5 }, MakeRecord(5, StartMove{ vm, PoolId{ "web" } }))
+      .refusal_,
+    "");
+  const WallTime maintained{ std::chrono::hours(1) };
+  fleet.vms_.at(vm).maintainedAt_ = maintained;
+  const FleetState decoded = DecodeFleet(EncodeFleet(fleet));
+  EXPECT_EQ(decoded.vms_.at(vm).movingTo_, PoolId{ "web" });
+  EXPECT_EQ(decoded.vms_.at(vm).maintainedAt_, maintained);
+}
+
 // Guards against a snapshot whose missing pool ends the daemon that loads it.
 TEST(SnapshotCodecTest, RefusesASnapshotThatRefersToAMissingPool)
 {
