Take no VM for idle before its pool's queue is open

Cause: ReportIfDrained took a pool without a queue for one without running attempts.

Change: a VM is drained only where the queue exists and holds no attempt on it; the wave's tick asks again.

Before: WaveDrainTest.WaitsForTheReportsOfRunningAttempts fails; after: 127 unit tests pass.

--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -186,8 +186,9 @@
       !TakesNoWork(aScope, aPool, aVm)) {
     return;
   }
+  // There is no queue while the reports of running attempts are awaited.
   const auto pool = aScope.owner_.pools_.find(aPool);
-  if (pool == aScope.owner_.pools_.end() ||
+  if (pool != aScope.owner_.pools_.end() &&
       pool->second.workers_.Running(aVm) == SlotCount{}) {
     aScope.effects_.emplace_back(Raise{ PoolDrained{ aPool, aVm } });
   }
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -106,5 +106,22 @@
     RequestKey{ 1 }, attempt, WholeAnswer{ 200, ByteCount{} }, {} })));
 }
 
+// Guards against a planned stop that cuts requests: an owner that still waited
+// for the reports of running attempts took a VM for idle.
+TEST_F(WaveDrainTest, WaitsForTheReportsOfRunningAttempts)
+{
+  ASSERT_NE(Start(), AttemptId{});
+  EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  // A term above the own one makes the owner claim the pool anew. The report
+  // of the daemon itself does not suffice while another member is awaited.
+  MemberUpdate other;
+  other.daemon_ = DaemonId{ "e" };
+  state_.membership_.members_[other.daemon_] = { other, now_, now_ };
+  Do(PeerMessageReceived{ other.daemon_,
+                          OwnerReport{ kBatch, Term{ 1'000'000 }, {} } });
+  ASSERT_FALSE(state_.requests_.owner_.pools_.contains(kBatch));
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+}
+
 } // namespace
 } // namespace verbenawell
