Show the loser of a race what is in force

Of two operators who change one subject at once, the second was refused with the offset of the winner only: it could not see what it would overwrite by saying the change again. The refusal now carries the tables of `explain` for the subject. A test races two operators through each pair of daemons on a slow log, so that both records are appended before either is read.

The fixture gains the availability budget as an option, confirms dangerous commands, and reads the log and the platform past the proxies; the platform stand-in can break a VM so that reboots do not bring it back.

--- a/src/verbenawell/operators/OperatorsReducer.cpp
+++ b/src/verbenawell/operators/OperatorsReducer.cpp
@@ -12,6 +12,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace verbenawell {
 
@@ -81,7 +82,8 @@
              { CommandStatus::Refused,
                "refused at offset " + offset + ": " + aEvent.refusal_,
                {},
-               {} });
+               pending.subject_ ? ReportReasons(fleet_, *pending.subject_)
+                                : std::vector<Table>{} });
     }
     operators_.pending_.erase(found);
   }
@@ -237,6 +239,7 @@
     const RecordId id = record.id_;
     operators_.pending_[id] = { aEvent.key_,
                                 context_.now_ + kSettleLimit,
+                                SubjectOf(aChange),
                                 std::move(consequences) };
     effects_.emplace_back(
       Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
--- a/src/verbenawell/operators/OperatorsState.h
+++ b/src/verbenawell/operators/OperatorsState.h
@@ -2,9 +2,11 @@
 
 #include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Time.h"
+#include "verbenawell/fleet/FleetRecord.h"
 #include "verbenawell/operators/Consequences.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 namespace verbenawell {
@@ -14,6 +16,8 @@
 {
   CommandKey key_;
   TimePoint deadline_;
+  /// What the change is about: shown as it is where the change is refused.
+  std::optional<Subject> subject_;
   /// Compared with the fleet once the change is in force.
   Consequences expected_;
 };
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -58,7 +58,8 @@
     return false;
   }
   Vm& vm = found->second;
-  if (vm.rebooting_ || vm.listing_.facts_.boots_.Value() != aBoots) {
+  if (vm.rebooting_ || vm.broken_ ||
+      vm.listing_.facts_.boots_.Value() != aBoots) {
     return true;
   }
   vm.worker_->Stop();
@@ -70,7 +71,7 @@
 }
 
 bool
-Platform::Fail(const std::string& aVm)
+Platform::Fail(const std::string& aVm, bool aBroken)
 {
   const std::lock_guard lock{ mutex_ };
   const auto found = vms_.find(aVm);
@@ -80,6 +81,7 @@
   found->second.worker_->Stop();
   found->second.listing_.live_ = false;
   found->second.rebooting_ = false;
+  found->second.broken_ = aBroken;
   return true;
 }
 
@@ -139,6 +141,7 @@
 Platform::Boot(Vm& aVm)
 {
   aVm.rebooting_ = false;
+  aVm.broken_ = false;
   aVm.listing_.live_ = true;
   ++aVm.listing_.facts_.boots_;
   aVm.worker_->Boot();
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -44,8 +44,9 @@
   /// Reboots a VM that still runs the named boot.
   bool Reboot(const std::string& aVm, std::uint64_t aBoots);
 
-  /// The VM fails and stays down until `Repair`.
-  bool Fail(const std::string& aVm);
+  /// The VM fails and stays down until `Repair`, or until a reboot is ordered
+  /// unless it is broken.
+  bool Fail(const std::string& aVm, bool aBroken);
   bool Repair(const std::string& aVm);
   bool SetLeaving(const std::string& aVm, bool aLeaving);
   bool SetMode(const std::string& aVm, WorkerMode aMode);
@@ -57,6 +58,7 @@
     std::unique_ptr<Worker> worker_;
     std::chrono::steady_clock::time_point bootsAt_;
     bool rebooting_ = false;
+    bool broken_ = false;
   };
 
   void BootDueVms();
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -83,8 +83,8 @@
     return aPlatform.Reboot(aVm,
                             std::stoull(aRequest.get_param_value("boots")));
   });
-  OnVm(aServer, "/fail", [&](const auto& aVm, const Request&) {
-    return aPlatform.Fail(aVm);
+  OnVm(aServer, "/fail", [&](const auto& aVm, const Request& aRequest) {
+    return aPlatform.Fail(aVm, aRequest.get_param_value("broken") == "1");
   });
   OnVm(aServer, "/repair", [&](const auto& aVm, const Request&) {
     return aPlatform.Repair(aVm);
--- /dev/null
+++ b/tests/integration/OperatorsTest.cpp
@@ -0,0 +1,140 @@
+#include "Cluster.h"
+#include "FleetView.h"
+
+#include <csignal>
+#include <future>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+constexpr std::chrono::seconds kEverywhere{ 4 };
+
+std::string
+RebootLimitAt(const Cluster& aCluster, std::size_t aIndex)
+{
+  return ShownAt(aCluster, aIndex, "show settings", "reboot-limit", "value");
+}
+
+void
+ExpectEverywhere(const Cluster& aCluster, const std::string& aValue)
+{
+  EXPECT_TRUE(WaitFor(
+    [&] {
+      for (std::size_t index = 0; index < kDaemons; ++index) {
+        if (RebootLimitAt(aCluster, index) != aValue) {
+          return false;
+        }
+      }
+      return true;
+    },
+    kEverywhere))
+    << aValue;
+}
+
+/// Whether every daemon shows every other one as alive at its own offset.
+bool
+NobodyIsBehind(const Cluster& aCluster)
+{
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    for (std::size_t other = 0; other < kDaemons; ++other) {
+      const std::string name = "d" + std::to_string(other);
+      if (ShownAt(aCluster, index, "show status", name, "behind") != "0" ||
+          ShownAt(aCluster, index, "show status", name, "status") != "alive") {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+// Guards against two operators who both believe that their value is in effect,
+// and against a loser who is not told what is.
+TEST(Operators, OfTwoWhoRaceForOneSettingOnlyOneWins)
+{
+  const Cluster cluster;
+  // Both commands are appended before either is read.
+  cluster.PostToLog("/faults?delayMs=300");
+  for (std::size_t first = 0; first < kDaemons; ++first) {
+    const std::size_t second = (first + 1) % kDaemons;
+    const std::string base = "7" + std::to_string(first);
+    const auto say = [&](std::size_t aIndex, const std::string& aDigit) {
+      return std::async(std::launch::async, [&, aIndex, aDigit] {
+        return Tell(cluster, aIndex, "set reboot-limit to " + base + aDigit);
+      });
+    };
+    auto ofFirst = say(first, "1");
+    auto ofSecond = say(second, "2");
+    const OperatorAnswer one = ofFirst.get();
+    const OperatorAnswer two = ofSecond.get();
+    const bool firstWins = one.status_ == CommandStatus::Done;
+    const OperatorAnswer& winner = firstWins ? one : two;
+    const OperatorAnswer& loser = firstWins ? two : one;
+    const std::string value = base + (firstWins ? "1" : "2");
+    EXPECT_EQ(winner.status_, CommandStatus::Done) << winner.message_;
+    EXPECT_EQ(loser.status_, CommandStatus::Refused) << loser.message_;
+    EXPECT_NE(loser.message_.find("was changed at offset"), std::string::npos)
+      << loser.message_;
+    std::string shown;
+    for (const Table& table : loser.tables_) {
+      shown += table.rows_.empty() ? "" : table.rows_.front().front() + "\n";
+    }
+    EXPECT_NE(shown.find(value + " s"), std::string::npos) << shown;
+    ExpectEverywhere(cluster, value);
+    // Said again with the current value known, it takes effect.
+    EXPECT_EQ(Tell(cluster, second, "set reboot-limit to 900").status_,
+              CommandStatus::Done);
+    ExpectEverywhere(cluster, "900");
+  }
+}
+
+// Guards against an accepted change that some daemon learns of late or never,
+// also right after a daemon was killed and replaced empty.
+TEST(Operators, AnAcceptedChangeIsSeenAtEveryDaemonInTime)
+{
+  Cluster cluster;
+  int value = 700;
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    cluster.End(index, SIGKILL);
+    cluster.StartDaemon(index);
+    ASSERT_TRUE(
+      WaitFor([&] { return !RebootLimitAt(cluster, index).empty(); }));
+    for (std::size_t speaker = 0; speaker < kDaemons; ++speaker) {
+      const std::string text = std::to_string(++value);
+      if (speaker == index) {
+        ASSERT_TRUE(WaitFor([&] { return cluster.IsReady(index); }));
+      }
+      const OperatorAnswer answer =
+        Tell(cluster, speaker, "set reboot-limit to " + text);
+      ASSERT_EQ(answer.status_, CommandStatus::Done) << answer.message_;
+      ExpectEverywhere(cluster, text);
+    }
+    EXPECT_TRUE(WaitFor([&] { return NobodyIsBehind(cluster); }));
+  }
+}
+
+// Guards against daemons that learn of a change only from the log: the log may
+// go down right after it has accepted the change.
+TEST(Operators, AnAcceptedChangeIsSeenThoughTheLogGoesDownAtOnce)
+{
+  const Cluster cluster;
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    const std::string value = std::to_string(700 + index);
+    ASSERT_TRUE(WaitFor([&] {
+      return Tell(cluster, index, "set reboot-limit to " + value).status_ ==
+             CommandStatus::Done;
+    }));
+    cluster.PostToLog("/faults?down=1");
+    ExpectEverywhere(cluster, value);
+    cluster.PostToLog("/faults?down=0");
+  }
+}
+
+} // namespace verbenawell::tests
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -1,5 +1,6 @@
 #include "Cluster.h"
 
+#include "verbenawell/codec/OperatorCodec.h"
 #include "verbenawell/core/Overloaded.h"
 
 #include "ClusterAddresses.h"
@@ -188,16 +189,14 @@
 std::size_t
 Cluster::RunsOf(const std::string& aId) const
 {
-  const json ledger =
-    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
+  const json ledger = json::parse(GetFromPlatform("/ledger"));
   return ledger.at("runs").value(aId, std::size_t{ 0 });
 }
 
 std::size_t
 Cluster::Running() const
 {
-  const json ledger =
-    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
+  const json ledger = json::parse(GetFromPlatform("/ledger"));
   std::size_t running = 0;
   for (const auto& [vm, load] : ledger.at("vms").items()) {
     running += load.at("running").get<std::size_t>();
@@ -205,6 +204,18 @@
   return running;
 }
 
+std::string
+Cluster::GetFromLog(const std::string& aPath) const
+{
+  return Get(PlatformHost(), range_.At(kLogPort), aPath);
+}
+
+std::string
+Cluster::GetFromPlatform(const std::string& aPath) const
+{
+  return Get(PlatformHost(), range_.At(kVmListPort), aPath);
+}
+
 std::string
 Cluster::PlatformHost() const
 {
@@ -263,12 +274,16 @@
 }
 
 httplib::Result
-Cluster::GiveCommand(std::size_t aIndex, const std::string& aText) const
+Cluster::GiveCommand(std::size_t aIndex,
+                     const std::string& aText,
+                     const std::string& aConfirmation) const
 {
   httplib::Client client{ kHost, ports_.at(aIndex).operators_ };
   client.set_read_timeout(std::chrono::seconds(20));
   const httplib::Headers headers{ { "Authorization", "Bearer operators-token" },
-                                  { "Verbenawell-Operator", "test" } };
+                                  { "Verbenawell-Operator", "test" },
+                                  { "Verbenawell-Confirmation",
+                                    aConfirmation } };
   return client.Post("/command", headers, aText, "text/plain");
 }
 
@@ -276,10 +291,15 @@
 Cluster::Command(const std::string& aText) const
 {
   // A VM is in the fleet some time after it is in the list.
+  std::string confirmation;
   const bool done = WaitFor([&] {
-    const auto result = GiveCommand(0, aText);
-    return result && result->status == 200 &&
-           result->body.find("in effect") != std::string::npos;
+    const auto result = GiveCommand(0, aText, confirmation);
+    if (!result || result->status != 200) {
+      return false;
+    }
+    const OperatorAnswer answer = DecodeOperatorAnswer(result->body);
+    confirmation = answer.confirmation_;
+    return answer.status_ == CommandStatus::Done;
   });
   if (!done) {
     throw std::runtime_error("command \"" + aText + "\" has no effect");
@@ -294,7 +314,7 @@
   for (std::size_t index = 0; index + 1 < options_.workers_; ++index) {
     Command("move w" + std::to_string(index) + " to p");
   }
-  Command("create service s in p budget 1");
+  Command("create service s in p budget " + std::to_string(options_.budget_));
   for (std::size_t index = 0; index < kDaemons; ++index) {
     if (!WaitFor([&] { return IsAnswered(index); })) {
       throw std::runtime_error("service \"s\" is not in effect");
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -35,6 +35,8 @@
 {
   std::size_t workers_ = 3;
   std::size_t slots_ = 2;
+  /// Availability budget of the service "s".
+  std::size_t budget_ = 1;
   std::chrono::milliseconds reboot_{ 500 };
   /// Records that the log keeps a stream; 0 keeps all.
   std::uint64_t logRetention_ = 0;
@@ -65,7 +67,7 @@
 public:
   static constexpr std::size_t kDaemons = 3;
 
-  /// Starts everything, with the service "s" of budget 1 on the pool "p" of
+  /// Starts everything, with the service "s" on the pool "p" of
   /// all workers but the last, which is the spare one, and waits until every
   /// daemon answers.
   explicit Cluster(const ClusterOptions& aOptions = {});
@@ -96,6 +98,11 @@
   /// Requests that run on workers now.
   [[nodiscard]] std::size_t Running() const;
 
+  /// Body of what the log service, or the platform, answers without a proxy;
+  /// empty where it does not answer.
+  [[nodiscard]] std::string GetFromLog(const std::string& aPath) const;
+  [[nodiscard]] std::string GetFromPlatform(const std::string& aPath) const;
+
   /// Sets the rule of a proxy; `aQuery` as for `standin-proxy`.
   void SetRule(const Link& aLink, const std::string& aQuery) const;
 
@@ -105,9 +112,12 @@
   void PostToPlatform(const std::string& aPath) const;
 
   /// Gives an operator's command through a daemon; the whole answer.
-  [[nodiscard]] httplib::Result GiveCommand(std::size_t aIndex,
-                                            const std::string& aText) const;
-  /// Repeats a command until it is in effect.
+  [[nodiscard]] httplib::Result GiveCommand(
+    std::size_t aIndex,
+    const std::string& aText,
+    const std::string& aConfirmation = "") const;
+  /// Repeats a command until it is in effect, with its confirmation where one
+  /// is asked for.
   void Command(const std::string& aText) const;
 
   /// Breaks, or mends, all paths between one daemon and the others.
--- /dev/null
+++ b/tests/support/FleetView.cpp
@@ -0,0 +1,104 @@
+#include "FleetView.h"
+
+#include "verbenawell/codec/LogPageCodec.h"
+#include "verbenawell/codec/OperatorCodec.h"
+#include "verbenawell/codec/VmListCodec.h"
+#include "verbenawell/log/Streams.h"
+
+#include <algorithm>
+#include <map>
+#include <stdexcept>
+
+namespace verbenawell::tests {
+
+OperatorAnswer
+Tell(const Cluster& aCluster, std::size_t aIndex, const std::string& aText)
+{
+  const auto result = aCluster.GiveCommand(aIndex, aText);
+  if (!result || result->status != 200) {
+    throw std::runtime_error("no answer to \"" + aText + "\"");
+  }
+  return DecodeOperatorAnswer(result->body);
+}
+
+std::string
+ShownAt(const Cluster& aCluster,
+        std::size_t aIndex,
+        const std::string& aQuery,
+        const std::string& aRow,
+        const std::string& aColumn)
+{
+  const auto result = aCluster.GiveCommand(aIndex, aQuery);
+  if (!result || result->status != 200) {
+    return "";
+  }
+  const OperatorAnswer answer = DecodeOperatorAnswer(result->body);
+  if (answer.tables_.empty()) {
+    return "";
+  }
+  const Table& table = answer.tables_.front();
+  const auto column = static_cast<std::size_t>(
+    std::ranges::find(table.columns_, aColumn) - table.columns_.begin());
+  const auto row = std::ranges::find_if(
+    table.rows_, [&](const auto& aCells) { return aCells.front() == aRow; });
+  return row == table.rows_.end() || column >= row->size() ? ""
+                                                           : row->at(column);
+}
+
+std::string
+ConfigurationAt(const Cluster& aCluster, std::size_t aIndex)
+{
+  std::string text;
+  for (const char* query : { "show fleet",
+                             "show services",
+                             "show vms",
+                             "show waves",
+                             "show quotas",
+                             "show settings",
+                             "explain setting reboot-limit" }) {
+    const auto result = aCluster.GiveCommand(aIndex, query);
+    if (!result || result->status != 200) {
+      return "";
+    }
+    text += result->body;
+  }
+  return text;
+}
+
+std::vector<LogRecord>
+FleetRecords(const Cluster& aCluster)
+{
+  const StreamId stream = FleetStream();
+  const std::string page =
+    aCluster.GetFromLog("/records?from=0&stream=" + stream.Value());
+  return DecodeLogPage(stream, Offset{}, page).records_;
+}
+
+std::size_t
+MostCopies(const std::vector<LogRecord>& aRecords)
+{
+  std::map<RecordId, std::size_t> copies;
+  std::size_t most = 0;
+  for (const LogRecord& record : aRecords) {
+    most = std::max(most, ++copies[record.id_]);
+  }
+  return most;
+}
+
+std::vector<VmListing>
+ListedVms(const Cluster& aCluster)
+{
+  return DecodeVmList(aCluster.GetFromPlatform("/vms"));
+}
+
+std::uint64_t
+CounterOfAll(const Cluster& aCluster, const std::string& aName)
+{
+  std::uint64_t sum = 0;
+  for (std::size_t index = 0; index < Cluster::kDaemons; ++index) {
+    sum += aCluster.CounterAt(index, aName);
+  }
+  return sum;
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/support/FleetView.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "verbenawell/fleet/FleetEvents.h"
+#include "verbenawell/log/LogEvents.h"
+#include "verbenawell/operators/OperatorAnswer.h"
+
+#include "Cluster.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace verbenawell::tests {
+
+/// Gives an operator's command through a daemon; throws where it gets no
+/// answer.
+OperatorAnswer
+Tell(const Cluster& aCluster, std::size_t aIndex, const std::string& aText);
+
+/// Cell of the first table that a query shows; empty where the table has no
+/// such row or column, or the daemon does not answer.
+std::string
+ShownAt(const Cluster& aCluster,
+        std::size_t aIndex,
+        const std::string& aQuery,
+        const std::string& aRow,
+        const std::string& aColumn);
+
+/// Everything that operators have set, as the daemon shows it; empty where the
+/// daemon does not answer.
+std::string
+ConfigurationAt(const Cluster& aCluster, std::size_t aIndex);
+
+/// Records of the fleet stream that the log holds.
+std::vector<LogRecord>
+FleetRecords(const Cluster& aCluster);
+
+/// Copies in the log of the record that stands there most often.
+std::size_t
+MostCopies(const std::vector<LogRecord>& aRecords);
+
+std::vector<VmListing>
+ListedVms(const Cluster& aCluster);
+
+/// Sum of a counter over all daemons.
+std::uint64_t
+CounterOfAll(const Cluster& aCluster, const std::string& aName);
+
+} // namespace verbenawell::tests
