Test replacement, waves and the VM list with real processes

Waves hold the budget at every look while VMs fail, the log is down or their driver is killed, and cut no request. A stale VM list stops no request.

--- /dev/null
+++ b/tests/integration/ReplacementTest.cpp
@@ -0,0 +1,125 @@
+#include "Cluster.h"
+#include "FleetView.h"
+
+#include <csignal>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+
+/// Sets what a fleet of defaults would not show, and returns what is shown.
+std::string
+Configure(const Cluster& aCluster)
+{
+  aCluster.Command("create pool q");
+  aCluster.Command("set quota of bakers in s weight 3 limit 2");
+  aCluster.Command("set reboot-limit to 701");
+  aCluster.Command("drain w2");
+  return ConfigurationAt(aCluster, 0);
+}
+
+void
+Replace(Cluster& aCluster, std::size_t aIndex)
+{
+  aCluster.End(aIndex, SIGKILL);
+  aCluster.StartDaemon(aIndex);
+}
+
+void
+ReplaceAll(Cluster& aCluster)
+{
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    aCluster.End(index, SIGKILL);
+  }
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    aCluster.StartDaemon(index);
+  }
+}
+
+void
+ExpectConfiguration(const Cluster& aCluster, const std::string& aConfiguration)
+{
+  ASSERT_TRUE(WaitFor([&] { return aCluster.AreReady(); }));
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_EQ(ConfigurationAt(aCluster, index), aConfiguration) << index;
+    EXPECT_TRUE(WaitFor([&] { return aCluster.IsAnswered(index); })) << index;
+  }
+}
+
+} // namespace
+
+// Guards against configuration that lives in daemons only, or that a daemon
+// started empty overwrites.
+TEST(Replacement, OfAllDaemonsLosesNoConfiguration)
+{
+  Cluster cluster;
+  const std::string configuration = Configure(cluster);
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    Replace(cluster, index);
+    ExpectConfiguration(cluster, configuration);
+  }
+  ReplaceAll(cluster);
+  ExpectConfiguration(cluster, configuration);
+}
+
+// Guards against a new daemon that cannot serve, or serves an empty fleet,
+// because the log is down when it starts.
+TEST(Replacement, WhileTheLogIsDownTakesTheStateOfAPeer)
+{
+  Cluster cluster;
+  const std::string configuration = Configure(cluster);
+  cluster.PostToLog("/faults?down=1");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    Replace(cluster, index);
+    ExpectConfiguration(cluster, configuration);
+    EXPECT_EQ(cluster.CounterAt(index, "snapshots_loaded_total"), 1U);
+  }
+  // Nobody is left to ask: they wait for the log.
+  ReplaceAll(cluster);
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    ASSERT_TRUE(WaitFor(
+      [&] { return cluster.CounterAt(index, "log_reads_failed_total") >= 4; }));
+    EXPECT_FALSE(cluster.IsReady(index)) << index;
+  }
+  cluster.PostToLog("/faults?down=0");
+  ExpectConfiguration(cluster, configuration);
+}
+
+// Guards against a daemon that starts from the records that are left and takes
+// them for the whole configuration.
+TEST(Replacement, AfterRecordsHaveExpiredTakesTheStateOfAPeer)
+{
+  Cluster cluster;
+  const std::string configuration = Configure(cluster);
+  cluster.PostToLog("/expire?keep=1");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    Replace(cluster, index);
+    ExpectConfiguration(cluster, configuration);
+    EXPECT_EQ(cluster.CounterAt(index, "snapshots_loaded_total"), 1U);
+  }
+}
+
+// Guards against configuration that ends with the retention of its records.
+// Daemons write the first snapshot 30 s after their start.
+TEST(Replacement, OfAllAfterRecordsHaveExpiredLoadsASnapshot)
+{
+  Cluster cluster;
+  Configure(cluster);
+  ASSERT_TRUE(WaitFor(
+    [&] { return CounterOfAll(cluster, "snapshots_written_total") > 0; },
+    std::chrono::seconds(60)));
+  // The record after the snapshot is the only one that is left.
+  cluster.Command("set reboot-limit to 702");
+  const std::string configuration = ConfigurationAt(cluster, 0);
+  cluster.PostToLog("/expire?keep=1");
+  ASSERT_EQ(FleetRecords(cluster).size(), 1U);
+  ReplaceAll(cluster);
+  ExpectConfiguration(cluster, configuration);
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/integration/VmListTest.cpp
@@ -0,0 +1,59 @@
+#include "Cluster.h"
+#include "FleetView.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+
+std::string
+StateOf(const Cluster& aCluster, std::size_t aIndex, const std::string& aVm)
+{
+  return ShownAt(aCluster, aIndex, "show vms", aVm, "state");
+}
+
+} // namespace
+
+// Guards against a daemon that drops its workers, or waits for a list that
+// hangs, when the platform is silent; and against one that trusts an old list
+// more than the failures that it sees.
+TEST(VmList, AStaleListStopsNoRequest)
+{
+  ClusterOptions options;
+  options.proxiedPlatform_ = true;
+  const Cluster cluster{ options };
+  cluster.SetRule(ToVmList{}, "fault=silence");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    ASSERT_TRUE(WaitFor(
+      [&] { return cluster.CounterAt(index, "vm_lists_failed_total") >= 2; }));
+    EXPECT_EQ(StateOf(cluster, index, "w0"), "serving");
+  }
+  cluster.PostToPlatform("/fail?vm=w0");
+  for (std::size_t round = 0; round < 4; ++round) {
+    for (std::size_t index = 0; index < kDaemons; ++index) {
+      const auto result = cluster.Ask(index, { "idempotent" });
+      ASSERT_TRUE(result);
+      EXPECT_EQ(result->status, 200)
+        << result->get_header_value("Verbenawell-Reason");
+    }
+  }
+  EXPECT_TRUE(cluster.AreReady());
+  EXPECT_EQ(StateOf(cluster, 0, "w0"), "serving");
+  cluster.SetRule(ToVmList{}, "fault=pass");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_TRUE(
+      WaitFor([&] { return StateOf(cluster, index, "w0") == "down"; }));
+  }
+  cluster.PostToPlatform("/repair?vm=w0");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_TRUE(
+      WaitFor([&] { return StateOf(cluster, index, "w0") == "serving"; }));
+  }
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/integration/WavesTest.cpp
@@ -0,0 +1,260 @@
+#include "Cluster.h"
+#include "FleetView.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <numeric>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+constexpr const char* kPool = "p";
+
+std::string
+WaveAt(const Cluster& aCluster, std::size_t aIndex, const std::string& aColumn)
+{
+  return ShownAt(aCluster, aIndex, "show waves", "w", aColumn);
+}
+
+/// A pool of VMs in zones of their own, and one spare VM; a reboot takes
+/// longer than a failure needs to be recorded.
+ClusterOptions
+PoolOf(std::size_t aVms, std::size_t aBudget)
+{
+  ClusterOptions options;
+  options.workers_ = aVms + 1;
+  options.budget_ = aBudget;
+  options.reboot_ = std::chrono::milliseconds(1500);
+  return options;
+}
+
+/// Looks at the platform and at the fleet whether the budget holds.
+class BudgetWatch
+{
+public:
+  BudgetWatch(const Cluster& aCluster, std::size_t aBudget)
+    : cluster_(aCluster)
+    , budget_(aBudget)
+  {
+  }
+
+  /// Counts a look; `aIndex` is a daemon that runs.
+  void Look(std::size_t aIndex)
+  {
+    ++looks_;
+    const auto vms = ListedVms(cluster_);
+    const auto live = static_cast<std::size_t>(
+      std::ranges::count_if(vms, [&](const VmListing& aVm) {
+        return aVm.live_ && PoolOf(aIndex, aVm.facts_.vm_) == kPool;
+      }));
+    const std::string state =
+      ShownAt(cluster_, aIndex, "show services", "s", "state");
+    if (live < budget_ || state != "ok") {
+      breaches_ += std::to_string(live) + " live, " + state + "; ";
+    }
+  }
+
+  void ExpectHeld() const
+  {
+    EXPECT_EQ(breaches_, "");
+    EXPECT_GT(looks_, 10U);
+  }
+
+private:
+  std::string PoolOf(std::size_t aIndex, const VmId& aVm)
+  {
+    return ShownAt(cluster_, aIndex, "show vms", aVm.Value(), "pool");
+  }
+
+  const Cluster& cluster_;
+  std::size_t budget_;
+  std::size_t looks_ = 0;
+  std::string breaches_;
+};
+
+/// Waits until the wave shows the value, with a look at the budget each time.
+bool
+WaitForWave(const Cluster& aCluster,
+            BudgetWatch& aWatch,
+            std::size_t aIndex,
+            const std::string& aColumn,
+            const std::string& aValue,
+            std::chrono::seconds aLimit = std::chrono::seconds(30))
+{
+  return WaitFor(
+    [&] {
+      aWatch.Look(aIndex);
+      return WaveAt(aCluster, aIndex, aColumn).starts_with(aValue);
+    },
+    aLimit);
+}
+
+/// Daemon that wrote the latest change of the kind.
+template<typename Change>
+std::size_t
+AuthorOfLatest(const Cluster& aCluster)
+{
+  std::string author;
+  for (const LogRecord& record : FleetRecords(aCluster)) {
+    const auto* fleet = std::get_if<FleetRecord>(&record.body_);
+    if (fleet != nullptr && std::holds_alternative<Change>(fleet->change_)) {
+      author = fleet->author_.Value();
+    }
+  }
+  if (author.empty()) {
+    throw std::runtime_error("no change of the kind was made");
+  }
+  return std::stoul(author.substr(1));
+}
+
+/// Boots of each VM, in the order of their names.
+std::vector<std::uint64_t>
+BootsOf(const Cluster& aCluster)
+{
+  std::vector<std::uint64_t> boots;
+  for (const VmListing& vm : ListedVms(aCluster)) {
+    boots.push_back(vm.facts_.boots_.Value());
+  }
+  return boots;
+}
+
+} // namespace
+
+// Guards against a wave that stops another VM although a failure has taken its
+// place in the budget, and against one that waits for ever for a VM that does
+// not come back.
+TEST(Waves, AVmThatNeverComesBackCountsAgainstTheBudget)
+{
+  const Cluster cluster{ PoolOf(4, 2) };
+  BudgetWatch watch{ cluster, 2 };
+  cluster.Command("set reboot-limit to 10");
+  cluster.Command("start wave w over p");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "stopping", "1"));
+  cluster.PostToPlatform("/fail?vm=w3&broken=1");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "state", "ended"));
+  EXPECT_EQ(WaveAt(cluster, 0, "finished"), "3");
+  EXPECT_EQ(WaveAt(cluster, 0, "failed"), "1");
+  EXPECT_EQ(ShownAt(cluster, 0, "show vms", "w3", "state"), "down");
+  watch.ExpectHeld();
+}
+
+// Guards against a wave that goes on while VMs fail together: the cause may be
+// what the wave brings.
+TEST(Waves, PauseWhereFailuresAreCorrelated)
+{
+  const Cluster cluster{ PoolOf(5, 1) };
+  BudgetWatch watch{ cluster, 1 };
+  cluster.Command("start wave w over p");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "stopping", "1"));
+  for (const std::string vm : { "w2", "w3", "w4" }) {
+    cluster.PostToPlatform("/fail?vm=" + vm + "&broken=1");
+  }
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "state", "paused: correlated"));
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "finished", "1"));
+  EXPECT_EQ(WaveAt(cluster, 0, "waiting"), "4");
+  for (const std::string vm : { "w2", "w3", "w4" }) {
+    cluster.PostToPlatform("/repair?vm=" + vm);
+    ASSERT_TRUE(WaitFor([&] {
+      return ShownAt(cluster, 0, "show vms", vm, "state") == "serving";
+    }));
+  }
+  EXPECT_EQ(WaveAt(cluster, 0, "waiting"), "4");
+  cluster.Command("resume wave w");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "state", "ended"));
+  EXPECT_EQ(WaveAt(cluster, 0, "finished"), "5");
+  watch.ExpectHeld();
+}
+
+// Guards against a wave that stops VMs without a record while the log is down,
+// that never goes on after it, or that reboots a VM again.
+TEST(Waves, WaitForALogThatIsDownForLong)
+{
+  const Cluster cluster{ PoolOf(3, 1) };
+  BudgetWatch watch{ cluster, 1 };
+  cluster.Command("start wave w over p");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "stopping", "1"));
+  cluster.PostToLog("/faults?down=1");
+  // Longer than an append is repeated.
+  ASSERT_TRUE(WaitFor([&] {
+    watch.Look(0);
+    return CounterOfAll(cluster, "log_appends_given_up_total") > 0;
+  }));
+  const auto boots = BootsOf(cluster);
+  EXPECT_LE(std::accumulate(boots.begin(), boots.end(), std::uint64_t{}), 1U);
+  EXPECT_EQ(WaveAt(cluster, 0, "stopping"), "1");
+  cluster.PostToLog("/faults?down=0");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "state", "ended"));
+  EXPECT_EQ(BootsOf(cluster), (std::vector<std::uint64_t>{ 1, 1, 1, 0 }));
+  watch.ExpectHeld();
+}
+
+// Guards against a wave that ends with the daemon that drives it, and against
+// a successor that stops a VM a second time.
+TEST(Waves, GoOnWhereTheirDriverIsKilled)
+{
+  Cluster cluster{ PoolOf(3, 1) };
+  BudgetWatch watch{ cluster, 1 };
+  cluster.Command("start wave w over p");
+  ASSERT_TRUE(WaitForWave(cluster, watch, 0, "stopping", "1"));
+  const std::size_t driver = AuthorOfLatest<ReserveStop>(cluster);
+  const std::size_t other = (driver + 1) % kDaemons;
+  cluster.End(driver, SIGKILL);
+  ASSERT_TRUE(WaitForWave(cluster, watch, other, "finished", "1"));
+  EXPECT_NE(AuthorOfLatest<FinishStop>(cluster), driver);
+  cluster.StartDaemon(driver);
+  ASSERT_TRUE(WaitForWave(cluster, watch, other, "state", "ended"));
+  EXPECT_EQ(WaveAt(cluster, other, "finished"), "3");
+  EXPECT_EQ(BootsOf(cluster), (std::vector<std::uint64_t>{ 1, 1, 1, 0 }));
+  watch.ExpectHeld();
+}
+
+// Guards against a reboot that does not wait for the requests that run on the
+// VM, and against work that a draining VM still gets.
+TEST(Waves, CutNoRunningRequest)
+{
+  const Cluster cluster{ PoolOf(3, 1) };
+  BudgetWatch watch{ cluster, 1 };
+  std::atomic<bool> ended = false;
+  const auto callRepeatedly = [&](std::size_t aCaller) {
+    std::string failures;
+    for (int count = 0; !ended; ++count) {
+      const std::string id =
+        std::to_string(aCaller) + "-" + std::to_string(count);
+      const auto result = cluster.Ask(
+        aCaller % kDaemons, { id, false, std::chrono::milliseconds(700) });
+      if (!result || result->status != 200) {
+        failures += id + " " +
+                    (result ? result->get_header_value("Verbenawell-Reason")
+                            : httplib::to_string(result.error())) +
+                    "; ";
+      }
+    }
+    return failures;
+  };
+  std::vector<std::future<std::string>> callers;
+  for (std::size_t caller = 0; caller < 2 * kDaemons; ++caller) {
+    callers.push_back(std::async(std::launch::async, callRepeatedly, caller));
+  }
+  EXPECT_TRUE(WaitFor([&] { return cluster.Running() == 2 * kDaemons; }));
+  cluster.Command("start wave w over p");
+  EXPECT_TRUE(WaitForWave(cluster, watch, 0, "state", "ended"));
+  ended = true;
+  for (auto& caller : callers) {
+    EXPECT_EQ(caller.get(), "");
+  }
+  EXPECT_EQ(BootsOf(cluster), (std::vector<std::uint64_t>{ 1, 1, 1, 0 }));
+  const std::string totals = cluster.GetFromPlatform("/totals");
+  EXPECT_NE(totals.find(" cut=0 "), std::string::npos) << totals;
+  watch.ExpectHeld();
+}
+
+} // namespace verbenawell::tests
