Serve only a whole configuration while the log is down

Readiness now asks for a fold that was whole once: read to the end of the stream, or taken from a peer. The new unit test failed before the change: the daemon was ready with 11 of 2,001 records.

--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -296,7 +296,7 @@
     const bool caughtUp =
       fleet != views_.log_.streams_.end() && fleet->second.caughtUp_;
     return caughtUp ||
-           (!LogAnswers(views_.log_) && views_.fleet_.through_ > Offset{});
+           (!LogAnswers(views_.log_) && views_.fleet_.loaded_);
   }
 
   void SetReadiness()
--- a/tests/unit/SnapshotTest.cpp
+++ b/tests/unit/SnapshotTest.cpp
@@ -307,6 +307,25 @@
   EXPECT_EQ(EncodeFleet(fresh.state_.fleet_), EncodeFleet(old.state_.fleet_));
 }
 
+// Guards against a daemon that serves the part of the configuration that it
+// had read when the log went down.
+TEST(SnapshotTest, ADaemonWithAPartOfTheStateIsNotReady)
+{
+  Node node{ "d1" };
+  FillLog(node, 2000);
+  const FleetState part = MakeFleet(10);
+  node.logDown_ = true;
+  node.Run(Started{});
+  node.Run(FleetReplaced{ SnapshotSource::Log,
+                          std::make_shared<const FleetState>(part) });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 11 });
+  for (int tick = 0; tick < 20; ++tick) {
+    node.Wait(std::chrono::milliseconds(250), MembershipTick{});
+  }
+  EXPECT_TRUE(node.state_.membership_.settled_);
+  EXPECT_FALSE(node.state_.membership_.ready_);
+}
+
 // Guards against a configuration that waits for each daemon's own poll, and
 // against one that is passed on for ever.
 TEST(SpreadTest, PassesANewRecordOnOnce)
