Measure control costs on whole fleets over steady windows

The bench polled one daemon for 6 s right after the start, with a spare pool only.

A change of configuration that is refused is an error now; it counted as 0 s.

--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -1,13 +1,11 @@
-#include "verbenawell/adapters/LogClient.h"
-#include "verbenawell/log/Streams.h"
-
-#include "LocalFleet.h"
+#include "ControlFleet.h"
 #include "Row.h"
 
 #include <algorithm>
 #include <chrono>
-#include <condition_variable>
-#include <mutex>
+#include <sstream>
+#include <stdexcept>
+#include <string>
 #include <vector>
 
 #include <gflags/gflags.h>
@@ -16,6 +14,11 @@
 DEFINE_string(build, "build", "folder with the built programs");
 DEFINE_uint64(seed, 1, "seed; the load itself is fixed");
 DEFINE_uint64(changes, 40, "changes of configuration timed");
+DEFINE_uint64(config_daemons, 6, "daemons among which a change spreads");
+DEFINE_string(vms, "50,500,1000,2000,3500", "fleet sizes at 3 daemons");
+DEFINE_string(daemons, "3,6,9,18,36,100", "daemon counts at 50 VMs");
+DEFINE_uint64(settle, 5, "seconds from the first snapshot to the window");
+DEFINE_uint64(window, 20, "seconds over which control is measured");
 
 // What control costs a daemon by fleet size and by number of daemons, and how
 // long a change of configuration takes to be in force at every daemon.
@@ -23,151 +26,121 @@
 namespace {
 
 using standins::LocalFleet;
+using verbenawell::bench::ControlSample;
+using verbenawell::bench::ControlShape;
+using verbenawell::bench::DefineFleet;
+using verbenawell::bench::Pause;
 using verbenawell::bench::Print;
+using verbenawell::bench::PrintSeries;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::chrono::seconds kWindow{ 6 };
-constexpr std::size_t kLetterVms = 3500;
-constexpr double kMegabyte = 1e6;
-constexpr double kKilobyte = 1e3;
-constexpr double kPercent = 100;
+constexpr double kCpuBound = 1.2;
+constexpr double kMemoryBound = 128;
+constexpr double kBytesBound = 9;
+constexpr double kConfigurationBound = 4;
+/// The size to design for; smaller fleets have a user's pools of today.
+constexpr std::size_t kVmsOfDesign = 3500;
+constexpr std::size_t kPoolsOfDesign = 36;
+constexpr std::size_t kTeamsOfDesign = 340;
 
-void
-Pause(Clock::duration aTime)
+ControlShape
+ShapeOf(std::size_t aVms, std::size_t aDaemons)
 {
-  std::mutex mutex;
-  std::unique_lock lock{ mutex };
-  std::condition_variable().wait_for(lock, aTime);
+  ControlShape shape;
+  shape.vms_ = aVms;
+  shape.daemons_ = aDaemons;
+  if (aVms >= kVmsOfDesign) {
+    shape.pools_ = kPoolsOfDesign;
+    shape.teams_ = kTeamsOfDesign;
+  }
+  return shape;
 }
 
-/// Control of one daemon, without any request.
-struct Sample
+std::vector<std::size_t>
+ParseSizes(const std::string& aText)
 {
-  double x_ = 0;
-  double cpuPercent_ = 0;
-  double megabytes_ = 0;
-  double kilobytesPerSecond_ = 0;
-};
-
-void
-DefineFleet(LocalFleet& aFleet, std::size_t aVms)
-{
-  aFleet.WaitUntilReady();
-  aFleet.Change(0, "create pool spare spare");
-  LocalFleet::WaitFor("the VMs", [&] {
-    const auto answer =
-      nlohmann::json::parse(aFleet.Command(0, "show fleet"), nullptr, false);
-    if (!answer.is_object() || answer["tables"].empty()) {
-      return false;
-    }
-    const auto& rows = answer["tables"][0]["rows"];
-    return !rows.empty() && std::stoul(rows[0][2].get<std::string>()) >= aVms;
-  });
+  std::vector<std::size_t> sizes;
+  std::istringstream words{ aText };
+  for (std::string word; std::getline(words, word, ',');) {
+    sizes.push_back(std::stoul(word));
+  }
+  return sizes;
 }
 
-Sample
-Measure(std::size_t aVms, std::size_t aDaemons)
+ControlSample
+Measure(const ControlShape& aShape)
 {
-  LocalFleet fleet{ { FLAGS_build, aDaemons, aVms, 4, false } };
-  DefineFleet(fleet, aVms);
-  // The first reads of the list and their records are over.
-  Pause(std::chrono::seconds(2));
-  const std::size_t daemon = aDaemons - 1;
-  const auto bytes = [&] {
-    return fleet.Metric(daemon, "verbenawell_control_bytes_total");
-  };
-  const double bytesBefore = bytes();
-  const auto cpuBefore = fleet.Daemon(daemon).CpuTime();
-  Pause(kWindow);
-  Sample sample;
-  const double seconds = std::chrono::duration<double>(kWindow).count();
-  sample.cpuPercent_ =
-    std::chrono::duration<double>(fleet.Daemon(daemon).CpuTime() - cpuBefore)
-      .count() /
-    seconds * kPercent;
-  sample.megabytes_ =
-    static_cast<double>(fleet.Daemon(daemon).ResidentBytes()) / kMegabyte;
-  sample.kilobytesPerSecond_ = (bytes() - bytesBefore) / seconds / kKilobyte;
-  return sample;
+  return verbenawell::bench::MeasureControl(FLAGS_build,
+                                            aShape,
+                                            std::chrono::seconds(FLAGS_settle),
+                                            std::chrono::seconds(FLAGS_window));
 }
 
-/// Value at `aX` on the line of least squares through the samples.
-double
-Extrapolate(const std::vector<Sample>& aSamples,
-            double Sample::*aField,
-            double aX)
+void
+PrintSample(const std::string& aSuffix,
+            const ControlShape& aShape,
+            const ControlSample& aSample)
 {
-  double sumX = 0;
-  double sumY = 0;
-  double sumXX = 0;
-  double sumXY = 0;
-  const auto count = static_cast<double>(aSamples.size());
-  for (const Sample& sample : aSamples) {
-    sumX += sample.x_;
-    sumY += sample.*aField;
-    sumXX += sample.x_ * sample.x_;
-    sumXY += sample.x_ * sample.*aField;
-  }
-  const double slope =
-    (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
-  return sumY / count + slope * (aX - sumX / count);
+  const auto row = [&](const std::string& aName,
+                       double aValue,
+                       const std::string& aUnit,
+                       std::optional<double> aBound) {
+    Print({ aName + "/" + aSuffix,
+            aValue,
+            aUnit,
+            0.0,
+            aBound,
+            FLAGS_seed,
+            aShape.daemons_ });
+  };
+  row("control_cpu", aSample.cpuWorst_, "% of a core", kCpuBound);
+  row("control_cpu_mean", aSample.cpuMean_, "% of a core", kCpuBound);
+  row("control_rss", aSample.megabytesWorst_, "MB", kMemoryBound);
+  row("control_bytes", aSample.kilobytesWorst_, "KB/s", kBytesBound);
+  row("control_bytes_mean", aSample.kilobytesMean_, "KB/s", kBytesBound);
+  row("control_start_cpu", aSample.startSeconds_, "s", {});
+  row("control_start_bytes", aSample.startKilobytes_, "KB", {});
 }
 
+/// Measures the shapes and draws what grows along them.
+template<typename Shapes, typename SizeOf>
 void
-PrintSample(const std::string& aBy, const Sample& aSample)
+MeasureSlope(const std::string& aBy, const Shapes& aShapes, SizeOf aSizeOf)
 {
-  const std::string suffix =
-    aBy + "/" + std::to_string(static_cast<int>(aSample.x_));
-  Print({ "control_cpu/" + suffix,
-          aSample.cpuPercent_,
-          "% of a core",
-          0.0,
-          1.2,
-          FLAGS_seed,
-          1 });
-  Print({ "control_rss/" + suffix,
-          aSample.megabytes_,
-          "MB",
-          0.0,
-          128.0,
-          FLAGS_seed,
-          1 });
-  Print({ "control_bytes/" + suffix,
-          aSample.kilobytesPerSecond_,
-          "KB/s",
-          0.0,
-          9.0,
-          FLAGS_seed,
-          1 });
+  std::vector<std::pair<double, double>> cpu;
+  std::vector<std::pair<double, double>> bytes;
+  for (const ControlShape& shape : aShapes) {
+    const ControlSample sample = Measure(shape);
+    const std::size_t size = aSizeOf(shape);
+    PrintSample(aBy + "/" + std::to_string(size), shape, sample);
+    cpu.emplace_back(static_cast<double>(size), sample.cpuMean_);
+    bytes.emplace_back(static_cast<double>(size), sample.kilobytesMean_);
+  }
+  PrintSeries({ "control_cpu by " + aBy, "mean", "% of a core", aBy, cpu });
+  PrintSeries({ "control_bytes by " + aBy, "mean", "KB/s", aBy, bytes });
 }
 
 void
 MeasureByVms()
 {
-  std::vector<Sample> samples;
-  for (const std::size_t vms : { 50U, 200U, 500U, 1000U, 2000U }) {
-    Sample sample = Measure(vms, 3);
-    sample.x_ = static_cast<double>(vms);
-    PrintSample("vms", sample);
-    samples.push_back(sample);
+  std::vector<ControlShape> shapes;
+  for (const std::size_t vms : ParseSizes(FLAGS_vms)) {
+    shapes.push_back(ShapeOf(vms, 3));
   }
-  const double size = kLetterVms;
-  const Sample letter{ size,
-                       Extrapolate(samples, &Sample::cpuPercent_, size),
-                       Extrapolate(samples, &Sample::megabytes_, size),
-                       Extrapolate(
-                         samples, &Sample::kilobytesPerSecond_, size) };
-  PrintSample("vms-extrapolated", letter);
+  MeasureSlope(
+    "vms", shapes, [](const ControlShape& aShape) { return aShape.vms_; });
 }
 
 void
 MeasureByDaemons()
 {
-  for (const std::size_t daemons : { 3U, 6U, 9U, 18U, 36U }) {
-    Sample sample = Measure(50, daemons);
-    sample.x_ = static_cast<double>(daemons);
-    PrintSample("daemons", sample);
+  std::vector<ControlShape> shapes;
+  for (const std::size_t daemons : ParseSizes(FLAGS_daemons)) {
+    shapes.push_back(ShapeOf(50, daemons));
   }
+  MeasureSlope("daemons", shapes, [](const ControlShape& aShape) {
+    return aShape.daemons_;
+  });
 }
 
 std::uint64_t
@@ -191,7 +164,8 @@
     aFleet.Metric(aDaemon, "verbenawell_fleet_offset"));
 }
 
-double
+/// Seconds until the change is in force, by daemon from first to last.
+std::vector<double>
 TimeChange(const LocalFleet& aFleet, std::size_t aNumber)
 {
   const std::size_t author = aNumber % aFleet.DaemonCount();
@@ -200,17 +174,21 @@
     author, "set reboot-limit to " + std::to_string(600 + aNumber));
   const std::uint64_t offset = OffsetOf(answer);
   if (offset == 0) {
-    return 0;
+    throw std::runtime_error("a change was not accepted: " + answer);
   }
+  std::vector<bool> reached(aFleet.DaemonCount());
+  std::vector<double> times;
   LocalFleet::WaitFor("the change at every daemon", [&] {
-    for (std::size_t daemon = 0; daemon < aFleet.DaemonCount(); ++daemon) {
-      if (OffsetInForce(aFleet, daemon) < offset) {
-        return false;
+    for (std::size_t daemon = 0; daemon < reached.size(); ++daemon) {
+      if (!reached[daemon] && OffsetInForce(aFleet, daemon) >= offset) {
+        reached[daemon] = true;
+        times.push_back(
+          std::chrono::duration<double>(Clock::now() - began).count());
       }
     }
-    return true;
+    return times.size() == reached.size();
   });
-  return std::chrono::duration<double>(Clock::now() - began).count();
+  return times;
 }
 
 double
@@ -242,28 +220,42 @@
 void
 MeasureConfiguration()
 {
-  constexpr std::size_t kDaemons = 6;
-  LocalFleet fleet{ { FLAGS_build, kDaemons, 50, 4, false } };
-  DefineFleet(fleet, 50);
+  const std::size_t daemons = FLAGS_config_daemons;
+  LocalFleet fleet{ { FLAGS_build, daemons, 50, 4, false } };
+  DefineFleet(fleet, ShapeOf(50, daemons));
   LocalFleet::Post(fleet.Log(), "/faults?delayMs=150");
-  std::vector<double> times;
+  std::vector<double> everywhere;
   std::vector<double> polled;
+  std::vector<std::pair<double, double>> spread;
+  for (std::size_t daemon = 1; daemon <= daemons; ++daemon) {
+    spread.emplace_back(static_cast<double>(daemon), 0.0);
+  }
   for (std::size_t number = 0; number < FLAGS_changes; ++number) {
     if (number == FLAGS_changes / 2) {
       // An entry VM is replaced in the middle.
-      fleet.StartDaemon(kDaemons - 1);
+      fleet.StartDaemon(daemons - 1);
       fleet.WaitUntilReady();
     }
-    times.push_back(TimeChange(fleet, number));
+    const std::vector<double> times = TimeChange(fleet, number);
+    for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+      spread[daemon].second +=
+        times[daemon] / static_cast<double>(FLAGS_changes);
+    }
+    everywhere.push_back(times.back());
     polled.push_back(TimePolling(fleet, number));
   }
-  Print({ "config_everywhere_p99",
-          Percentile99(times),
+  Print({ "config_everywhere_p99/" + std::to_string(daemons),
+          Percentile99(everywhere),
           "s",
           Percentile99(polled),
-          4.0,
+          kConfigurationBound,
           FLAGS_seed,
-          times.size() });
+          everywhere.size() });
+  PrintSeries({ "configuration in force, mean time by number of daemons",
+                std::to_string(daemons) + " daemons",
+                "s",
+                "daemons",
+                spread });
 }
 
 } // namespace
@@ -273,7 +265,9 @@
 {
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   try {
-    MeasureConfiguration();
+    if (FLAGS_changes > 0) {
+      MeasureConfiguration();
+    }
     MeasureByVms();
     MeasureByDaemons();
   } catch (const std::exception& error) {
--- a/bench/FloodBench.cpp
+++ b/bench/FloodBench.cpp
@@ -1,4 +1,5 @@
 #include "FloodRun.h"
+#include "FloodSeries.h"
 #include "Row.h"
 
 #include <algorithm>
@@ -134,10 +135,14 @@
     const auto compare = [&](const Policy& aPolicy) {
       return Comparison{ Run(aPolicy, quiet), Run(aPolicy, flooded) };
     };
+    const Comparison owner = compare(OwnerPolicy{ FLAGS_seed });
+    const Comparison fifo = compare(PlainPolicy{ false });
     PrintRows("/" + aProfile.name_ + "/" + flood.name_,
-              compare(OwnerPolicy{ FLAGS_seed }),
-              compare(PlainPolicy{ false }),
+              owner,
+              fifo,
               Run(PlainPolicy{ true }, flooded));
+    PrintFloodSeries(
+      aProfile.name_ + ", " + flood.name_, owner.flooded_, fifo.flooded_);
   }
 }
 
--- a/bench/FloodRun.cpp
+++ b/bench/FloodRun.cpp
@@ -109,6 +109,11 @@
       result_.otherLongFinished_ += inTime ? 1 : 0;
     } else {
       result_.otherLatency_.push_back(Seconds{ latency }.count());
+      result_.answers_.push_back(
+        { aJob.head_.service_,
+          Seconds{ aJob.arrivesAt_.time_since_epoch() }.count(),
+          Seconds{ latency }.count(),
+          inTime });
     }
   }
 
--- a/bench/FloodRun.h
+++ b/bench/FloodRun.h
@@ -4,6 +4,15 @@
 
 namespace verbenawell::bench {
 
+/// One answer to other work that is not long; times in seconds.
+struct Answer
+{
+  ServiceId service_;
+  double arrivedAt_ = 0;
+  double latency_ = 0;
+  bool inTime_ = false;
+};
+
 /// What became of the jobs of one run.
 struct RunResult
 {
@@ -16,6 +25,7 @@
   std::uint64_t floodFinished_ = 0;
   /// Seconds from arrival to the answer, of other work that is not long.
   std::vector<double> otherLatency_;
+  std::vector<Answer> answers_;
   /// Seconds from arrival to the start.
   std::vector<double> urgentWait_;
   std::vector<double> otherLongWait_;
--- /dev/null
+++ b/bench/FloodSeries.cpp
@@ -0,0 +1,70 @@
+#include "FloodSeries.h"
+
+#include "Row.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace verbenawell::bench {
+
+namespace {
+
+// One phase of the demand: shorter steps show its bursts and not the flood.
+constexpr double kStepSeconds = 4;
+
+using Curve = std::vector<std::pair<double, double>>;
+
+struct Step
+{
+  double inTime_ = 0;
+  std::vector<double> latency_;
+};
+
+/// Answers by the step in which their requests arrived.
+std::map<int, Step>
+GroupBySteps(const std::vector<Answer>& aAnswers, const std::string& aService)
+{
+  std::map<int, Step> steps;
+  for (const Answer& answer : aAnswers) {
+    if (!aService.empty() && answer.service_.Value() != aService) {
+      continue;
+    }
+    Step& step = steps[static_cast<int>(answer.arrivedAt_ / kStepSeconds)];
+    step.inTime_ += answer.inTime_ ? 1 : 0;
+    step.latency_.push_back(answer.latency_);
+  }
+  return steps;
+}
+
+void
+PrintCurves(const std::string& aFlood,
+            const std::string& aName,
+            const std::map<int, Step>& aSteps)
+{
+  Curve goodput;
+  Curve latency;
+  for (const auto& [number, step] : aSteps) {
+    const double at = kStepSeconds * number;
+    goodput.emplace_back(at, step.inTime_ / kStepSeconds);
+    latency.emplace_back(at, P99(step.latency_));
+  }
+  PrintSeries({ "goodput, " + aFlood, aName, "answers/s", "s", goodput });
+  PrintSeries({ "p99, " + aFlood, aName, "s", "s", latency });
+}
+
+} // namespace
+
+void
+PrintFloodSeries(const std::string& aFlood,
+                 const RunResult& aOwner,
+                 const RunResult& aFifo)
+{
+  for (std::size_t service = 0; service < kServices; ++service) {
+    const std::string name = "service" + std::to_string(service);
+    PrintCurves(aFlood, name, GroupBySteps(aOwner.answers_, name));
+  }
+  PrintCurves(aFlood, "all, FIFO", GroupBySteps(aFifo.answers_, ""));
+}
+
+} // namespace verbenawell::bench
--- a/bench/PlannerBench.cpp
+++ b/bench/PlannerBench.cpp
@@ -124,16 +124,35 @@
           least });
 }
 
-/// Rounds of reboots of one wave, all reboots of a round taking equally long.
-std::size_t
+/// Course of a wave by rounds of reboots.
+struct WaveCourse
+{
+  std::size_t rounds_ = 0;
+  std::size_t moves_ = 0;
+  std::vector<std::pair<double, double>> moved_;
+  std::vector<std::pair<double, double>> spares_;
+};
+
+void
+NoteRound(const PlannedFleet& aFleet, WaveCourse& aCourse)
+{
+  const auto round = static_cast<double>(aCourse.rounds_);
+  aCourse.moved_.emplace_back(round, static_cast<double>(aCourse.moves_));
+  aCourse.spares_.emplace_back(
+    round, static_cast<double>(aFleet.Index().SpareCount().Value()));
+}
+
+/// Runs one wave, all reboots of a round taking equally long.
+WaveCourse
 RunWave(PlannedFleet& aFleet, const WaveId& aId)
 {
-  std::size_t rounds = 0;
+  WaveCourse course;
+  NoteRound(aFleet, course);
   while (true) {
     const WaveState& wave = aFleet.Fleet().waves_.at(aId);
     const auto order = OrderStops(aFleet.Fleet(), wave);
     if (order.empty()) {
-      return rounds;
+      return course;
     }
     std::vector<VmId> stopped;
     std::size_t allowed =
@@ -147,18 +166,34 @@
       const auto borrowed =
         PlanRefills(aFleet.Index(), PoolId{ "spare" }, { wave.pool_ });
       if (borrowed.empty()) {
-        return 0;
+        return {};
       }
       aFleet.Record(MoveVm{ borrowed[0].vm_, borrowed[0].to_ });
+      ++course.moves_;
       continue;
     }
     for (const VmId& vm : stopped) {
       aFleet.Record(FinishStop{ aId, vm, BootCount{ 2 } });
     }
-    ++rounds;
+    ++course.rounds_;
+    NoteRound(aFleet, course);
   }
 }
 
+/// Draws a wave over the first pool without any VM above its budget: it
+/// borrows one spare VM.
+void
+DrawWave(const std::string& aName, const FleetShape& aShape)
+{
+  PlannedFleet fleet{ aShape };
+  const WaveId wave{ "w" };
+  fleet.Record(StartWave{ wave, PoolOf(0), {} });
+  const WaveCourse course = RunWave(fleet, wave);
+  const std::string chart = "VMs over a wave, " + aName;
+  PrintSeries({ chart, "moves so far", "VMs", "rounds", course.moved_ });
+  PrintSeries({ chart, "spare VMs", "VMs", "rounds", course.spares_ });
+}
+
 // The forced chain: with every serving VM above the budget stopping at once,
 // as many rounds as the pool's VMs need.
 void
@@ -180,7 +215,7 @@
     const std::size_t slack = size - aShape.budgets_[pool];
     const WaveId wave{ "w" };
     fleet.Record(StartWave{ wave, PoolOf(pool), {} });
-    ours = std::max(ours, RunWave(fleet, wave));
+    ours = std::max(ours, RunWave(fleet, wave).rounds_);
     forced = std::max(forced, (size + slack - 1) / slack);
     oneByOne = std::max(oneByOne, size);
   }
@@ -272,6 +307,8 @@
   MeasureMoves("hoang-phuc", HoangPhucShape(), false);
   MeasureRollout("dalkom", DalkomShape());
   MeasureRollout("hoang-phuc", HoangPhucShape());
+  DrawWave("dalkom", DalkomShape());
+  DrawWave("hoang-phuc", HoangPhucShape());
   MeasureDecision(50, 5, 4);
   MeasureDecision(500, 10, 8);
   MeasureDecision(3500, 36, 16);
--- a/bench/Row.h
+++ b/bench/Row.h
@@ -4,6 +4,8 @@
 #include <iostream>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -40,4 +42,25 @@
   std::cout << json.dump() << std::endl;
 }
 
+/// One curve of a chart, drawn by `bench_report`.
+struct Series
+{
+  std::string chart_;
+  std::string name_;
+  std::string unit_;
+  std::string xUnit_;
+  std::vector<std::pair<double, double>> points_;
+};
+
+inline void
+PrintSeries(const Series& aSeries)
+{
+  const nlohmann::ordered_json json{
+    { "chart", aSeries.chart_ },   { "series", aSeries.name_ },
+    { "unit", aSeries.unit_ },     { "xUnit", aSeries.xUnit_ },
+    { "points", aSeries.points_ },
+  };
+  std::cout << json.dump() << std::endl;
+}
+
 } // namespace verbenawell::bench
--- /dev/null
+++ b/bench/SnapshotBench.cpp
@@ -0,0 +1,127 @@
+#include "verbenawell/codec/SnapshotCodec.h"
+#include "verbenawell/log/Snapshot.h"
+
+#include "PlannerFleet.h"
+#include "Row.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+#include <malloc.h>
+
+DEFINE_uint64(seed, 1, "seed; the fleets are fixed");
+
+// Size, time and memory of a snapshot by number of VMs.
+
+namespace {
+
+using namespace verbenawell;
+using namespace verbenawell::bench;
+using Clock = std::chrono::steady_clock;
+
+constexpr double kMegabyte = 1e6;
+constexpr double kMemoryBound = 128;
+constexpr int kRepeats = 9;
+
+std::uint64_t
+ReadStatusKb(const std::string& aField)
+{
+  std::ifstream status{ "/proc/self/status" };
+  for (std::string word; status >> word;) {
+    if (word == aField) {
+      std::uint64_t kilobytes = 0;
+      status >> kilobytes;
+      return kilobytes;
+    }
+  }
+  return 0;
+}
+
+/// Most memory that a call needs beyond what the process held before, in MB.
+template<typename Call>
+double
+PeakOf(Call aCall)
+{
+  malloc_trim(0);
+  // 5 resets the high-water mark of resident memory.
+  std::ofstream{ "/proc/self/clear_refs" } << "5" << std::flush;
+  const std::uint64_t before = ReadStatusKb("VmRSS:");
+  aCall();
+  const std::uint64_t peak = ReadStatusKb("VmHWM:");
+  constexpr double kBytesPerKb = 1024;
+  return static_cast<double>(peak - std::min(peak, before)) * kBytesPerKb /
+         kMegabyte;
+}
+
+/// Median time of a call in milliseconds.
+template<typename Call>
+double
+TimeOf(Call aCall)
+{
+  std::vector<double> times;
+  for (int repeat = 0; repeat < kRepeats; ++repeat) {
+    const auto began = Clock::now();
+    aCall();
+    times.push_back(
+      std::chrono::duration<double, std::milli>(Clock::now() - began).count());
+  }
+  std::ranges::sort(times);
+  return times[times.size() / 2];
+}
+
+void
+Measure(int aVms, int aPools, int aZones)
+{
+  PlannedFleet fleet{ ShapeOfSize(aVms, aPools, aZones) };
+  std::string bytes;
+  std::optional<FleetState> decoded;
+  const double encodePeak = PeakOf([&] { bytes = EncodeFleet(fleet.Fleet()); });
+  const double decodePeak = PeakOf([&] { decoded = DecodeFleet(bytes); });
+  const double encode = TimeOf([&] { bytes = EncodeFleet(fleet.Fleet()); });
+  const double decode = TimeOf([&] { decoded = DecodeFleet(bytes); });
+  // A snapshot is encoded from a copy, which the core makes on its thread.
+  const double copy = TimeOf([&] { decoded = fleet.Fleet(); });
+  const auto row = [&](const std::string& aName,
+                       double aValue,
+                       const std::string& aUnit,
+                       std::optional<double> aBound) {
+    Print({ "snapshot_" + aName + "/" + std::to_string(aVms),
+            aValue,
+            aUnit,
+            0.0,
+            aBound,
+            FLAGS_seed,
+            kRepeats });
+  };
+  row("size", static_cast<double>(bytes.size()) / kMegabyte, "MB", {});
+  row("chunks",
+      static_cast<double>(
+        SplitSnapshot(Offset{ 1 }, bytes, DaemonId{ "e" }, WallTime{}).size()),
+      "records",
+      {});
+  row("encode", encode, "ms", {});
+  row("decode", decode, "ms", {});
+  row("copy", copy, "ms", {});
+  row("encode_peak", encodePeak, "MB", kMemoryBound);
+  row("decode_peak", decodePeak, "MB", kMemoryBound);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  Measure(50, 5, 4);
+  Measure(500, 10, 8);
+  Measure(1000, 12, 8);
+  Measure(2000, 20, 16);
+  Measure(3500, 36, 16);
+  return 0;
+}
--- a/bench/report_main.cpp
+++ b/bench/report_main.cpp
@@ -30,6 +30,7 @@
 struct Chart
 {
   std::string unit_;
+  std::string xUnit_;
   Curves curves_;
 };
 
@@ -143,8 +144,8 @@
        << kMargin << " V" << kHeight - kMargin << " H" << kWidth - kMargin
        << "\"/>\n<text x=\"5\" y=\"" << kMargin << "\">" << largest.y_ << ' '
        << Escape(aChart.unit_) << "</text>\n<text x=\"" << kWidth - kMargin
-       << "\" y=\"" << kHeight - kMargin / 2 << "\">" << largest.x_
-       << " s</text>\n";
+       << "\" y=\"" << kHeight - kMargin / 2 << "\">" << largest.x_ << ' '
+       << Escape(aChart.xUnit_) << "</text>\n";
   std::size_t number = 0;
   for (const auto& [name, points] : aChart.curves_) {
     const char* colour = kColours[number % std::size(kColours)];
@@ -162,6 +163,7 @@
 {
   Chart& chart = aCharts[aLine.at("chart").get<std::string>()];
   chart.unit_ = aLine.at("unit").get<std::string>();
+  chart.xUnit_ = aLine.value("xUnit", "s");
   auto& points = chart.curves_[aLine.at("series").get<std::string>()];
   for (const json& point : aLine.at("points")) {
     points.push_back({ point.at(0).get<double>(), point.at(1).get<double>() });
