Keep an earlier owner's intent when a grant returns unused

Cause: an entry daemon cut off with others sent one ticket to two owners. The first one ran it; the second one held a late copy, claimed a higher term, found the intent of the same ticket and granted it. The entry returned that grant unused, and the owner wrote "not run" for an id that had run under the other term.

Change: an intent knows the term that wrote it. A release counts only for the attempt that was granted or adopted, so that a late one of an earlier owner reopens nothing.

--- a/src/verbenawell/requests/IntentWindow.cpp
+++ b/src/verbenawell/requests/IntentWindow.cpp
@@ -72,9 +72,9 @@
   const TimePoint expiresAt = ExpiryOf(aBatch.at_, aNow, aWallNow);
   for (const StartedIntent& started : aBatch.started_) {
     const IntentHash id = HashOf(started.request_);
-    aWindow.intents_[id] = { HashOfTicket(started.entry_, started.key_),
-                             expiresAt,
-                             false };
+    aWindow.intents_[id] = {
+      HashOfTicket(started.entry_, started.key_), aBatch.term_, expiresAt, false
+    };
     aWindow.expiry_.emplace_back(expiresAt, id);
   }
   return true;
--- a/src/verbenawell/requests/IntentWindow.h
+++ b/src/verbenawell/requests/IntentWindow.h
@@ -29,6 +29,8 @@
 struct Intent
 {
   IntentHash ticket_ = 0;
+  /// Term of the owner that wrote it.
+  Term term_;
   TimePoint expiresAt_;
   /// The owner knows that it did not run; the log may not know it yet.
   bool surelyNotRun_ = false;
--- a/src/verbenawell/requests/Intents.cpp
+++ b/src/verbenawell/requests/Intents.cpp
@@ -15,13 +15,14 @@
 void
 MarkGranted(IntentsState& aIntents,
             const TicketId& aTicket,
-            const PoolId& aPool)
+            const SlotGrant& aGrant)
 {
-  if (const auto pool = aIntents.pools_.find(aPool);
+  if (const auto pool = aIntents.pools_.find(aGrant.pool_);
       pool != aIntents.pools_.end()) {
     if (const auto found = pool->second.committed_.find(aTicket);
         found != pool->second.committed_.end()) {
       found->second.granted_ = true;
+      found->second.attempt_ = aGrant.attempt_;
     }
   }
 }
@@ -107,8 +108,9 @@
     if (const auto found = intents_.pools_.find(aEvent.pool_);
         found != intents_.pools_.end()) {
       for (const auto& [entry, attempt] : aEvent.attempts_) {
-        found->second.committed_[{ entry, attempt.key_ }] = { attempt.request_,
-                                                              true };
+        found->second.committed_[{ entry, attempt.key_ }] = {
+          attempt.request_, true, attempt.attempt_
+        };
       }
     }
   }
@@ -261,17 +263,18 @@
     PoolIntents& pool = found->second;
     const TicketId ticket{ aEntry, aRelease.key_ };
     const auto committed = pool.committed_.find(ticket);
-    if (committed == pool.committed_.end() || !committed->second.granted_) {
+    if (committed == pool.committed_.end() || !committed->second.granted_ ||
+        committed->second.attempt_ != aRelease.attempt_) {
       return;
     }
-    const bool surelyNotRun =
-      std::holds_alternative<NotSent>(aRelease.outcome_) ||
-      std::holds_alternative<RefusedByWorker>(aRelease.outcome_) ||
-      std::holds_alternative<Unused>(aRelease.outcome_);
-    if (surelyNotRun) {
-      ReleaseIntent(pool, ticket, committed->second.request_);
-      writer_.ScheduleFlush();
+    const RequestId& request = committed->second.request_;
+    if (std::holds_alternative<NotSent>(aRelease.outcome_) ||
+        std::holds_alternative<RefusedByWorker>(aRelease.outcome_)) {
+      ReopenIntent(pool, ticket, request);
+    } else if (std::holds_alternative<Unused>(aRelease.outcome_)) {
+      ReleaseIntent(pool, ticket, request);
     }
+    writer_.ScheduleFlush();
     pool.committed_.erase(committed);
   }
 
@@ -318,7 +321,7 @@
       continue;
     }
     if (const auto* grant = std::get_if<SlotGrant>(&send->message_)) {
-      MarkGranted(aIntents, { send->to_, grant->key_ }, grant->pool_);
+      MarkGranted(aIntents, { send->to_, grant->key_ }, *grant);
     } else if (const auto* refusal =
                  std::get_if<SlotRefusal>(&send->message_)) {
       MarkRefused(aIntents, { send->to_, refusal->key_ });
--- a/src/verbenawell/requests/IntentsState.h
+++ b/src/verbenawell/requests/IntentsState.h
@@ -34,6 +34,8 @@
 {
   RequestId request_;
   bool granted_ = false;
+  /// The attempt that was granted.
+  AttemptId attempt_;
 };
 
 /// Intents of one pool that this daemon owns.
--- a/src/verbenawell/requests/internal/IntentWriter.cpp
+++ b/src/verbenawell/requests/internal/IntentWriter.cpp
@@ -219,7 +219,7 @@
 void
 IntentWriter::Commit(PoolIntents& aPool, const TicketReady& aTicket)
 {
-  aPool.committed_[IdOf(aTicket)] = { aTicket.request_.head_.id_, false };
+  aPool.committed_[IdOf(aTicket)] = { aTicket.request_.head_.id_, false, {} };
   effects_.emplace_back(Raise{ aTicket });
 }
 
@@ -289,8 +289,20 @@
   return { aTicket.entry_, aTicket.request_.key_ };
 }
 
+// An owner that takes a ticket over knows nothing of the grants of the owner
+// that wrote the intent: what this one did not run may have run there.
 void
 ReleaseIntent(PoolIntents& aPool, const TicketId& aTicket, const RequestId& aId)
+{
+  const auto intent = aPool.window_.intents_.find(HashOf(aId));
+  if (intent != aPool.window_.intents_.end() &&
+      intent->second.term_ == aPool.term_) {
+    ReopenIntent(aPool, aTicket, aId);
+  }
+}
+
+void
+ReopenIntent(PoolIntents& aPool, const TicketId& aTicket, const RequestId& aId)
 {
   const auto intent = aPool.window_.intents_.find(HashOf(aId));
   if (intent != aPool.window_.intents_.end() &&
--- a/src/verbenawell/requests/internal/IntentWriter.h
+++ b/src/verbenawell/requests/internal/IntentWriter.h
@@ -57,10 +57,17 @@
 TicketId
 IdOf(const TicketReady& aTicket);
 
-/// The ticket surely did not run: its request is open to other tickets.
+/// The ticket did not run under this owner. Its request is open to other
+/// tickets if this owner wrote the intent in its present term.
 void
 ReleaseIntent(PoolIntents& aPool,
               const TicketId& aTicket,
               const RequestId& aRequest);
 
+/// The ticket surely did not run: its request is open to other tickets.
+void
+ReopenIntent(PoolIntents& aPool,
+             const TicketId& aTicket,
+             const RequestId& aRequest);
+
 } // namespace verbenawell
--- a/tests/unit/AtMostOnceTest.cpp
+++ b/tests/unit/AtMostOnceTest.cpp
@@ -118,6 +118,38 @@
   EXPECT_TRUE(LastRefusalIs(UnknownReason::AlreadyStarted));
 }
 
+// Guards against a double run after a take-over: the next owner granted a late
+// copy of a ticket that had run, and took the unused grant for "did not run"
+// (fuzz_reducers seed 35 with three partitions).
+TEST_F(AtMostOnceTest, KeepsTheIntentOfAnEarlierOwnerWhenAGrantReturnsUnused)
+{
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  Step();
+  ASSERT_EQ(daemons_.started_.size(), 1U);
+  daemons_.End(entry_, RequestKey{ 1 }, CutAnswer{});
+  daemons_.Kill(owner_);
+  Step();
+  Step();
+  const std::string next = daemons_.OwnerName();
+  ASSERT_FALSE(next.empty());
+  RequestHead head;
+  head.id_ = RequestId{ "order" };
+  head.service_ = ServiceId{ "slot" };
+  head.deadline_ = std::chrono::seconds(10);
+  daemons_.Apply(
+    next,
+    PeerMessageReceived{ DaemonId{ entry_ },
+                         SlotRequest{ RequestKey{ 1 }, head, {} } });
+  Step();
+  Step();
+  ASSERT_EQ(daemons_.CountOf(Counter::GrantsReturnedUnused), 1U);
+  daemons_.Ask(other_, RequestKey{ 7 }, "order");
+  Step();
+  Step();
+  EXPECT_EQ(daemons_.started_.size(), 1U);
+  EXPECT_TRUE(LastRefusalIs(UnknownReason::AlreadyStarted));
+}
+
 // Guards against a double run after a service has moved to a pool whose owner
 // does not know the intents of the old pool (fuzz_reducers seeds 162 and 326).
 TEST_F(AtMostOnceTest, RefusesNonIdempotentRequestsOfAServiceThatHasJustMoved)
