Finish moves whose pool changed its owner

Cause: a pool's owner finishes a move when it learns of the move or when the VM's last request ends. Where the owner died, or the log did not answer, in between, nobody asked again: the VM stayed out of service, and a wave over its pool never ended.

Change: the index keeps the VMs that move; the tick of the waves asks their pools' owners whether they are idle, as it does for reserved stops.

--- a/src/verbenawell/planner/FleetIndex.cpp
+++ b/src/verbenawell/planner/FleetIndex.cpp
@@ -43,6 +43,11 @@
     places_.erase(old);
   }
   const auto found = aFleet.vms_.find(aVm);
+  if (found != aFleet.vms_.end() && !found->second.movingTo_.IsEmpty()) {
+    moving_.insert(aVm);
+  } else {
+    moving_.erase(aVm);
+  }
   if (found == aFleet.vms_.end() || !IsServing(found->second)) {
     return;
   }
--- a/src/verbenawell/planner/FleetIndex.h
+++ b/src/verbenawell/planner/FleetIndex.h
@@ -41,6 +41,9 @@
 
   [[nodiscard]] VmCount SpareCount() const { return spareCount_; }
 
+  /// VMs whose move to another pool has not finished.
+  [[nodiscard]] const std::set<VmId>& Moving() const { return moving_; }
+
 private:
   /// Where a serving VM is counted.
   struct Place
@@ -57,6 +60,7 @@
   std::map<PoolId, PoolLoad> pools_;
   std::map<ZoneId, std::set<VmId>> spares_;
   VmCount spareCount_;
+  std::set<VmId> moving_;
   std::unordered_map<VmId, Place> places_;
 };
 
--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -56,6 +56,7 @@
         }
       }
       RefillPools();
+      AskForMoves();
     }
     AskForDrains();
     CheckReboots();
@@ -176,6 +177,15 @@
     }
   }
 
+  // The pool may have had no owner, or the log no answer, when the VM's last
+  // request ended.
+  void AskForMoves()
+  {
+    for (const VmId& vm : waves_.index_.Moving()) {
+      AskForDrain(vm);
+    }
+  }
+
   // The VM may have left the pool of the wave: only the owner of the pool
   // that it is in now knows what runs on it.
   void AskForDrain(const VmId& aVm)
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -123,5 +123,23 @@
   EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
 }
 
+// Guards against moves that nobody finishes: the pool had no owner when the
+// move became known, and the next owner did not ask whether the VM was idle
+// (fuzz_reducers seed 1 with two killed daemons and the log down).
+TEST_F(WaveDrainTest, FinishesAMoveThatBeganWithoutAnOwner)
+{
+  state_.membership_.hasMajority_ = false;
+  Read(StartMove{ kVm, kWeb });
+  state_.membership_.hasMajority_ = true;
+  Do(TimerDue{ TakeoverTick{} });
+  const Effects effects = Do(TimerDue{ WaveTick{} });
+  EXPECT_TRUE(std::ranges::any_of(effects, [](const Effect& aEffect) {
+    const auto* append = std::get_if<AppendLog>(&aEffect);
+    const auto* record =
+      append == nullptr ? nullptr : std::get_if<FleetRecord>(&append->body_);
+    return record != nullptr && std::holds_alternative<MoveVm>(record->change_);
+  }));
+}
+
 } // namespace
 } // namespace verbenawell
