Check that moves end and trace calls, runs and intents

Cause: the liveness check looked at waves only, and a move that nobody finished went unseen; the cause of a second run could not be read from a trace. Change: a VM that still moves at the end of a run is a violation; the trace shows each call, run and batch of intents.

--- a/tests/fuzz/FakeLog.cpp
+++ b/tests/fuzz/FakeLog.cpp
@@ -18,6 +18,22 @@
 // The log client gives up after this time; the append may still take effect.
 constexpr Duration kClientTimeout = std::chrono::seconds(2);
 
+std::string
+Describe(const RecordBody& aBody)
+{
+  std::string text;
+  if (const auto* batch = std::get_if<IntentBatch>(&aBody)) {
+    text += " of " + batch->owner_.Value();
+    for (const StartedIntent& started : batch->started_) {
+      text += " " + started.request_.Value() + "@" + started.entry_.Value();
+    }
+    for (const RequestId& request : batch->notRun_) {
+      text += " not " + request.Value();
+    }
+  }
+  return text;
+}
+
 } // namespace
 
 Duration
@@ -87,7 +103,8 @@
   Stream& stream = streams_[aStream];
   if (world_.Tracing()) {
     world_.Trace("log " + aStream.Value() + " " +
-                 std::to_string(stream.next_.Value()) + " " + aId.Value());
+                 std::to_string(stream.next_.Value()) + " " + aId.Value() +
+                 Describe(aBody));
   }
   if (const auto* record = std::get_if<FleetRecord>(&aBody)) {
     Apply(fold_, stream.next_, *record);
--- a/tests/fuzz/FakePlatform.cpp
+++ b/tests/fuzz/FakePlatform.cpp
@@ -108,6 +108,9 @@
   };
   world_.See(RunStarted{
     id, aOrder.call_, aOrder.start_.vm_, vm.listing_.facts_.slots_ });
+  world_.Trace("run " + aOrder.request_.Value() + " on " +
+               aOrder.start_.vm_.Value() + ", attempt " +
+               std::to_string(aOrder.start_.attempt_.Value()));
   Duration time = aOrder.runTime_;
   RunEnd how = RunEnd::Whole;
   WorkResult result{ WholeAnswer{ 200, ByteCount{ 100 } },
--- a/tests/fuzz/FrontEnd.cpp
+++ b/tests/fuzz/FrontEnd.cpp
@@ -109,6 +109,9 @@
   world_.See(
     CallSent{ lastCall_, aRequest.head_.id_, aRequest.head_.idempotent_ });
   const std::uint64_t epoch = cluster_.Nodes()[node].epoch_;
+  world_.Trace("call " + aRequest.head_.id_.Value() + " of " +
+               aRequest.head_.service_.Value() + " at " +
+               cluster_.Nodes()[node].id_.Value());
   cluster_.Deliver(node, epoch, RequestArrived{ id.second, aRequest.head_ });
 }
 
@@ -122,6 +125,9 @@
   const Call call = std::move(found->second);
   calls_.erase(found);
   world_.See(CallEnded{ call.id_, aOutcome });
+  world_.Trace("end " + call.request_.head_.id_.Value() + " at " +
+               cluster_.Nodes()[aId.first].id_.Value() + ", outcome " +
+               std::to_string(aOutcome.index()));
   const bool answered = std::holds_alternative<Answer>(aOutcome) ||
                         std::holds_alternative<HungUp>(aOutcome);
   // A caller that hung up may try again, too.
--- a/tests/fuzz/Run.cpp
+++ b/tests/fuzz/Run.cpp
@@ -148,7 +148,7 @@
     for (const Node& node : cluster_.Nodes()) {
       CheckCounters(node);
       CheckSlots(node);
-      CheckWaves(node);
+      CheckPlannedStops(node);
       const Node& first = cluster_.Nodes().front();
       if (node.state_->fleet_.through_ != first.state_->fleet_.through_) {
         Report(node.id_.Value() + " is at another offset than " +
@@ -188,13 +188,18 @@
     }
   }
 
-  void CheckWaves(const Node& aNode)
+  void CheckPlannedStops(const Node& aNode)
   {
     for (const auto& [id, wave] : aNode.state_->fleet_.waves_) {
       if (!wave.ended_ && (!wave.paused_ || wave.pauseReason_.empty())) {
         Report("wave " + id.Value() + " has neither ended nor paused");
       }
     }
+    for (const auto& [id, vm] : aNode.state_->fleet_.vms_) {
+      if (!vm.movingTo_.IsEmpty()) {
+        Report("the move of VM " + id.Value() + " has not ended");
+      }
+    }
   }
 
   void Report(const std::string& aWhat) { world_.oracle_.Report(0, aWhat); }
