Give up a pool before it is claimed anew

Cause: an owner that learned of a higher term claimed its pool again and dropped the queue, but its intents kept the earlier term and went on. While reports were awaited, a batch came back, its ticket opened an empty queue, and the owner took workers with running attempts for idle: it granted their slots again and ordered their planned stops (rules 2 and 7).

Change: a claim anew raises PoolLost first. Tickets are refused as no-owner and sent again by their entries; the window is read from the log again.

--- a/src/verbenawell/requests/TakeoverReducer.cpp
+++ b/src/verbenawell/requests/TakeoverReducer.cpp
@@ -176,6 +176,11 @@
       std::max(aSeen, requests_.entry_.pools_[aPool].highestTerm_);
     const Term term = std::max(clock, known + Term{ 1 });
     DropQueue(aPool);
+    // Tickets whose intents are on their way under the earlier term must not
+    // come back before the reports have: entries send them again.
+    if (takeover_.owned_.contains(aPool)) {
+      effects_.emplace_back(Raise{ PoolLost{ aPool } });
+    }
     OwnedPool& owned = takeover_.owned_[aPool];
     std::vector<TicketReady> held = std::move(owned.held_);
     owned = { term, context_.now_, false, {}, {}, std::move(held), {} };
--- a/tests/unit/AtMostOnceTest.cpp
+++ b/tests/unit/AtMostOnceTest.cpp
@@ -1,3 +1,5 @@
+#include "verbenawell/log/Streams.h"
+
 #include "Daemons.h"
 
 #include <algorithm>
@@ -150,6 +152,32 @@
   EXPECT_TRUE(LastRefusalIs(UnknownReason::AlreadyStarted));
 }
 
+// Guards against grants, and planned stops, by an owner that claims its pool
+// anew and does not know what runs: a batch of intents of its earlier term came
+// back while it awaited reports, and its ticket opened an empty queue.
+TEST_F(AtMostOnceTest, OpensNoQueueForAnEarlierTermWhileReportsAreAwaited)
+{
+  const PoolId pool{ "web" };
+  daemons_.logStopped_ = true;
+  daemons_.Ask(entry_, RequestKey{ 1 }, "order");
+  daemons_.Settle();
+  const PoolIntents& intents =
+    daemons_.StateOf(owner_).requests_.intents_.pools_.at(pool);
+  ASSERT_TRUE(intents.inFlight_.has_value());
+  IntentBatch batch;
+  batch.pool_ = pool;
+  batch.owner_ = DaemonId{ owner_ };
+  batch.term_ = intents.term_;
+  batch.sequence_ = intents.inFlight_->sequence_;
+  batch.started_ = {
+    { RequestId{ "order" }, DaemonId{ entry_ }, RequestKey{ 1 } }
+  };
+  const LogRecord record{ Offset{ 100 }, intents.inFlight_->record_, batch };
+  daemons_.Apply(owner_, TermExceeded{ pool, intents.term_ + Term{ 1'000 } });
+  daemons_.Apply(owner_, StreamAdvanced{ IntentStream(pool), { record } });
+  EXPECT_FALSE(daemons_.StateOf(owner_).requests_.owner_.pools_.contains(pool));
+}
+
 // Guards against a double run after a service has moved to a pool whose owner
 // does not know the intents of the old pool (fuzz_reducers seeds 162 and 326).
 TEST_F(AtMostOnceTest, RefusesNonIdempotentRequestsOfAServiceThatHasJustMoved)
