Trace orders of reboots and kinds of changes in the fuzzing

Cause: a trace did not show which daemon ordered the reboot that cut a call. Change: the order, with its daemon, and the index of each fleet change.

--- a/tests/fuzz/Cluster.cpp
+++ b/tests/fuzz/Cluster.cpp
@@ -193,7 +193,11 @@
       [&](const ReadVmList&) {
         platform_.ReadList(nodes_[aNode].id_, ReplyTo(aNode));
       },
-      [&](const RebootVm& aOrder) { platform_.Reboot(aOrder, ReplyTo(aNode)); },
+      [&](const RebootVm& aOrder) {
+        world_.Trace(nodes_[aNode].id_.Value() + ": orders the reboot of " +
+                     aOrder.vm_.Value());
+        platform_.Reboot(aOrder, ReplyTo(aNode));
+      },
       [&](const SendPeer& aSend) {
         const auto& peers = nodes_[aNode].peers_;
         if (const auto found = peers.find(aSend.to_); found != peers.end()) {
--- a/tests/fuzz/FakeLog.cpp
+++ b/tests/fuzz/FakeLog.cpp
@@ -22,7 +22,9 @@
 Describe(const RecordBody& aBody)
 {
   std::string text;
-  if (const auto* batch = std::get_if<IntentBatch>(&aBody)) {
+  if (const auto* record = std::get_if<FleetRecord>(&aBody)) {
+    text += " change " + std::to_string(record->change_.index());
+  } else if (const auto* batch = std::get_if<IntentBatch>(&aBody)) {
     text += " of " + batch->owner_.Value();
     for (const StartedIntent& started : batch->started_) {
       text += " " + started.request_.Value() + "@" + started.entry_.Value();
