Draw goodput as a part of the requests asked

Answers by second followed the bursts of each service and hid the flood; steps in which FIFO queues answered nothing were missing. Count refusals too and draw answers in time by requests asked.

--- a/bench/FloodRun.cpp
+++ b/bench/FloodRun.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <queue>
 #include <utility>
 
@@ -93,9 +94,24 @@
       result_.longDropped_ +=
         accepted_[number] && jobs_[number].head_.urgency_ == Urgency::Long ? 1
                                                                            : 0;
+      if (const Job& job = jobs_[number];
+          !job.flood_ && job.head_.urgency_ != Urgency::Long) {
+        NoteOutcome(job, {}, false);
+      }
     }
   }
 
+  void NoteOutcome(const Job& aJob,
+                   std::optional<double> aLatency,
+                   bool aInTime)
+  {
+    result_.outcomes_.push_back(
+      { aJob.head_.service_,
+        Seconds{ aJob.arrivesAt_.time_since_epoch() }.count(),
+        aLatency,
+        aInTime });
+  }
+
   void NoteFinished(const Job& aJob, TimePoint aNow)
   {
     const Duration latency = aNow - aJob.arrivesAt_;
@@ -109,11 +125,7 @@
       result_.otherLongFinished_ += inTime ? 1 : 0;
     } else {
       result_.otherLatency_.push_back(Seconds{ latency }.count());
-      result_.answers_.push_back(
-        { aJob.head_.service_,
-          Seconds{ aJob.arrivesAt_.time_since_epoch() }.count(),
-          Seconds{ latency }.count(),
-          inTime });
+      NoteOutcome(aJob, Seconds{ latency }.count(), inTime);
     }
   }
 
--- a/bench/FloodRun.h
+++ b/bench/FloodRun.h
@@ -2,14 +2,18 @@
 
 #include "FloodPolicies.h"
 
+#include <optional>
+#include <vector>
+
 namespace verbenawell::bench {
 
-/// One answer to other work that is not long; times in seconds.
-struct Answer
+/// Outcome of a request of other work that is not long; times in seconds.
+struct Outcome
 {
   ServiceId service_;
   double arrivedAt_ = 0;
-  double latency_ = 0;
+  /// Empty where the request was refused.
+  std::optional<double> latency_;
   bool inTime_ = false;
 };
 
@@ -25,7 +29,7 @@
   std::uint64_t floodFinished_ = 0;
   /// Seconds from arrival to the answer, of other work that is not long.
   std::vector<double> otherLatency_;
-  std::vector<Answer> answers_;
+  std::vector<Outcome> outcomes_;
   /// Seconds from arrival to the start.
   std::vector<double> urgentWait_;
   std::vector<double> otherLongWait_;
--- a/bench/FloodSeries.cpp
+++ b/bench/FloodSeries.cpp
@@ -17,22 +17,26 @@
 
 struct Step
 {
+  double asked_ = 0;
   double inTime_ = 0;
   std::vector<double> latency_;
 };
 
-/// Answers by the step in which their requests arrived.
+/// Outcomes by the step in which the requests arrived.
 std::map<int, Step>
-GroupBySteps(const std::vector<Answer>& aAnswers, const std::string& aService)
+GroupBySteps(const std::vector<Outcome>& aOutcomes, const std::string& aService)
 {
   std::map<int, Step> steps;
-  for (const Answer& answer : aAnswers) {
-    if (!aService.empty() && answer.service_.Value() != aService) {
+  for (const Outcome& outcome : aOutcomes) {
+    if (!aService.empty() && outcome.service_.Value() != aService) {
       continue;
     }
-    Step& step = steps[static_cast<int>(answer.arrivedAt_ / kStepSeconds)];
-    step.inTime_ += answer.inTime_ ? 1 : 0;
-    step.latency_.push_back(answer.latency_);
+    Step& step = steps[static_cast<int>(outcome.arrivedAt_ / kStepSeconds)];
+    ++step.asked_;
+    step.inTime_ += outcome.inTime_ ? 1 : 0;
+    if (outcome.latency_) {
+      step.latency_.push_back(*outcome.latency_);
+    }
   }
   return steps;
 }
@@ -46,10 +50,12 @@
   Curve latency;
   for (const auto& [number, step] : aSteps) {
     const double at = kStepSeconds * number;
-    goodput.emplace_back(at, step.inTime_ / kStepSeconds);
-    latency.emplace_back(at, P99(step.latency_));
+    goodput.emplace_back(at, step.inTime_ / step.asked_);
+    if (!step.latency_.empty()) {
+      latency.emplace_back(at, P99(step.latency_));
+    }
   }
-  PrintSeries({ "goodput, " + aFlood, aName, "answers/s", "s", goodput });
+  PrintSeries({ "goodput, " + aFlood, aName, "of the requests", "s", goodput });
   PrintSeries({ "p99, " + aFlood, aName, "s", "s", latency });
 }
 
@@ -62,9 +68,9 @@
 {
   for (std::size_t service = 0; service < kServices; ++service) {
     const std::string name = "service" + std::to_string(service);
-    PrintCurves(aFlood, name, GroupBySteps(aOwner.answers_, name));
+    PrintCurves(aFlood, name, GroupBySteps(aOwner.outcomes_, name));
   }
-  PrintCurves(aFlood, "all, FIFO", GroupBySteps(aFifo.answers_, ""));
+  PrintCurves(aFlood, "all, FIFO", GroupBySteps(aFifo.outcomes_, ""));
 }
 
 } // namespace verbenawell::bench
--- a/bench/IntentBench.cpp
+++ b/bench/IntentBench.cpp
@@ -19,7 +19,7 @@
 DEFINE_string(build, "build", "folder with the built programs");
 DEFINE_uint64(seed, 1, "seed of the callers");
 DEFINE_uint64(seconds, 15, "time over which each load is measured");
-DEFINE_string(callers, "8,16,32,64", "callers of each load");
+DEFINE_string(callers, "8,32,128,256", "callers of each load");
 
 // What intents cost by rate of requests: the difference between two loads that
 // differ in nothing but whether a request may run twice.
@@ -36,6 +36,9 @@
 
 constexpr std::size_t kDaemons = 3;
 constexpr std::size_t kVms = 16;
+/// Wait for the group commit; callers of the other load pause as long, so that
+/// both loads have about one rate.
+constexpr int kCommitMs = 50;
 const StreamId kIntents{ "intents/web" };
 
 /// Bytes and records of the intent stream.
@@ -123,17 +126,19 @@
     ("verbenawell-intents-" + std::to_string(getpid()));
   const Usage before = ReadUsage(aFleet);
   const auto began = Clock::now();
-  ChildProcess callers{ { FLAGS_build + "/standins/standin-callers",
-                          "--daemons=" + daemons,
-                          "--services=web",
-                          "--callers=" + aCallers,
-                          "--duration_ms=" +
-                            std::to_string(FLAGS_seconds * 1000),
-                          "--run_ms=1",
-                          aIdempotent ? "--idempotent" : "--noidempotent",
-                          "--prefix=" + aCallers + (aIdempotent ? "i" : "n"),
-                          "--seed=" + std::to_string(FLAGS_seed) },
-                        output.string() };
+  ChildProcess callers{
+    { FLAGS_build + "/standins/standin-callers",
+      "--daemons=" + daemons,
+      "--services=web",
+      "--callers=" + aCallers,
+      "--duration_ms=" + std::to_string(FLAGS_seconds * 1000),
+      "--run_ms=1",
+      "--pause_ms=" + std::to_string(aIdempotent ? kCommitMs : 0),
+      aIdempotent ? "--idempotent" : "--noidempotent",
+      "--prefix=" + aCallers + (aIdempotent ? "i" : "n"),
+      "--seed=" + std::to_string(FLAGS_seed) },
+    output.string()
+  };
   callers.Wait();
   const double seconds =
     std::chrono::duration<double>(Clock::now() - began).count();
--- a/bench/report_main.cpp
+++ b/bench/report_main.cpp
@@ -37,6 +37,8 @@
 constexpr double kWidth = 760;
 constexpr double kHeight = 220;
 constexpr double kMargin = 50;
+/// Keeps the label of the largest value off a curve along the top.
+constexpr double kLabelGap = 6;
 constexpr const char* kColours[] = { "#1b6ca8", "#c8553d", "#3c8d2f",
                                      "#7d4e9e", "#b8860b", "#4d4d4d" };
 
@@ -142,8 +144,9 @@
   aOut << "<h2>" << Escape(aTitle) << "</h2>\n<svg viewBox=\"0 0 " << kWidth
        << ' ' << kHeight << "\">\n<path class=\"axis\" d=\"M" << kMargin << ','
        << kMargin << " V" << kHeight - kMargin << " H" << kWidth - kMargin
-       << "\"/>\n<text x=\"5\" y=\"" << kMargin << "\">" << largest.y_ << ' '
-       << Escape(aChart.unit_) << "</text>\n<text x=\"" << kWidth - kMargin
+       << "\"/>\n<text x=\"5\" y=\"" << kMargin - kLabelGap << "\">"
+       << largest.y_ << ' ' << Escape(aChart.unit_)
+       << "</text>\n<text text-anchor=\"end\" x=\"" << kWidth - kMargin
        << "\" y=\"" << kHeight - kMargin / 2 << "\">" << largest.x_ << ' '
        << Escape(aChart.xUnit_) << "</text>\n";
   std::size_t number = 0;
