--- a/standins/LocalFleet.cpp
+++ b/standins/LocalFleet.cpp
@@ -90,7 +90,9 @@
 LocalFleet::StartDaemon(std::size_t aNumber)
 {
   const std::string name = "e" + std::to_string(aNumber);
-  daemons_.insert_or_assign(
+  // The old process holds the ports of the new one.
+  daemons_.erase(aNumber);
+  daemons_.emplace(
     aNumber,
     ChildProcess{ { (options_.build_ / "verbenawelld").string(),
                     "--config=" + (folder_ / (name + ".json")).string() },
