--- a/bench/IntentBench.cpp
+++ b/bench/IntentBench.cpp
@@ -31,7 +31,6 @@
 using verbenawell::Offset;
 using verbenawell::StreamId;
 using verbenawell::bench::Print;
-using verbenawell::bench::PrintSeries;
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t kDaemons = 3;
