--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -15,7 +15,8 @@
 DEFINE_uint64(seed, 1, "seed; the load itself is fixed");
 DEFINE_uint64(changes, 40, "changes of configuration timed");
 DEFINE_uint64(config_daemons, 6, "daemons among which a change spreads");
-DEFINE_string(vms, "50,500,1000,2000,3500", "fleet sizes at 3 daemons");
+DEFINE_string(vms, "50,500,1000,2000,3500", "fleet sizes");
+DEFINE_uint64(vms_daemons, 3, "daemons of the fleets of these sizes");
 DEFINE_string(daemons, "3,6,9,18,36,100", "daemon counts at 50 VMs");
 DEFINE_uint64(settle, 5, "seconds from the first snapshot to the window");
 DEFINE_uint64(window, 20, "seconds over which control is measured");
@@ -125,7 +126,7 @@
 {
   std::vector<ControlShape> shapes;
   for (const std::size_t vms : ParseSizes(FLAGS_vms)) {
-    shapes.push_back(ShapeOf(vms, 3));
+    shapes.push_back(ShapeOf(vms, FLAGS_vms_daemons));
   }
   MeasureSlope(
     "vms", shapes, [](const ControlShape& aShape) { return aShape.vms_; });
--- a/bench/SnapshotBench.cpp
+++ b/bench/SnapshotBench.cpp
@@ -5,7 +5,7 @@
 #include "Row.h"
 
 #include <algorithm>
-#include <chrono>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -23,7 +23,6 @@
 
 using namespace verbenawell;
 using namespace verbenawell::bench;
-using Clock = std::chrono::steady_clock;
 
 constexpr double kMegabyte = 1e6;
 constexpr double kMemoryBound = 128;
@@ -59,17 +58,18 @@
          kMegabyte;
 }
 
-/// Median time of a call in milliseconds.
+/// Median processor time of a call in milliseconds.
 template<typename Call>
 double
 TimeOf(Call aCall)
 {
+  constexpr double kMsPerSecond = 1000;
   std::vector<double> times;
   for (int repeat = 0; repeat < kRepeats; ++repeat) {
-    const auto began = Clock::now();
+    const std::clock_t began = std::clock();
     aCall();
-    times.push_back(
-      std::chrono::duration<double, std::milli>(Clock::now() - began).count());
+    times.push_back(static_cast<double>(std::clock() - began) * kMsPerSecond /
+                    CLOCKS_PER_SEC);
   }
   std::ranges::sort(times);
   return times[times.size() / 2];
