Take only answers to pings as signs of life

A daemon that the others cannot reach, but that still reaches them, stayed an owner for ever: each of its pings marked it as heard, so nobody declared it dead, while it lost its own majority and granted nothing. Requests to its pools ended as no-owner (seen for 20 s and more with the proxy in front of the owner stopped, until the proxy went on).

--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -92,7 +92,6 @@
     if (aEvent.from_ == context_.self_) {
       return;
     }
-    MarkHeard(aEvent.from_);
     if (const auto* ping = std::get_if<Ping>(&aEvent.message_)) {
       AnswerPing(aEvent.from_, *ping);
     } else if (const auto* ack = std::get_if<Ack>(&aEvent.message_)) {
@@ -202,7 +201,12 @@
   void TakeAck(const DaemonId& aFrom, const Ack& aAck)
   {
     Merge(aAck.updates_);
-    MarkHeard(aAck.about_.IsEmpty() ? aFrom : aAck.about_);
+    // Only an answer proves both directions: a daemon that others cannot reach
+    // but that still reaches them must not stay an owner.
+    MarkHeard(aFrom);
+    if (!aAck.about_.IsEmpty()) {
+      MarkHeard(aAck.about_);
+    }
     AnswerRelayed(membership_, aFrom, effects_);
   }
 
--- a/src/verbenawell/membership/MembershipState.h
+++ b/src/verbenawell/membership/MembershipState.h
@@ -15,7 +15,7 @@
 struct Member
 {
   MemberUpdate latest_;
-  /// Last message from the member, or word from another one that hears it.
+  /// Last answer from the member, or word from another one that got one.
   TimePoint heardAt_;
   /// Last change of `latest_.status_`.
   TimePoint changedAt_{};
