Do not take an answer that ends with its connection for whole

The HTTP library takes an answer in chunks for whole where the connection ends within the line end after a chunk, and reads an answer with a coding other than chunked up to the end of the connection. A booking whose answer was cut after 136 bytes reached the caller as 200 with 13 of 26 bytes.

The backend connection now tells whether a read met its end. Such an answer counts as cut, which also covers the earlier check of the headers.

--- a/src/verbenawell/adapters/BackendConnections.cpp
+++ b/src/verbenawell/adapters/BackendConnections.cpp
@@ -26,7 +26,7 @@
   idleLimit_ = aLimit;
 }
 
-std::unique_ptr<httplib::Client>
+std::unique_ptr<BackendClient>
 BackendConnections::Take(const Endpoint& aAddress)
 {
   const auto oldest = std::chrono::steady_clock::now() - kMaxIdleTime;
@@ -44,11 +44,10 @@
   return Open(aAddress);
 }
 
-std::unique_ptr<httplib::Client>
+std::unique_ptr<BackendClient>
 BackendConnections::Open(const Endpoint& aAddress)
 {
-  auto client =
-    std::make_unique<httplib::Client>(aAddress.host_, aAddress.port_);
+  auto client = std::make_unique<BackendClient>(aAddress);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
   client->set_connection_timeout(kConnectTimeout);
@@ -64,7 +63,7 @@
 
 void
 BackendConnections::Return(const Endpoint& aAddress,
-                           std::unique_ptr<httplib::Client> aClient)
+                           std::unique_ptr<BackendClient> aClient)
 {
   const std::lock_guard lock{ mutex_ };
   if (std::vector<Idle>& idle = idle_[aAddress]; idle.size() < idleLimit_) {
--- a/src/verbenawell/adapters/BackendConnections.h
+++ b/src/verbenawell/adapters/BackendConnections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/adapters/BackendClient.h"
 #include "verbenawell/core/Endpoint.h"
 #include "verbenawell/core/Time.h"
 
@@ -10,8 +11,6 @@
 #include <mutex>
 #include <vector>
 
-#include <httplib.h>
-
 namespace verbenawell {
 
 /// Idle connections to backend servers, kept for the next request.
@@ -22,17 +21,16 @@
   void SetIdleLimit(std::size_t aLimit);
 
   /// A kept connection where there is one, else a new one.
-  std::unique_ptr<httplib::Client> Take(const Endpoint& aAddress);
+  std::unique_ptr<BackendClient> Take(const Endpoint& aAddress);
   /// A new connection. Bytes written to a kept one that the other side has
   /// just closed leave open whether the request ran.
-  static std::unique_ptr<httplib::Client> Open(const Endpoint& aAddress);
-  void Return(const Endpoint& aAddress,
-              std::unique_ptr<httplib::Client> aClient);
+  static std::unique_ptr<BackendClient> Open(const Endpoint& aAddress);
+  void Return(const Endpoint& aAddress, std::unique_ptr<BackendClient> aClient);
 
 private:
   struct Idle
   {
-    std::unique_ptr<httplib::Client> client_;
+    std::unique_ptr<BackendClient> client_;
     std::chrono::steady_clock::time_point since_;
   };
 
--- a/src/verbenawell/adapters/CallerExchange.cpp
+++ b/src/verbenawell/adapters/CallerExchange.cpp
@@ -108,16 +108,12 @@
     std::string(aOutcome) + ": " + std::string(aReason) + "\n", "text/plain");
 }
 
-/// Tells whether the end of the answer is marked. Without a mark a cut answer
-/// looks like a short one.
 bool
-HasMarkedEnd(const httplib::Response& aResponse)
+HasContent(const httplib::Response& aResponse)
 {
   constexpr int kNoContent = 204;
   constexpr int kNotModified = 304;
-  return aResponse.has_header("Content-Length") ||
-         aResponse.has_header("Transfer-Encoding") ||
-         aResponse.status == kNoContent || aResponse.status == kNotModified;
+  return aResponse.status != kNoContent && aResponse.status != kNotModified;
 }
 
 } // namespace
@@ -285,7 +281,7 @@
 AttemptOutcome
 CallerExchange::Send(const httplib::Request& aRequest,
                      const StartAttempt& aStart,
-                     httplib::Client& aClient)
+                     BackendClient& aClient)
 {
   const auto began = std::chrono::steady_clock::now();
   const Duration firstByteLimit = FirstByteLimit(aStart.timeLeft_);
@@ -328,7 +324,8 @@
     return late ? AttemptOutcome{ LateAnswer{} }
                 : AttemptOutcome{ CutAnswer{} };
   }
-  if (!HasMarkedEnd(*result)) {
+  // An answer that ends with its connection may have been cut.
+  if (HasContent(*result) && aClient.HasEnded()) {
     return CutAnswer{};
   }
   answer_ = *result;
--- a/src/verbenawell/adapters/CallerExchange.h
+++ b/src/verbenawell/adapters/CallerExchange.h
@@ -47,7 +47,7 @@
   void Attempt(const httplib::Request& aRequest, const StartAttempt& aStart);
   AttemptOutcome Send(const httplib::Request& aRequest,
                       const StartAttempt& aStart,
-                      httplib::Client& aClient);
+                      BackendClient& aClient);
 
   [[nodiscard]] Duration FirstByteLimit(Duration aTimeLeft) const;
 
@@ -62,7 +62,7 @@
   std::condition_variable changed_;
   std::deque<Instruction> instructions_;
   /// The connection of the running attempt; null where none runs.
-  httplib::Client* client_ = nullptr;
+  BackendClient* client_ = nullptr;
   AttemptId cancelled_;
   httplib::Response answer_;
 };
--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -110,7 +110,7 @@
 void
 HttpServer::ServeConnection(int aSocket)
 {
-  SocketStream stream{ aSocket, limits_.transfer_ };
+  SocketStream stream{ aSocket, limits_.transfer_, limits_.transfer_ };
   bool closed = false;
   while (!closed) {
     {
--- a/src/verbenawell/adapters/internal/SocketStream.cpp
+++ b/src/verbenawell/adapters/internal/SocketStream.cpp
@@ -44,9 +44,12 @@
   return ready > 0;
 }
 
-SocketStream::SocketStream(int aSocket, std::chrono::milliseconds aTimeout)
+SocketStream::SocketStream(int aSocket,
+                           std::chrono::milliseconds aReadTimeout,
+                           std::chrono::milliseconds aWriteTimeout)
   : socket_(aSocket)
-  , timeout_(aTimeout)
+  , readTimeout_(aReadTimeout)
+  , writeTimeout_(aWriteTimeout)
 {
 }
 
@@ -62,13 +65,13 @@
   }
   const auto left =
     std::chrono::ceil<std::chrono::milliseconds>(readDeadline_ - now);
-  return WaitForSocket(socket_, POLLIN, std::min(timeout_, left));
+  return WaitForSocket(socket_, POLLIN, std::min(readTimeout_, left));
 }
 
 bool
 SocketStream::is_writable() const
 {
-  return WaitForSocket(socket_, POLLOUT, timeout_);
+  return WaitForSocket(socket_, POLLOUT, writeTimeout_);
 }
 
 ssize_t
@@ -81,6 +84,7 @@
     }
     const ssize_t got = recv(socket_, buffer_.data(), buffer_.size(), 0);
     if (got <= 0) {
+      ended_ = true;
       return got;
     }
     begin_ = 0;
--- a/src/verbenawell/adapters/internal/SocketStream.h
+++ b/src/verbenawell/adapters/internal/SocketStream.h
@@ -12,7 +12,9 @@
 class SocketStream : public httplib::Stream
 {
 public:
-  SocketStream(int aSocket, std::chrono::milliseconds aTimeout);
+  SocketStream(int aSocket,
+               std::chrono::milliseconds aReadTimeout,
+               std::chrono::milliseconds aWriteTimeout);
 
   [[nodiscard]] bool is_readable() const override;
   [[nodiscard]] bool is_writable() const override;
@@ -31,6 +33,9 @@
   /// Tells whether a read has failed because nothing arrived in time.
   [[nodiscard]] bool HasTimedOut() const { return timedOut_; }
 
+  /// Tells whether a read has met the end of the connection.
+  [[nodiscard]] bool HasEnded() const { return ended_; }
+
   /// Tells whether bytes of a next request have been read already.
   [[nodiscard]] bool HasBufferedInput() const { return begin_ < end_; }
 
@@ -38,11 +43,13 @@
   static constexpr std::size_t kBufferSize = 4096;
 
   int socket_;
-  std::chrono::milliseconds timeout_;
+  std::chrono::milliseconds readTimeout_;
+  std::chrono::milliseconds writeTimeout_;
   std::chrono::steady_clock::time_point readDeadline_ =
     std::chrono::steady_clock::time_point::max();
   std::array<char, kBufferSize> buffer_{};
   bool timedOut_ = false;
+  bool ended_ = false;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
 };
