Let callers that are refused as busy read the refusal

A connection beyond the limit was answered and closed while its request was still unread. The close reset the connection, and the caller saw a failed write in place of 503 queue-full (most of 20 attempts in a row).

The answer is now followed by the end of the sending side, and the input is read for up to 50 ms until the caller closes; not while 16 or more refused connections wait, so that a flood does not make refusals late.

--- a/src/verbenawell/adapters/BoundedTaskQueue.cpp
+++ b/src/verbenawell/adapters/BoundedTaskQueue.cpp
@@ -6,7 +6,11 @@
 
 namespace {
 
+// Tasks of which each may take a moment before the next ones are late.
+constexpr std::size_t kShortOverflow = 16;
+
 thread_local bool isOverflowThread = false;
+thread_local std::size_t overflowWaiting = 0;
 
 } // namespace
 
@@ -53,6 +57,12 @@
   return isOverflowThread;
 }
 
+bool
+BoundedTaskQueue::IsOverflowShort()
+{
+  return overflowWaiting < kShortOverflow;
+}
+
 void
 BoundedTaskQueue::Run()
 {
@@ -85,6 +95,7 @@
     }
     const auto task = std::move(overflow_.front());
     overflow_.pop_front();
+    overflowWaiting = overflow_.size();
     lock.unlock();
     task();
     lock.lock();
--- a/src/verbenawell/adapters/BoundedTaskQueue.h
+++ b/src/verbenawell/adapters/BoundedTaskQueue.h
@@ -26,6 +26,9 @@
   /// Tells whether the calling thread runs a task beyond the limit.
   static bool IsOverflow();
 
+  /// Tells whether few such tasks wait, so that one may take a moment.
+  static bool IsOverflowShort();
+
 private:
   using Tasks = std::deque<std::function<void()>>;
 
--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/adapters/BoundedTaskQueue.h"
 #include "verbenawell/adapters/internal/SocketStream.h"
 
+#include <array>
 #include <cerrno>
 #include <system_error>
 #include <utility>
@@ -19,8 +20,25 @@
 // the retransmission of their first packet, one second at the least.
 constexpr int kBacklog = 1024;
 
+// Time for a refused caller to read its answer and close.
+constexpr std::chrono::milliseconds kRefusalWait{ 50 };
+
 thread_local int currentSocket = -1;
 
+/// Reads until the other side closes or the time is over.
+void
+DiscardInput(int aSocket)
+{
+  std::array<char, 64U << 10U> buffer{};
+  const auto end = std::chrono::steady_clock::now() + kRefusalWait;
+  auto left = kRefusalWait;
+  while (left > left.zero() && WaitForSocket(aSocket, POLLIN, left) &&
+         recv(aSocket, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0) {
+    left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      end - std::chrono::steady_clock::now());
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(const HttpServerLimits& aLimits)
@@ -96,7 +114,7 @@
 {
   if (BoundedTaskQueue::IsOverflow()) {
     onBusy_();
-    send(aSocket, busyAnswer_.data(), busyAnswer_.size(), MSG_NOSIGNAL);
+    RefuseAsBusy(aSocket);
   } else {
     currentSocket = aSocket;
     ServeConnection(aSocket);
@@ -107,6 +125,18 @@
   return true;
 }
 
+// A socket that is closed with unread bytes is reset, and the caller does not
+// see the answer: it would take an honest refusal for a broken connection.
+void
+HttpServer::RefuseAsBusy(int aSocket) const
+{
+  send(aSocket, busyAnswer_.data(), busyAnswer_.size(), MSG_NOSIGNAL);
+  shutdown(aSocket, SHUT_WR);
+  if (BoundedTaskQueue::IsOverflowShort()) {
+    DiscardInput(aSocket);
+  }
+}
+
 void
 HttpServer::ServeConnection(int aSocket)
 {
--- a/src/verbenawell/adapters/HttpServer.h
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -52,6 +52,7 @@
 private:
   bool process_and_close_socket(socket_t aSocket) override;
   void ServeConnection(int aSocket);
+  void RefuseAsBusy(int aSocket) const;
 
   HttpServerLimits limits_;
   std::string busyAnswer_;
