Test the faults of the request path with real processes

Guards the path from the caller to the backend server: silent and cut backend connections, answers that never come, a worker that fails fast, waves of cancelled requests, jobs that never fit, VMs that leave, silent and slow callers, retries elsewhere while a daemon is paused, killed or cut off, and peers that send broken frames or do not read.

The proxy can cut an answer after a number of bytes, the workers can answer in chunks, and the fixture reads counters, owners and loads.

--- a/standins/Fault.h
+++ b/standins/Fault.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <stdexcept>
 #include <string>
 #include <variant>
@@ -29,18 +30,26 @@
 struct Cut
 {};
 
+/// The connection is closed after so many bytes of the server's answers.
+struct CutAnswer
+{
+  std::size_t bytes_ = 0;
+};
+
 /// The proxy closes its sending side towards the client and goes on reading.
 struct HalfClose
 {};
 
 /// What a proxy does to a connection.
 using Fault =
-  std::variant<Pass, Delay, Silence, SwallowAnswers, Cut, HalfClose>;
+  std::variant<Pass, Delay, Silence, SwallowAnswers, Cut, CutAnswer, HalfClose>;
 
-/// Reads "pass", "delay", "silence", "swallow", "cut" or "half-close"; throws
-/// `std::invalid_argument`.
+/// Reads "pass", "delay", "silence", "swallow", "cut", "cut-answer" or
+/// "half-close"; throws `std::invalid_argument`.
 inline Fault
-ParseFault(const std::string& aName, std::chrono::milliseconds aDelay)
+ParseFault(const std::string& aName,
+           std::chrono::milliseconds aDelay,
+           std::size_t aBytes)
 {
   if (aName == "pass") {
     return Pass{};
@@ -57,6 +66,9 @@
   if (aName == "cut") {
     return Cut{};
   }
+  if (aName == "cut-answer") {
+    return CutAnswer{ aBytes };
+  }
   if (aName == "half-close") {
     return HalfClose{};
   }
--- a/standins/ProxyConnection.cpp
+++ b/standins/ProxyConnection.cpp
@@ -1,5 +1,6 @@
 #include "ProxyConnection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <asio/buffer.hpp>
@@ -63,6 +64,18 @@
           &aPipe == &downstream_);
 }
 
+bool
+ProxyConnection::Shorten(Pipe& aPipe) const
+{
+  const auto* cut = std::get_if<CutAnswer>(&fault_);
+  if (cut == nullptr || &aPipe != &downstream_ ||
+      aPipe.passed_ + aPipe.size_ < cut->bytes_) {
+    return false;
+  }
+  aPipe.size_ = cut->bytes_ - std::min(cut->bytes_, aPipe.passed_);
+  return true;
+}
+
 void
 ProxyConnection::Read(tcp::socket& aFrom, tcp::socket& aTo, Pipe& aPipe)
 {
@@ -101,11 +114,13 @@
     Read(aFrom, aTo, aPipe);
     return;
   }
+  const bool last = Shorten(aPipe);
   asio::async_write(aTo,
                     asio::buffer(aPipe.buffer_, aPipe.size_),
-                    [self = shared_from_this(), &aFrom, &aTo, &aPipe](
-                      const std::error_code& aError, std::size_t) {
-                      if (aError) {
+                    [self = shared_from_this(), &aFrom, &aTo, &aPipe, last](
+                      const std::error_code& aError, std::size_t aSize) {
+                      aPipe.passed_ += aSize;
+                      if (aError || last) {
                         self->Close();
                       } else {
                         self->Read(aFrom, aTo, aPipe);
--- a/standins/ProxyConnection.h
+++ b/standins/ProxyConnection.h
@@ -35,9 +35,13 @@
     }
     std::array<char, 16U << 10U> buffer_{};
     std::size_t size_ = 0;
+    /// Bytes passed before these.
+    std::size_t passed_ = 0;
     asio::steady_timer timer_;
   };
 
+  /// Cuts the bytes to be passed where the rule ends the answers; true then.
+  bool Shorten(Pipe& aPipe) const;
   [[nodiscard]] bool IsLost(const Pipe& aPipe) const;
   void Read(asio::ip::tcp::socket& aFrom,
             asio::ip::tcp::socket& aTo,
--- a/standins/Worker.cpp
+++ b/standins/Worker.cpp
@@ -22,6 +22,21 @@
   return std::chrono::milliseconds(text.empty() ? 0 : std::stoll(text));
 }
 
+/// The text in two chunks.
+void
+SetChunkedContent(httplib::Response& aResponse, std::string aText)
+{
+  aResponse.set_chunked_content_provider(
+    "text/plain",
+    [text = std::move(aText)](std::size_t, httplib::DataSink& aSink) {
+      const std::size_t half = text.size() / 2;
+      aSink.write(text.data(), half);
+      aSink.write(text.data() + half, text.size() - half);
+      aSink.done();
+      return true;
+    });
+}
+
 } // namespace
 
 Worker::Worker(verbenawell::VmListing aListing, RunLedger& aLedger)
@@ -82,10 +97,14 @@
     return;
   }
   aResponse.set_header("Standin-Vm", vm);
-  aResponse.set_content("answer to " +
-                          aRequest.get_header_value("Verbenawell-Request-Id") +
-                          "\n" + aRequest.body,
-                        "text/plain");
+  std::string text = "answer to " +
+                     aRequest.get_header_value("Verbenawell-Request-Id") +
+                     "\n" + aRequest.body;
+  if (aRequest.get_header_value("Standin-Chunked") == "true") {
+    SetChunkedContent(aResponse, std::move(text));
+  } else {
+    aResponse.set_content(std::move(text), "text/plain");
+  }
 }
 
 bool
--- a/standins/Worker.h
+++ b/standins/Worker.h
@@ -24,7 +24,8 @@
 };
 
 /// A backend server on one VM. Each request runs for the time in its header
-/// `Standin-Run-Ms`; stopping the worker cuts what runs.
+/// `Standin-Run-Ms`, and is answered in chunks where `Standin-Chunked` is
+/// "true"; stopping the worker cuts what runs.
 class Worker
 {
 public:
--- a/standins/proxy_main.cpp
+++ b/standins/proxy_main.cpp
@@ -37,7 +37,8 @@
                                      : std::string(aDefault);
   };
   const std::chrono::milliseconds delay{ std::stoll(value("ms", "0")) };
-  return { standins::ParseFault(value("fault", ""), delay),
+  return { standins::ParseFault(
+             value("fault", ""), delay, std::stoull(value("bytes", "0"))),
            value("from", ""),
            std::stod(value("share", "1")),
            value("open", "1") != "0",
--- /dev/null
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -0,0 +1,149 @@
+#include "Cluster.h"
+
+#include <csignal>
+#include <functional>
+#include <future>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+// Half of them run when the daemon is lost, the others wait in the queue.
+constexpr std::size_t kRequests = 8;
+
+/// How the first daemon is lost to its caller, and how it comes back.
+struct Loss
+{
+  std::function<void(Cluster&, std::size_t)> begin_;
+  std::function<void(Cluster&, std::size_t)> end_;
+};
+
+/// Asks until the answer is not "not run" any more, as a caller does that
+/// wants its booking; empty where the answer is whole, else the reason.
+std::string
+AskUntilDecided(const Cluster& aCluster,
+                std::size_t aEntry,
+                const CallerRequest& aRequest)
+{
+  std::string reason;
+  const bool decided = WaitFor([&] {
+    const auto result = aCluster.Ask(aEntry, aRequest);
+    reason = result ? result->get_header_value("Verbenawell-Reason")
+                    : httplib::to_string(result.error());
+    return result &&
+           result->get_header_value("Verbenawell-Outcome") != "not-run";
+  });
+  return decided ? reason : "undecided: " + reason;
+}
+
+/// Callers book through the first daemon, lose it, and each repeat their
+/// booking through both others, which race.
+void
+RetryElsewhere(Cluster& aCluster, std::size_t aFirst, const Loss& aLoss)
+{
+  std::vector<CallerRequest> requests;
+  for (std::size_t index = 0; index < kRequests; ++index) {
+    requests.push_back(
+      { "booking-" + std::to_string(aFirst) + "-" + std::to_string(index),
+        false,
+        milliseconds(400),
+        seconds(8) });
+  }
+  std::vector<std::future<httplib::Result>> lost;
+  for (const CallerRequest& request : requests) {
+    lost.push_back(std::async(std::launch::async,
+                              [&] { return aCluster.Ask(aFirst, request); }));
+  }
+  ASSERT_TRUE(WaitFor([&] { return aCluster.Running() > 0; }));
+  aLoss.begin_(aCluster, aFirst);
+  std::vector<std::future<std::string>> retries;
+  for (const CallerRequest& request : requests) {
+    for (std::size_t other = 0; other < kDaemons; ++other) {
+      if (other != aFirst) {
+        retries.push_back(std::async(std::launch::async, [&, other] {
+          return AskUntilDecided(aCluster, other, request);
+        }));
+      }
+    }
+  }
+  std::size_t answered = 0;
+  for (auto& retry : retries) {
+    const std::string reason = retry.get();
+    EXPECT_TRUE(reason.empty() || reason == "already-started") << reason;
+    answered += reason.empty() ? 1 : 0;
+  }
+  aLoss.end_(aCluster, aFirst);
+  lost.clear();
+  ASSERT_TRUE(WaitFor([&] { return aCluster.AreReady(); }));
+  ASSERT_TRUE(WaitFor([&] { return aCluster.Running() == 0; }));
+  for (const CallerRequest& request : requests) {
+    EXPECT_LE(aCluster.RunsOf(request.id_), 1U) << request.id_;
+  }
+  // Each answer is one run's.
+  EXPECT_LE(answered, kRequests);
+}
+
+/// Loses the pool's owner first and then a daemon that does not own it.
+void
+RetryAtOwnerAndEntry(const Loss& aLoss)
+{
+  Cluster cluster;
+  const std::size_t owner = cluster.OwnerOf("p");
+  RetryElsewhere(cluster, owner, aLoss);
+  const std::size_t next = cluster.OwnerOf("p");
+  std::size_t entry = 0;
+  while (entry == owner || entry == next) {
+    ++entry;
+  }
+  RetryElsewhere(cluster, entry, aLoss);
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+} // namespace
+
+// Guards against a second run of a booking whose caller repeats it elsewhere
+// while its daemon is paused, and against the grants and batches that the
+// daemon still holds when it goes on.
+TEST(AtMostOnce, HoldsForRetriesWhileTheFirstDaemonIsPaused)
+{
+  RetryAtOwnerAndEntry({ [](Cluster& aCluster, std::size_t aFirst) {
+                          aCluster.Signal(aFirst, SIGSTOP);
+                        },
+                         [](Cluster& aCluster, std::size_t aFirst) {
+                           aCluster.Signal(aFirst, SIGCONT);
+                         } });
+}
+
+// Guards against a second run of a booking whose daemon is killed, as its
+// intents are known only from the log then.
+TEST(AtMostOnce, HoldsForRetriesAfterTheFirstDaemonIsKilled)
+{
+  RetryAtOwnerAndEntry({ [](Cluster& aCluster, std::size_t aFirst) {
+                          aCluster.End(aFirst, SIGKILL);
+                        },
+                         [](Cluster& aCluster, std::size_t aFirst) {
+                           aCluster.StartDaemon(aFirst);
+                         } });
+}
+
+// Guards against a second run of a booking that one side of a partition runs
+// and the caller repeats at the other side.
+TEST(AtMostOnce, HoldsForRetriesWhileTheFirstDaemonIsCutOff)
+{
+  RetryAtOwnerAndEntry({ [](Cluster& aCluster, std::size_t aFirst) {
+                          aCluster.Isolate(aFirst, true);
+                        },
+                         [](Cluster& aCluster, std::size_t aFirst) {
+                           aCluster.Isolate(aFirst, false);
+                         } });
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/integration/BackendFaultsTest.cpp
@@ -0,0 +1,222 @@
+#include "Cluster.h"
+
+#include <future>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+// Workers of the pool; the last one is the spare VM.
+constexpr std::size_t kServing = 2;
+constexpr std::size_t kSlots = 4;
+constexpr int kOk = 200;
+constexpr int kServerError = 500;
+
+std::future<httplib::Result>
+AskLater(const Cluster& aCluster, std::size_t aEntry, CallerRequest aRequest)
+{
+  return std::async(std::launch::async,
+                    [&aCluster, aEntry, request = std::move(aRequest)] {
+                      return aCluster.Ask(aEntry, request);
+                    });
+}
+
+/// What the caller got: the status, or the reason that the daemon names, or
+/// the error of the connection.
+std::string
+Describe(const httplib::Result& aResult)
+{
+  if (!aResult) {
+    return httplib::to_string(aResult.error());
+  }
+  const std::string reason = aResult->get_header_value("Verbenawell-Reason");
+  return reason.empty() ? std::to_string(aResult->status) : reason;
+}
+
+void
+SetWorkerRules(const Cluster& aCluster, const std::string& aQuery)
+{
+  for (std::size_t index = 0; index < kServing; ++index) {
+    aCluster.SetRule(ToWorker{ index }, aQuery);
+  }
+}
+
+std::uint64_t
+SumOverDaemons(const Cluster& aCluster, const std::string& aCounter)
+{
+  std::uint64_t sum = 0;
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    sum += aCluster.CounterAt(index, aCounter);
+  }
+  return sum;
+}
+
+} // namespace
+
+// Guards against requests that wait for ever, or are lost, on connections that
+// pass nothing any more while new ones work; against a non-idempotent one that
+// is sent twice; and against idle connections that go silent and then cost
+// each next request its deadline.
+TEST(BackendFaults, ConnectionsThatGoSilentForGoodLoseNoRequest)
+{
+  const Cluster cluster{ { .proxiedPlatform_ = true } };
+  // Leaves idle connections behind at each daemon.
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    ASSERT_TRUE(cluster.IsAnswered(index));
+  }
+  auto repeated =
+    AskLater(cluster, 0, { "repeated", true, milliseconds(400), seconds(15) });
+  auto once =
+    AskLater(cluster, 1, { "once", false, milliseconds(400), seconds(3) });
+  ASSERT_TRUE(WaitFor([&] { return cluster.Running() == 2; }));
+  SetWorkerRules(cluster, "fault=silence&coming=0");
+
+  std::vector<std::future<httplib::Result>> others;
+  for (std::size_t index = 0; index < 2 * kSlots; ++index) {
+    others.push_back(AskLater(cluster,
+                              index % kDaemons,
+                              { "other-" + std::to_string(index),
+                                true,
+                                milliseconds(20),
+                                seconds(15) }));
+  }
+  for (auto& other : others) {
+    EXPECT_EQ(Describe(other.get()), "200");
+  }
+  EXPECT_EQ(Describe(once.get()), "backend-timeout");
+  EXPECT_EQ(cluster.RunsOf("once"), 1U);
+  EXPECT_EQ(Describe(repeated.get()), "200");
+  EXPECT_EQ(cluster.RunsOf("repeated"), 2U);
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+// Guards against an answer that was cut off and reaches the caller as a short
+// success: the connection ends after each possible number of bytes, of answers
+// with a length and of answers in chunks.
+TEST(BackendFaults, ACutAnswerNeverReachesTheCallerAsASuccess)
+{
+  const Cluster cluster{ { .proxiedPlatform_ = true } };
+  std::size_t cut = 0;
+  for (const bool chunked : { false, true }) {
+    CallerRequest request;
+    request.idempotent_ = false;
+    request.chunked_ = chunked;
+    // Status line and the first headers; shorter ones fail alike.
+    constexpr std::size_t kFirst = 60;
+    constexpr std::size_t kMost = 300;
+    bool whole = false;
+    for (std::size_t bytes = kFirst; bytes < kMost && !whole; ++bytes) {
+      SetWorkerRules(cluster,
+                     "fault=cut-answer&bytes=" + std::to_string(bytes));
+      request.id_ = (chunked ? "chunked-" : "sized-") + std::to_string(bytes);
+      const auto result = cluster.Ask(0, request);
+      ASSERT_TRUE(result);
+      whole = result->status == kOk;
+      if (whole) {
+        EXPECT_EQ(result->body, "answer to " + request.id_ + "\nbody");
+      } else {
+        EXPECT_EQ(Describe(result), "backend-cut") << request.id_;
+        ++cut;
+      }
+    }
+    EXPECT_TRUE(whole) << (chunked ? "chunked" : "sized");
+  }
+  EXPECT_EQ(
+    cluster.CounterAt(0, "requests_unknown_total{reason=\"backend-cut\"}"),
+    cut);
+  SetWorkerRules(cluster, "fault=pass");
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+// Guards against a backend server that takes requests and never answers: its
+// requests end by their deadlines at the latest, idempotent ones run
+// elsewhere, and their slots become free.
+TEST(BackendFaults, AnAnswerThatNeverComesEndsWithTheDeadline)
+{
+  const Cluster cluster;
+  cluster.PostToPlatform("/mode?vm=w0&mode=silent");
+  cluster.PostToPlatform("/mode?vm=w1&mode=silent");
+  std::vector<std::future<httplib::Result>> late;
+  for (std::size_t index = 0; index < kSlots; ++index) {
+    const bool idempotent = index % 2 == 0;
+    late.push_back(AskLater(cluster,
+                            index % kDaemons,
+                            { "late-" + std::to_string(index),
+                              idempotent,
+                              milliseconds(0),
+                              seconds(2) }));
+  }
+  ASSERT_TRUE(WaitFor([&] { return cluster.Running() == kSlots; }));
+  for (auto& answer : late) {
+    EXPECT_EQ(Describe(answer.get()), "backend-timeout");
+  }
+  cluster.PostToPlatform("/mode?vm=w1&mode=serving");
+  std::vector<std::future<httplib::Result>> repeated;
+  for (std::size_t index = 0; index < kSlots; ++index) {
+    repeated.push_back(AskLater(cluster,
+                                index % kDaemons,
+                                { "repeated-" + std::to_string(index),
+                                  true,
+                                  milliseconds(0),
+                                  seconds(12) }));
+  }
+  for (auto& answer : repeated) {
+    EXPECT_EQ(Describe(answer.get()), "200");
+  }
+  for (std::size_t index = 0; index < kSlots; ++index) {
+    EXPECT_LE(cluster.RunsOf("late-" + std::to_string(index)), 1U);
+  }
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+// Guards against a worker that fails everything at once: it always has free
+// slots and would attract all work. It is to be ejected while the others keep
+// their work, and to come back once it is mended.
+TEST(BackendFaults, AWorkerThatFailsEverythingIsEjectedUntilItIsMended)
+{
+  const Cluster cluster;
+  // Keeps slots of both workers busy, so that work is spread.
+  auto kept = AskLater(cluster, 1, { "kept", true, seconds(4), seconds(15) });
+  ASSERT_TRUE(WaitFor([&] { return cluster.Running() == 1; }));
+  const std::string broken = cluster.LoadOf("w0").running_ == 1 ? "w1" : "w0";
+  cluster.PostToPlatform("/mode?vm=" + broken + "&mode=failing-fast");
+  std::size_t failed = 0;
+  std::size_t asked = 0;
+  const auto ask = [&] {
+    const std::string id = "work-" + std::to_string(asked);
+    const auto result = cluster.Ask(asked++ % kDaemons, { id });
+    failed += result && result->status == kServerError ? 1 : 0;
+    return result && (result->status == kOk || result->status == kServerError);
+  };
+  ASSERT_TRUE(WaitFor([&] {
+    return ask() && SumOverDaemons(cluster, "workers_ejected_total") > 0;
+  }));
+  constexpr std::size_t kAfterEjection = 100;
+  for (std::size_t index = 0; index < kAfterEjection; ++index) {
+    EXPECT_TRUE(ask());
+  }
+  // Five failures eject it; a probe lets one request through.
+  constexpr std::size_t kFailuresToEject = 5;
+  EXPECT_LE(failed,
+            kFailuresToEject + SumOverDaemons(cluster, "workers_probed_total"));
+  EXPECT_EQ(Describe(kept.get()), "200");
+
+  cluster.PostToPlatform("/mode?vm=" + broken + "&mode=serving");
+  EXPECT_TRUE(WaitFor([&] {
+    return ask() && SumOverDaemons(cluster, "workers_recovered_total") > 0;
+  }));
+  const std::size_t before = cluster.LoadOf(broken).started_;
+  EXPECT_TRUE(
+    WaitFor([&] { return ask() && cluster.LoadOf(broken).started_ > before; }));
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/integration/CallersTest.cpp
@@ -0,0 +1,186 @@
+#include "Cluster.h"
+#include "RawConnection.h"
+
+#include <future>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+// Two workers with two slots each.
+constexpr std::size_t kSlots = 4;
+
+std::string
+ReasonOf(const httplib::Result& aResult)
+{
+  return aResult ? aResult->get_header_value("Verbenawell-Reason")
+                 : httplib::to_string(aResult.error());
+}
+
+} // namespace
+
+// Guards against slots and queue places that stay taken by callers who are
+// gone, and against backend connections that go on without a caller.
+TEST(Callers, AWaveOfCancelledRequestsFreesSlotsAndQueuePlacesAtOnce)
+{
+  constexpr std::size_t kWave = 40;
+  const Cluster cluster;
+  const auto openToWorkers = [&] {
+    return cluster.ConnectionsToWorker(0) + cluster.ConnectionsToWorker(1);
+  };
+  const std::size_t idle = openToWorkers();
+  std::vector<std::unique_ptr<RawConnection>> wave;
+  for (std::size_t index = 0; index < kWave; ++index) {
+    auto& caller = wave.emplace_back(
+      std::make_unique<RawConnection>(cluster.CallerAddress(index % kDaemons)));
+    // Those that run are not idempotent: they use connections of their own.
+    caller->Send(RequestText({ "wave-" + std::to_string(index),
+                               index >= kSlots && index % 2 == 0,
+                               seconds(60),
+                               seconds(60) }));
+    if (index < kSlots) {
+      ASSERT_TRUE(WaitFor([&] { return cluster.Running() == index + 1; }));
+    }
+  }
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    ASSERT_TRUE(WaitFor([&] {
+      return cluster.CounterAt(index, "requests_received_total") >=
+             kWave / kDaemons;
+    }));
+  }
+  wave.clear();
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_TRUE(WaitFor([&] {
+      return cluster.CounterAt(index, "requests_cancelled_total") >=
+             kWave / kDaemons;
+    }));
+  }
+  // Queue places are given back, not only when their turn comes.
+  const std::size_t owner = cluster.OwnerOf("p");
+  EXPECT_TRUE(WaitFor(
+    [&] { return cluster.CounterAt(owner, "tickets_cancelled_total") > 0; }));
+  EXPECT_TRUE(WaitFor([&] { return openToWorkers() <= idle; }));
+  std::vector<std::future<httplib::Result>> next;
+  for (std::size_t index = 0; index < kSlots; ++index) {
+    next.push_back(std::async(std::launch::async, [&, index] {
+      return cluster.Ask(
+        index % kDaemons,
+        { "next-" + std::to_string(index), true, milliseconds(300) });
+    }));
+  }
+  for (auto& answer : next) {
+    EXPECT_EQ(ReasonOf(answer.get()), "");
+  }
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+// Guards against a job that no VM can ever run and that waits in the queue,
+// in front of others.
+TEST(Callers, AJobLargerThanAnyVmIsRefusedAtOnceAndHoldsUpNobody)
+{
+  constexpr std::size_t kTooMuchMb = 2048;
+  const Cluster cluster;
+  std::vector<std::future<httplib::Result>> running;
+  for (std::size_t index = 0; index < 2 * kSlots; ++index) {
+    running.push_back(std::async(std::launch::async, [&, index] {
+      return cluster.Ask(
+        index % kDaemons,
+        { "fits-" + std::to_string(index), true, milliseconds(1500) });
+    }));
+  }
+  ASSERT_TRUE(WaitFor([&] { return cluster.Running() == kSlots; }));
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    for (const bool idempotent : { true, false }) {
+      const std::string id = "large-" + std::to_string(index) +
+                             (idempotent ? "-repeatable" : "-once");
+      const auto result = cluster.Ask(
+        index, { id, idempotent, milliseconds(0), seconds(15), kTooMuchMb });
+      EXPECT_EQ(ReasonOf(result), "never-fits");
+      EXPECT_EQ(cluster.RunsOf(id), 0U);
+    }
+  }
+  for (auto& answer : running) {
+    EXPECT_EQ(ReasonOf(answer.get()), "");
+  }
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+// Guards against callers that send half a request and then nothing, and so
+// hold the threads that others need for ever.
+TEST(Callers, WithSilentConnectionsHoldUpNobody)
+{
+  constexpr std::size_t kMaxCallers = 8;
+  const Cluster cluster{ { .maxCallers_ = kMaxCallers } };
+  std::vector<std::unique_ptr<RawConnection>> silent;
+  const std::string request = RequestText({ "half" });
+  for (std::size_t index = 0; index < kMaxCallers; ++index) {
+    silent.push_back(std::make_unique<RawConnection>(cluster.CallerAddress(0)));
+    silent.back()->Send(request.substr(0, request.size() - 2));
+  }
+  // They hold every thread of their daemon: more are refused as such.
+  ASSERT_TRUE(WaitFor(
+    [&] { return ReasonOf(cluster.Ask(0, { "refused" })) == "queue-full"; }));
+  constexpr std::size_t kRefused = 20;
+  for (std::size_t index = 0; index < kRefused; ++index) {
+    EXPECT_EQ(ReasonOf(cluster.Ask(0, { "refused" })), "queue-full");
+  }
+  EXPECT_TRUE(cluster.IsAnswered(1));
+  EXPECT_TRUE(cluster.IsAnswered(2));
+  EXPECT_TRUE(WaitFor([&] { return cluster.IsAnswered(0); }));
+  for (const auto& caller : silent) {
+    EXPECT_NE(caller->ReadToEnd().find("bad-request"), std::string::npos);
+  }
+  EXPECT_EQ(cluster.RunsOf("half"), 0U);
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+// Guards against callers that do not read their answers and hold slots,
+// threads and memory for as long as they like.
+TEST(Callers, ThatDoNotReadTheirAnswersHoldUpNobody)
+{
+  constexpr std::size_t kMaxCallers = 8;
+  constexpr std::size_t kBodyBytes = 1'000'000;
+  // What the design page allows a node.
+  constexpr std::uint64_t kMaxResident = 128'000'000;
+  const Cluster cluster{ { .maxCallers_ = kMaxCallers } };
+  // The answers to these are more than all buffers on the way hold.
+  constexpr std::size_t kRequestsOfEach = 12;
+  std::string requests;
+  for (std::size_t index = 0; index < kRequestsOfEach; ++index) {
+    requests +=
+      RequestText({ .id_ = "slow", .body_ = std::string(kBodyBytes, 'x') });
+  }
+  std::vector<std::unique_ptr<RawConnection>> slow;
+  std::vector<std::future<void>> sending;
+  for (std::size_t index = 0; index < kMaxCallers; ++index) {
+    auto& caller = slow.emplace_back(
+      std::make_unique<RawConnection>(cluster.CallerAddress(0), 4096));
+    sending.push_back(std::async(std::launch::async, [&, to = caller.get()] {
+      try {
+        to->Send(requests);
+      } catch (const std::system_error&) {
+        // The daemon has closed the connection.
+      }
+    }));
+  }
+  ASSERT_TRUE(WaitFor([&] { return cluster.RunsOf("slow") >= kMaxCallers; }));
+  EXPECT_TRUE(cluster.IsAnswered(1));
+  EXPECT_TRUE(cluster.IsAnswered(2));
+  EXPECT_LT(cluster.ResidentBytesOf(0), kMaxResident);
+  // Their threads serve others again.
+  EXPECT_TRUE(WaitFor([&] { return cluster.IsAnswered(0); }));
+  EXPECT_LT(cluster.RunsOf("slow"), kMaxCallers * kRequestsOfEach);
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/integration/ConnectionFaultsTest.cpp
@@ -0,0 +1,141 @@
+#include "Cluster.h"
+#include "RawConnection.h"
+
+#include <csignal>
+#include <functional>
+#include <string>
+#include <system_error>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+// What the design page allows a node.
+constexpr std::uint64_t kMaxResident = 128'000'000;
+
+/// The length in front of a message.
+std::string
+LengthPrefix(std::uint32_t aLength)
+{
+  constexpr unsigned kByteBits = 8;
+  std::string prefix;
+  for (unsigned byte = sizeof(aLength); byte > 0; --byte) {
+    prefix.push_back(static_cast<char>(aLength >> (kByteBits * (byte - 1))));
+  }
+  return prefix;
+}
+
+/// Waits for the state while the peer shows that it is there: its connection
+/// must not end for its silence.
+bool
+WaitWhilePinging(RawConnection& aPeer, const std::function<bool()>& aState)
+{
+  return WaitFor([&] {
+    try {
+      aPeer.Send(PeerPing());
+    } catch (const std::system_error&) {
+      // The daemon has closed the connection.
+    }
+    return aState();
+  });
+}
+
+} // namespace
+
+// Guards against a message that ended in the middle and is taken for a whole
+// one, or whose beginning stays in memory.
+TEST(ConnectionFaults, AMessageThatEndsInTheMiddleEndsTheConnection)
+{
+  const Cluster cluster;
+  const auto invalid = [&] {
+    return cluster.CounterAt(0, "peer_frames_invalid_total");
+  };
+  const std::uint64_t before = invalid();
+  const std::string part = LengthPrefix(100) + "ten bytes.";
+  RawConnection ended{ cluster.PeerAddress(0) };
+  ended.Send(PeerGreeting("peers-token") + PeerData(part, true));
+  EXPECT_TRUE(WaitWhilePinging(ended, [&] { return invalid() == before + 1; }));
+  RawConnection cut{ cluster.PeerAddress(0) };
+  cut.Send(PeerGreeting("peers-token") + PeerData(part, false));
+  cut.Close();
+  EXPECT_TRUE(WaitFor([&] { return invalid() == before + 2; }));
+  EXPECT_TRUE(cluster.IsAnswered(0));
+  EXPECT_TRUE(cluster.AreReady());
+}
+
+// Guards against a length that makes a daemon collect bytes without end.
+TEST(ConnectionFaults, AMessageLongerThanTheLimitEndsTheConnection)
+{
+  const Cluster cluster;
+  const auto invalid = [&] {
+    return cluster.CounterAt(0, "peer_frames_invalid_total");
+  };
+  for (const std::uint32_t length : { (1U << 20U) + 1U, 0xffffffffU }) {
+    const std::uint64_t before = invalid();
+    RawConnection peer{ cluster.PeerAddress(0) };
+    peer.Send(PeerGreeting("peers-token") +
+              PeerData(LengthPrefix(length) + "the first bytes", false));
+    EXPECT_TRUE(
+      WaitWhilePinging(peer, [&] { return invalid() == before + 1; }));
+  }
+  EXPECT_TRUE(cluster.IsAnswered(0));
+  EXPECT_TRUE(cluster.AreReady());
+}
+
+// Guards against answers that pile up for a peer that asks and does not read.
+TEST(ConnectionFaults, APeerThatAsksAndDoesNotReadIsClosed)
+{
+  constexpr std::size_t kPings = 4096;
+  constexpr std::size_t kMostBytes = 400'000'000;
+  const Cluster cluster;
+  std::string pings;
+  for (std::size_t index = 0; index < kPings; ++index) {
+    pings += PeerPing();
+  }
+  RawConnection peer{ cluster.PeerAddress(0), 4096 };
+  peer.Send(PeerGreeting("peers-token"));
+  std::size_t sent = 0;
+  bool closed = false;
+  while (!closed && sent < kMostBytes) {
+    try {
+      peer.Send(pings);
+      sent += pings.size();
+    } catch (const std::system_error&) {
+      closed = true;
+    }
+  }
+  EXPECT_TRUE(closed) << "after " << sent << " bytes";
+  EXPECT_LT(cluster.ResidentBytesOf(0), kMaxResident);
+  EXPECT_TRUE(cluster.IsAnswered(0));
+  EXPECT_TRUE(cluster.AreReady());
+}
+
+// Guards against messages that pile up for a daemon that accepts connections
+// and reads nothing, and against requests that wait for it.
+TEST(ConnectionFaults, APeerThatReadsNothingHoldsUpNobody)
+{
+  const Cluster cluster;
+  const auto replaced = [&](std::size_t aIndex) {
+    return cluster.CounterAt(aIndex, "peer_connections_replaced_total");
+  };
+  const std::size_t stuck = cluster.OwnerOf("p");
+  cluster.SignalProxyOf(stuck, SIGSTOP);
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    if (index != stuck) {
+      EXPECT_TRUE(WaitFor([&] { return replaced(index) > 0; }));
+      EXPECT_TRUE(WaitFor([&] { return cluster.IsAnswered(index); }));
+      EXPECT_LT(cluster.ResidentBytesOf(index), kMaxResident);
+    }
+  }
+  cluster.SignalProxyOf(stuck, SIGCONT);
+  EXPECT_TRUE(WaitFor([&] { return cluster.AreReady(); }));
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_TRUE(WaitFor([&] { return cluster.IsAnswered(index); }));
+  }
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+} // namespace verbenawell::tests
--- /dev/null
+++ b/tests/integration/LeavingVmTest.cpp
@@ -0,0 +1,124 @@
+#include "Cluster.h"
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = Cluster::kDaemons;
+
+/// Callers that ask one after the other through all daemons until they go.
+class SteadyCallers
+{
+public:
+  explicit SteadyCallers(const Cluster& aCluster)
+  {
+    constexpr std::size_t kCallers = 6;
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+      callers_.push_back(std::async(std::launch::async, [&, caller] {
+        while (!stopping_) {
+          const auto result = aCluster.Ask(caller % kDaemons,
+                                           { "steady", true, milliseconds(5) });
+          if (result && result->status == 200) {
+            ++answered_;
+          } else {
+            ++failed_;
+          }
+        }
+      }));
+    }
+  }
+  ~SteadyCallers() { Stop(); }
+
+  void Stop()
+  {
+    stopping_ = true;
+    callers_.clear();
+  }
+
+  [[nodiscard]] std::size_t Answered() const { return answered_; }
+  [[nodiscard]] std::size_t Failed() const { return failed_; }
+
+private:
+  std::atomic<bool> stopping_ = false;
+  std::atomic<std::size_t> answered_ = 0;
+  std::atomic<std::size_t> failed_ = 0;
+  std::vector<std::future<void>> callers_;
+};
+
+/// Starts a long request and names the worker that runs it.
+std::string
+StartLong(const Cluster& aCluster,
+          const std::string& aId,
+          std::future<httplib::Result>& aAnswer)
+{
+  aAnswer = std::async(std::launch::async, [&aCluster, aId] {
+    return aCluster.Ask(0, { aId, false, seconds(5), seconds(15) });
+  });
+  std::string vm;
+  EXPECT_TRUE(WaitFor([&] {
+    for (const char* name : { "w0", "w1", "w2" }) {
+      vm = aCluster.LoadOf(name).running_ == 1 ? name : vm;
+    }
+    return !vm.empty();
+  }));
+  return vm;
+}
+
+/// Checks a worker that takes no new work from now on, while a long request
+/// runs there and others are asked for all the time.
+void
+ExpectNoNewWork(const Cluster& aCluster,
+                const std::string& aVm,
+                std::future<httplib::Result>& aLong)
+{
+  SteadyCallers callers{ aCluster };
+  // The bound of the design page.
+  const auto bound = std::chrono::steady_clock::now() + seconds(3);
+  WaitFor([&] { return std::chrono::steady_clock::now() > bound; });
+  const std::size_t started = aCluster.LoadOf(aVm).started_;
+  EXPECT_EQ(aCluster.LoadOf(aVm).running_, 1U) << "only the long request";
+  const std::size_t answered = callers.Answered();
+  constexpr std::size_t kMore = 300;
+  EXPECT_TRUE(WaitFor([&] { return callers.Answered() > answered + kMore; }));
+  const httplib::Result result = aLong.get();
+  EXPECT_TRUE(result && result->status == 200);
+  EXPECT_EQ(result ? result->get_header_value("Standin-Vm") : "", aVm);
+  EXPECT_EQ(aCluster.LoadOf(aVm).started_, started);
+  EXPECT_EQ(aCluster.LoadOf(aVm).cut_, 0U);
+  callers.Stop();
+  EXPECT_EQ(callers.Failed(), 0U);
+}
+
+} // namespace
+
+// Guards against new work on a VM that an operator drains or that the VM list
+// shows as leaving, later than 3 s after; against requests there that are cut
+// off; and against requests that are lost on the way.
+TEST(LeavingVms, GetNoNewWorkAndFinishWhatRuns)
+{
+  const Cluster cluster{ { .workers_ = 4 } };
+  std::future<httplib::Result> running;
+  const std::string drained = StartLong(cluster, "long-drained", running);
+  cluster.Command("drain " + drained);
+  ExpectNoNewWork(cluster, drained, running);
+
+  const std::string leaving = StartLong(cluster, "long-leaving", running);
+  EXPECT_NE(leaving, drained);
+  cluster.PostToPlatform("/leave?vm=" + leaving + "&leaving=1");
+  ExpectNoNewWork(cluster, leaving, running);
+  EXPECT_EQ(cluster.RunsOf("long-drained"), 1U);
+  EXPECT_EQ(cluster.RunsOf("long-leaving"), 1U);
+  EXPECT_EQ(cluster.WaitForCountersToAddUp(), "");
+}
+
+} // namespace verbenawell::tests
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -4,6 +4,7 @@
 
 #include "ClusterAddresses.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -52,6 +53,26 @@
 
 } // namespace
 
+httplib::Headers
+HeadersOf(const CallerRequest& aRequest)
+{
+  httplib::Headers headers{
+    { "Verbenawell-Service", "s" },
+    { "Verbenawell-Request-Id", aRequest.id_ },
+    { "Verbenawell-Idempotent", aRequest.idempotent_ ? "true" : "false" },
+    { "Verbenawell-Deadline-Ms", std::to_string(aRequest.deadline_.count()) },
+    { "Standin-Run-Ms", std::to_string(aRequest.runTime_.count()) }
+  };
+  if (aRequest.memoryMb_ > 0) {
+    headers.emplace("Verbenawell-Memory-Mb",
+                    std::to_string(aRequest.memoryMb_));
+  }
+  if (aRequest.chunked_) {
+    headers.emplace("Standin-Chunked", "true");
+  }
+  return headers;
+}
+
 bool
 WaitFor(const std::function<bool()>& aState, std::chrono::seconds aLimit)
 {
@@ -79,6 +100,8 @@
                        range_.At(first + 3),
                        range_.At(first + 4) });
   }
+  // Tests write to connections that the other side may have closed.
+  std::signal(SIGPIPE, SIG_IGN);
   WriteFiles();
   StartStandins();
   for (std::size_t index = 0; index < kDaemons; ++index) {
@@ -152,10 +175,16 @@
   return text;
 }
 
+std::string
+Cluster::MetricsOf(std::size_t aIndex) const
+{
+  return Get(kHost, ports_.at(aIndex).operators_, "/metrics");
+}
+
 std::uint64_t
 Cluster::CounterAt(std::size_t aIndex, const std::string& aName) const
 {
-  const std::string text = Get(kHost, ports_.at(aIndex).operators_, "/metrics");
+  const std::string text = MetricsOf(aIndex);
   const std::string start = "verbenawell_" + aName + " ";
   const std::size_t found = text.find(start);
   return found == std::string::npos
@@ -168,14 +197,7 @@
 {
   httplib::Client client{ kHost, ports_.at(aIndex).callers_ };
   client.set_read_timeout(std::chrono::seconds(20));
-  const httplib::Headers headers{
-    { "Verbenawell-Service", "s" },
-    { "Verbenawell-Request-Id", aRequest.id_ },
-    { "Verbenawell-Idempotent", aRequest.idempotent_ ? "true" : "false" },
-    { "Verbenawell-Deadline-Ms", "5000" },
-    { "Standin-Run-Ms", std::to_string(aRequest.runTime_.count()) }
-  };
-  return client.Post("/", headers, "body", "text/plain");
+  return client.Post("/", HeadersOf(aRequest), aRequest.body_, "text/plain");
 }
 
 bool
@@ -193,6 +215,17 @@
   return ledger.at("runs").value(aId, std::size_t{ 0 });
 }
 
+WorkerLoad
+Cluster::LoadOf(const std::string& aVm) const
+{
+  const json ledger =
+    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
+  const json load = ledger.at("vms").value(aVm, json::object());
+  return { load.value("running", std::size_t{ 0 }),
+           load.value("started", std::size_t{ 0 }),
+           load.value("cut", std::size_t{ 0 }) };
+}
+
 std::size_t
 Cluster::Running() const
 {
@@ -276,13 +309,16 @@
 Cluster::Command(const std::string& aText) const
 {
   // A VM is in the fleet some time after it is in the list.
+  std::string answer;
   const bool done = WaitFor([&] {
     const auto result = GiveCommand(0, aText);
+    answer = result ? result->body : httplib::to_string(result.error());
     return result && result->status == 200 &&
            result->body.find("in effect") != std::string::npos;
   });
   if (!done) {
-    throw std::runtime_error("command \"" + aText + "\" has no effect");
+    throw std::runtime_error("command \"" + aText +
+                             "\" has no effect: " + answer);
   }
 }
 
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -29,8 +29,25 @@
   std::string id_;
   bool idempotent_ = true;
   std::chrono::milliseconds runTime_{ 0 };
+  std::chrono::milliseconds deadline_{ 5000 };
+  std::size_t memoryMb_ = 0;
+  std::string body_ = "body";
+  /// The worker answers in chunks instead of with a length.
+  bool chunked_ = false;
 };
 
+/// What the workers' ledger holds of one VM.
+struct WorkerLoad
+{
+  std::size_t running_ = 0;
+  std::size_t started_ = 0;
+  std::size_t cut_ = 0;
+};
+
+/// The headers that tell a daemon and a worker about the request.
+httplib::Headers
+HeadersOf(const CallerRequest& aRequest);
+
 struct ClusterOptions
 {
   std::size_t workers_ = 3;
@@ -40,6 +57,8 @@
   std::uint64_t logRetention_ = 0;
   /// Proxies stand in front of the log, the VM list and each worker too.
   bool proxiedPlatform_ = false;
+  /// Callers' connections that a daemon serves at once.
+  std::size_t maxCallers_ = 1024;
 };
 
 /// The server that a proxy stands in front of.
@@ -96,6 +115,23 @@
   /// Requests that run on workers now.
   [[nodiscard]] std::size_t Running() const;
 
+  [[nodiscard]] WorkerLoad LoadOf(const std::string& aVm) const;
+
+  /// Names each daemon whose counters do not add up: received = answered +
+  /// refused + unknown + cancelled. Empty once they all do.
+  [[nodiscard]] std::string WaitForCountersToAddUp() const;
+
+  /// The daemon that claimed the pool last.
+  [[nodiscard]] std::size_t OwnerOf(const std::string& aPool) const;
+
+  [[nodiscard]] std::uint64_t ResidentBytesOf(std::size_t aIndex) const;
+
+  /// Connections to a worker that are open from the client's side.
+  [[nodiscard]] std::size_t ConnectionsToWorker(std::size_t aIndex) const;
+
+  /// Sends the signal to the proxy in front of a daemon.
+  void SignalProxyOf(std::size_t aIndex, int aSignal) const;
+
   /// Sets the rule of a proxy; `aQuery` as for `standin-proxy`.
   void SetRule(const Link& aLink, const std::string& aQuery) const;
 
@@ -115,6 +151,7 @@
 
   /// Where a daemon listens for others, behind its proxy.
   [[nodiscard]] Endpoint PeerAddress(std::size_t aIndex) const;
+  [[nodiscard]] Endpoint CallerAddress(std::size_t aIndex) const;
   [[nodiscard]] std::string FolderPath() const { return folder_; }
 
 private:
@@ -127,6 +164,8 @@
     std::uint16_t control_;
   };
 
+  [[nodiscard]] std::string MetricsOf(std::size_t aIndex) const;
+  [[nodiscard]] bool CountersAddUp(std::size_t aIndex) const;
   /// Names the daemons that are not ready, with their logs.
   [[nodiscard]] std::string DescribeUnready() const;
   void WriteFiles();
