--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -94,7 +94,6 @@
     if (aEvent.from_ == context_.self_) {
       return;
     }
-    MarkHeard(aEvent.from_);
     std::visit(Overloaded{
                  [&](const Ping& aPing) { AnswerPing(aEvent.from_, aPing); },
                  [&](const Ack& aAck) { TakeAck(aEvent.from_, aAck); },
@@ -219,7 +218,12 @@
   void TakeAck(const DaemonId& aFrom, const Ack& aAck)
   {
     Merge(aAck.updates_);
-    MarkHeard(aAck.about_.IsEmpty() ? aFrom : aAck.about_);
+    // Only an answer proves both directions: a daemon that others cannot reach
+    // but that still reaches them must not stay an owner.
+    MarkHeard(aFrom);
+    if (!aAck.about_.IsEmpty()) {
+      MarkHeard(aAck.about_);
+    }
     AnswerRelayed(membership_, aFrom, effects_);
   }
 
