--- a/src/verbenawell/adapters/CallerListener.cpp
+++ b/src/verbenawell/adapters/CallerListener.cpp
@@ -176,6 +176,12 @@
   }
 }
 
+void
+CallerListener::Run(const LimitIdleConnections& aEffect)
+{
+  backends_.SetIdleLimit(aEffect.perServer_);
+}
+
 void
 CallerListener::Run(const RefuseCaller& aEffect)
 {
--- a/src/verbenawell/adapters/CallerListener.h
+++ b/src/verbenawell/adapters/CallerListener.h
@@ -38,6 +38,7 @@
   void Run(const CancelAttempt& aEffect);
   void Run(const ForwardAnswer& aEffect);
   void Run(const RefuseCaller& aEffect);
+  void Run(const LimitIdleConnections& aEffect);
 
 private:
   void Handle(const httplib::Request& aRequest, httplib::Response& aResponse);
--- a/src/verbenawell/adapters/PlatformClient.cpp
+++ b/src/verbenawell/adapters/PlatformClient.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/adapters/PlatformClient.h"
 
+#include "verbenawell/codec/UsageCodec.h"
 #include "verbenawell/codec/VmListCodec.h"
 
 #include <string>
@@ -67,6 +68,12 @@
   asio::post(threads_, [this, aEffect] { sink_(Reboot(aEffect)); });
 }
 
+void
+PlatformClient::Run(const ReadUsage& aEffect)
+{
+  asio::post(threads_, [this, aEffect] { sink_(Usage(aEffect)); });
+}
+
 void
 PlatformClient::ReadList()
 {
@@ -119,6 +126,25 @@
   }
 }
 
+Event
+PlatformClient::Usage(const ReadUsage& aEffect) const
+{
+  const std::string query = EncodeUsageQuery(aEffect.vms_);
+  const auto result = ThreadClient(vmList_).Post(
+    "/usage", { { "Accept-Encoding", "gzip" } }, query, "application/json");
+  metrics_.Increment(Counter::ControlBytes,
+                     kHeaderBytes + query.size() +
+                       (result ? result->body.size() : 0));
+  if (!result || result->status != kOk) {
+    return UsageReadFailed{ Describe(result) };
+  }
+  try {
+    return UsageRead{ DecodeUsage(result->body) };
+  } catch (const std::exception& error) {
+    return UsageReadFailed{ error.what() };
+  }
+}
+
 Event
 PlatformClient::Reboot(const RebootVm& aEffect) const
 {
--- a/src/verbenawell/adapters/PlatformClient.h
+++ b/src/verbenawell/adapters/PlatformClient.h
@@ -15,7 +15,8 @@
 namespace verbenawell {
 
 /// Reads the platform's VM list and orders reboots over HTTP. An unchanged
-/// list is neither transferred nor decoded again.
+/// list is neither transferred nor decoded again. Usage, which changes all the
+/// time, is a call of its own for that reason.
 class PlatformClient
 {
 public:
@@ -24,10 +25,12 @@
 
   void Run(const ReadVmList& aEffect);
   void Run(const RebootVm& aEffect);
+  void Run(const ReadUsage& aEffect);
 
 private:
   void ReadList();
   Event Reboot(const RebootVm& aEffect) const;
+  Event Usage(const ReadUsage& aEffect) const;
   void Deliver(const std::string& aEntityTag, const std::string& aBody);
   void Repeat();
 
--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -134,7 +134,8 @@
            aValue.vm_,
            aValue.team_,
            aValue.urgency_,
-           aValue.service_);
+           aValue.service_,
+           aValue.size_);
 }
 
 template<typename Archive, OneOf<OwnerReport> T>
@@ -268,7 +269,7 @@
 inline constexpr Urgency kLastOf<Urgency> = Urgency::Long;
 template<>
 inline constexpr RefusalReason kLastOf<RefusalReason> =
-  RefusalReason::ServiceMoved;
+  RefusalReason::BuffersFull;
 template<>
 inline constexpr UnknownReason kLastOf<UnknownReason> =
   UnknownReason::AlreadyStarted;
--- a/src/verbenawell/core/Effect.h
+++ b/src/verbenawell/core/Effect.h
@@ -101,6 +101,18 @@
 struct ReadVmList
 {};
 
+/// Reads the usage reports of these VMs; answered by `UsageRead`.
+struct ReadUsage
+{
+  std::vector<VmId> vms_;
+};
+
+/// Sets how many idle connections to each backend server are kept.
+struct LimitIdleConnections
+{
+  std::size_t perServer_ = 0;
+};
+
 /// Orders a reboot; the platform ignores an order for an older boot.
 struct RebootVm
 {
@@ -182,6 +194,8 @@
                             EncodeSnapshot,
                             DecodeSnapshot,
                             ReadVmList,
+                            ReadUsage,
+                            LimitIdleConnections,
                             RebootVm,
                             AnswerOperator,
                             SetTimer,
--- a/src/verbenawell/core/Event.h
+++ b/src/verbenawell/core/Event.h
@@ -7,6 +7,7 @@
 #include "verbenawell/membership/MembershipEvents.h"
 #include "verbenawell/operators/OperatorEvents.h"
 #include "verbenawell/requests/RequestEvents.h"
+#include "verbenawell/requests/UsageReport.h"
 
 #include <variant>
 
@@ -51,6 +52,8 @@
                            VmListRead,
                            VmListFailed,
                            RebootAnswered,
+                           UsageRead,
+                           UsageReadFailed,
                            CommandReceived,
                            MembersChanged,
                            FleetChanged,
--- a/src/verbenawell/core/TimerKey.h
+++ b/src/verbenawell/core/TimerKey.h
@@ -47,6 +47,12 @@
   bool operator==(const OwnerTick&) const = default;
 };
 
+/// Reads what the workers of the pools owned here use.
+struct UsagePoll
+{
+  bool operator==(const UsagePoll&) const = default;
+};
+
 /// Drives take-overs, audits of slots, and the check for a paused process.
 struct TakeoverTick
 {
@@ -84,6 +90,7 @@
                               StateTransfer,
                               VmListPoll,
                               OwnerTick,
+                              UsagePoll,
                               TakeoverTick,
                               IntentFlush,
                               EntryTick,
--- a/src/verbenawell/core/Units.h
+++ b/src/verbenawell/core/Units.h
@@ -8,6 +8,8 @@
 
 using Cores = Quantity<struct CoresTag, std::uint32_t>;
 using Megabytes = Quantity<struct MegabytesTag, std::uint64_t>;
+/// Thousandths of a core: what work uses is rarely a whole number of cores.
+using MilliCores = Quantity<struct MilliCoresTag, std::uint64_t>;
 using Accelerators = Quantity<struct AcceleratorsTag, std::uint32_t>;
 using ByteCount = Quantity<struct ByteCountTag, std::uint64_t>;
 
--- a/src/verbenawell/daemon/Daemon.cpp
+++ b/src/verbenawell/daemon/Daemon.cpp
@@ -125,39 +125,42 @@
 void
 Daemon::Execute(const Effect& aEffect)
 {
-  std::visit(Overloaded{
-               [&](const StartAttempt& aStart) { callers_.Run(aStart); },
-               [&](const CancelAttempt& aCancel) { callers_.Run(aCancel); },
-               [&](const ForwardAnswer& aForward) { callers_.Run(aForward); },
-               [&](const RefuseCaller& aRefuse) { callers_.Run(aRefuse); },
-               [&](const ReadLog& aRead) { log_.Run(aRead); },
-               [&](const AppendLog& aAppend) { log_.Run(aAppend); },
-               [&](const EncodeSnapshot& aEncode) { snapshots_.Run(aEncode); },
-               [&](const DecodeSnapshot& aDecode) { snapshots_.Run(aDecode); },
-               [&](const ReadVmList& aRead) { platform_.Run(aRead); },
-               [&](const RebootVm& aReboot) { platform_.Run(aReboot); },
-               [&](const AnswerOperator& aAnswer) { operators_.Run(aAnswer); },
-               [&](const SetReady& aReady) { operators_.Run(aReady); },
-               [&](const SetTimer& aTimer) {
-                 timers_.Subscribe(aTimer.key_, aTimer.after_);
-               },
-               [&](const Count& aCount) { metrics_.Increment(aCount.key_); },
-               [&](const SetGauge& aGauge) {
-                 metrics_.Set(aGauge.gauge_, aGauge.value_);
-               },
-               [&](const Observe& aObserve) {
-                 metrics_.Record(aObserve.metric_, aObserve.value_);
-               },
-               [&](const LogLine& aLine) { WriteLogLine(aLine); },
-               [&](const Exit&) { StopAfterLastMessages(); },
-               [&](const SendPeer& aSend) { peers_.Run(aSend); },
-               [&](const SendEndpoint& aSend) { peers_.Run(aSend); },
-               [&](const ConnectPeer& aConnect) { peers_.Run(aConnect); },
-               [&](const DisconnectPeer& aPeer) { peers_.Run(aPeer); },
-               // Applied within `Reduce`.
-               [](const Raise&) {},
-             },
-             aEffect);
+  std::visit(
+    Overloaded{
+      [&](const StartAttempt& aStart) { callers_.Run(aStart); },
+      [&](const CancelAttempt& aCancel) { callers_.Run(aCancel); },
+      [&](const ForwardAnswer& aForward) { callers_.Run(aForward); },
+      [&](const RefuseCaller& aRefuse) { callers_.Run(aRefuse); },
+      [&](const ReadLog& aRead) { log_.Run(aRead); },
+      [&](const AppendLog& aAppend) { log_.Run(aAppend); },
+      [&](const EncodeSnapshot& aEncode) { snapshots_.Run(aEncode); },
+      [&](const DecodeSnapshot& aDecode) { snapshots_.Run(aDecode); },
+      [&](const ReadVmList& aRead) { platform_.Run(aRead); },
+      [&](const RebootVm& aReboot) { platform_.Run(aReboot); },
+      [&](const ReadUsage& aRead) { platform_.Run(aRead); },
+      [&](const LimitIdleConnections& aLimit) { callers_.Run(aLimit); },
+      [&](const AnswerOperator& aAnswer) { operators_.Run(aAnswer); },
+      [&](const SetReady& aReady) { operators_.Run(aReady); },
+      [&](const SetTimer& aTimer) {
+        timers_.Subscribe(aTimer.key_, aTimer.after_);
+      },
+      [&](const Count& aCount) { metrics_.Increment(aCount.key_); },
+      [&](const SetGauge& aGauge) {
+        metrics_.Set(aGauge.gauge_, aGauge.value_);
+      },
+      [&](const Observe& aObserve) {
+        metrics_.Record(aObserve.metric_, aObserve.value_);
+      },
+      [&](const LogLine& aLine) { WriteLogLine(aLine); },
+      [&](const Exit&) { StopAfterLastMessages(); },
+      [&](const SendPeer& aSend) { peers_.Run(aSend); },
+      [&](const SendEndpoint& aSend) { peers_.Run(aSend); },
+      [&](const ConnectPeer& aConnect) { peers_.Run(aConnect); },
+      [&](const DisconnectPeer& aPeer) { peers_.Run(aPeer); },
+      // Applied within `Reduce`.
+      [](const Raise&) {},
+    },
+    aEffect);
 }
 
 // The other daemons learn that this one has left.
--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -46,6 +46,16 @@
       return "log_gaps";
     case Counter::VmListsFailed:
       return "vm_lists_failed";
+    case Counter::VmListsImplausible:
+      return "vm_lists_implausible";
+    case Counter::UsageReportsRead:
+      return "usage_reports_read";
+    case Counter::UsageReportsMissing:
+      return "usage_reports_missing";
+    case Counter::UsageReportsOld:
+      return "usage_reports_old";
+    case Counter::UsageReadsFailed:
+      return "usage_reads_failed";
     case Counter::WorkersEjected:
       return "workers_ejected";
     case Counter::WorkersProbed:
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -31,6 +31,14 @@
   LogAppendsGivenUp,
   LogGaps,
   VmListsFailed,
+  /// Lists that lack more VMs than can have left.
+  VmListsImplausible,
+  UsageReportsRead,
+  /// Asked for and not in the answer.
+  UsageReportsMissing,
+  /// Older than a figure is used.
+  UsageReportsOld,
+  UsageReadsFailed,
   WorkersEjected,
   WorkersProbed,
   WorkersRecovered,
--- a/src/verbenawell/operators/OperatorsReducer.cpp
+++ b/src/verbenawell/operators/OperatorsReducer.cpp
@@ -144,7 +144,7 @@
 
   [[nodiscard]] OperatorAnswer Report(const ShowServices&) const
   {
-    return Show(ReportServices(fleet_));
+    return Show(ReportServices(fleet_, views_.membership_, views_.requests_));
   }
 
   [[nodiscard]] OperatorAnswer Report(const ShowVms& aQuery) const
--- a/src/verbenawell/operators/Reports.cpp
+++ b/src/verbenawell/operators/Reports.cpp
@@ -3,9 +3,13 @@
 #include "verbenawell/fleet/FleetSettings.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/MembershipState.h"
+#include "verbenawell/membership/Ownership.h"
 #include "verbenawell/planner/SparePlan.h"
+#include "verbenawell/requests/RequestsState.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <map>
 #include <string>
 
@@ -90,6 +94,29 @@
   return aWave.paused_ ? "paused: " + aWave.pauseReason_ : "running";
 }
 
+/// How much the service's requests use of what they declare; empty where
+/// this daemon does not own the pool or has learned nothing.
+std::string
+DescribeSize(const RequestsState& aRequests,
+             const PoolId& aPool,
+             const ServiceId& aService)
+{
+  const auto& pools = aRequests.owner_.pools_;
+  const auto pool = pools.find(aPool);
+  if (pool == pools.end() || !pool->second.sizes_.contains(aService)) {
+    return "";
+  }
+  const SizeEstimate& size = pool->second.sizes_.at(aService);
+  constexpr std::size_t kMaxText = 64;
+  std::array<char, kMaxText> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "cores x%.2f, memory x%.2f",
+                size.CoresFactor(),
+                size.MemoryFactor());
+  return text.data();
+}
+
 } // namespace
 
 Table
@@ -107,10 +134,18 @@
 }
 
 Table
-ReportServices(const FleetState& aFleet)
+ReportServices(const FleetState& aFleet,
+               const MembershipState& aMembership,
+               const RequestsState& aRequests)
 {
   Table table{ "services",
-               { "service", "pool", "budget", "serving", "state" },
+               { "service",
+                 "pool",
+                 "budget",
+                 "serving",
+                 "state",
+                 "owner",
+                 "learned size" },
                {} };
   for (const auto& [id, service] : aFleet.services_) {
     const VmCount serving =
@@ -119,7 +154,9 @@
                             service.pool_.Value(),
                             std::to_string(service.budget_.Value()),
                             std::to_string(serving.Value()),
-                            serving < service.budget_ ? "BELOW" : "ok" });
+                            serving < service.budget_ ? "BELOW" : "ok",
+                            OwnerOfPool(aMembership, service.pool_).Value(),
+                            DescribeSize(aRequests, service.pool_, id) });
   }
   return table;
 }
--- a/src/verbenawell/operators/Reports.h
+++ b/src/verbenawell/operators/Reports.h
@@ -11,6 +11,7 @@
 struct FleetState;
 
 struct MembershipState;
+struct RequestsState;
 
 /// One row a pool: services, budgets and serving VMs.
 Table
@@ -18,7 +19,9 @@
 
 /// One row a service: its budget, and whether its serving VMs hold it.
 Table
-ReportServices(const FleetState& aFleet);
+ReportServices(const FleetState& aFleet,
+               const MembershipState& aMembership,
+               const RequestsState& aRequests);
 
 /// One row a VM: pool, location and state; all pools where `aPool` is empty.
 Table
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -219,7 +219,8 @@
                                   grant.vm_,
                                   request.head_.team_,
                                   request.head_.urgency_,
-                                  request.head_.service_ });
+                                  request.head_.service_,
+                                  request.head_.declared_ });
     }
     effects_.emplace_back(SendPeer{ aOwner, std::move(report) });
   }
--- a/src/verbenawell/requests/Grant.cpp
+++ b/src/verbenawell/requests/Grant.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/requests/Grant.h"
 
 #include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/requests/LearnedUsage.h"
 
 namespace verbenawell {
 
@@ -35,7 +36,9 @@
   const SlotKey key{ aQueue.term_, ++aScope.owner_.lastAttempt_ };
   const TimePoint now = aScope.context_.now_;
   const TimePoint expiresAt = aTicket.deadline_ + kReleaseGrace;
-  const Resources& size = aTicket.request_.head_.declared_;
+  const RequestHead& head = aTicket.request_.head_;
+  const Resources size = ReservedSize(aQueue, head.service_, head.declared_);
+  aQueue.sizes_[head.service_].NoteDeclared(head.declared_);
   const Endpoint& address = aScope.views_.fleet_.vms_.at(aVm).facts_.address_;
   aQueue.granted_[key] = { aTicket.id_, aVm,    address, now,
                            expiresAt,   aShare, size };
--- /dev/null
+++ b/src/verbenawell/requests/LearnedUsage.cpp
@@ -0,0 +1,177 @@
+#include "verbenawell/requests/LearnedUsage.h"
+
+#include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/requests/SlotGranting.h"
+
+#include <algorithm>
+#include <set>
+
+namespace verbenawell {
+
+namespace {
+
+// Usage lags: the last good figure counts this long, and no figure after it.
+constexpr Duration kFigureLife = std::chrono::seconds(10);
+
+constexpr double kPerMille = 1000.0;
+
+/// The larger of the used parts of processors and memory.
+UsedPart
+UsedPartOf(const Usage& aUsed, const Resources& aSize)
+{
+  const auto part = [](std::uint64_t aUse, std::uint64_t aOf) {
+    return aOf == 0 ? 0.0
+                    : static_cast<double>(aUse) / static_cast<double>(aOf);
+  };
+  // The quotient of thousandths of cores and cores is in thousandths already.
+  const double cores = part(aUsed.cores_.Value(), aSize.cores_.Value());
+  const double memory =
+    part(aUsed.memory_.Value(), aSize.memory_.Value()) * kPerMille;
+  const double most = std::min(std::max(cores, memory), kPerMille);
+  return UsedPart{ static_cast<std::uint32_t>(most) };
+}
+
+/// Tells whether the report is news; a report is read again until the next.
+bool
+IsNew(const PoolQueue& aQueue, const UsageReport& aReport)
+{
+  const auto last = aQueue.lastReports_.find(aReport.vm_);
+  return last == aQueue.lastReports_.end() || last->second < aReport.at_;
+}
+
+void
+KeepFigure(OwnerScope& aScope, PoolQueue& aQueue, const UsageReport& aReport)
+{
+  const VmState& vm = aScope.views_.fleet_.vms_.at(aReport.vm_);
+  const TimePoint until = aScope.context_.now_ - aReport.age_ + kFigureLife;
+  if (const auto old = aQueue.figures_.find(aReport.vm_);
+      old != aQueue.figures_.end()) {
+    aQueue.figureExpiries_.erase({ old->second, aReport.vm_ });
+  }
+  aQueue.figures_[aReport.vm_] = until;
+  aQueue.figureExpiries_.emplace(until, aReport.vm_);
+  aQueue.workers_.SetUsage(aReport.vm_,
+                           UsedPartOf(aReport.used_, vm.facts_.size_));
+}
+
+void
+Apply(OwnerScope& aScope, PoolQueue& aQueue, const UsageReport& aReport)
+{
+  if (aReport.age_ >= kFigureLife) {
+    aScope.effects_.emplace_back(Count{ Counter::UsageReportsOld });
+    return;
+  }
+  if (!IsNew(aQueue, aReport)) {
+    return;
+  }
+  aScope.effects_.emplace_back(Count{ Counter::UsageReportsRead });
+  aQueue.lastReports_[aReport.vm_] = aReport.at_;
+  KeepFigure(aScope, aQueue, aReport);
+  for (const ServiceUsage& usage : aReport.services_) {
+    if (const auto size = aQueue.sizes_.find(usage.service_);
+        size != aQueue.sizes_.end()) {
+      size->second.Learn(usage);
+    }
+  }
+}
+
+/// The pool here that the VM belongs to; null where there is none.
+PoolQueue*
+FindPoolOf(OwnerScope& aScope, const VmId& aVm)
+{
+  const FleetState& fleet = aScope.views_.fleet_;
+  const auto vm = fleet.vms_.find(aVm);
+  if (vm == fleet.vms_.end()) {
+    return nullptr;
+  }
+  const auto pool = aScope.owner_.pools_.find(vm->second.pool_);
+  return pool == aScope.owner_.pools_.end() ? nullptr : &pool->second;
+}
+
+} // namespace
+
+void
+AskForUsage(OwnerScope& aScope)
+{
+  std::set<VmId>& asked = aScope.owner_.usageAsked_;
+  asked.clear();
+  for (const auto& [id, queue] : aScope.owner_.pools_) {
+    const auto& pools = aScope.views_.fleet_.pools_;
+    if (const auto pool = pools.find(id); pool != pools.end()) {
+      asked.insert(pool->second.vms_.begin(), pool->second.vms_.end());
+    }
+  }
+  if (!asked.empty()) {
+    aScope.effects_.emplace_back(ReadUsage{ { asked.begin(), asked.end() } });
+  }
+}
+
+void
+ApplyUsage(OwnerScope& aScope, const UsageRead& aRead)
+{
+  std::set<VmId>& asked = aScope.owner_.usageAsked_;
+  for (const UsageReport& report : aRead.reports_) {
+    if (asked.erase(report.vm_) == 0) {
+      continue;
+    }
+    if (PoolQueue* queue = FindPoolOf(aScope, report.vm_)) {
+      Apply(aScope, *queue, report);
+    }
+  }
+  for (std::size_t missing = 0; missing < asked.size(); ++missing) {
+    aScope.effects_.emplace_back(Count{ Counter::UsageReportsMissing });
+  }
+  asked.clear();
+  // A request that had no room may have some with its new size.
+  for (auto& [id, queue] : aScope.owner_.pools_) {
+    const std::set<ShareKey> blocked = queue.queue_.Blocked();
+    for (const ShareKey& share : blocked) {
+      queue.queue_.Unblock(share);
+    }
+    GrantFreeSlots(aScope, id, queue);
+  }
+}
+
+void
+ExpireUsage(OwnerScope& aScope, PoolQueue& aQueue)
+{
+  auto& expiries = aQueue.figureExpiries_;
+  while (!expiries.empty() && expiries.begin()->first <= aScope.context_.now_) {
+    const VmId vm = expiries.begin()->second;
+    expiries.erase(expiries.begin());
+    aQueue.figures_.erase(vm);
+    aQueue.workers_.SetUsage(vm, {});
+  }
+}
+
+void
+ForgetUsage(PoolQueue& aQueue, const VmId& aVm)
+{
+  if (const auto figure = aQueue.figures_.find(aVm);
+      figure != aQueue.figures_.end()) {
+    aQueue.figureExpiries_.erase({ figure->second, aVm });
+    aQueue.figures_.erase(figure);
+  }
+  aQueue.lastReports_.erase(aVm);
+}
+
+Resources
+CorrectedSize(const PoolQueue& aQueue,
+              const ServiceId& aService,
+              const Resources& aDeclared)
+{
+  const auto size = aQueue.sizes_.find(aService);
+  return size == aQueue.sizes_.end() ? aDeclared
+                                     : size->second.Correct(aDeclared);
+}
+
+Resources
+ReservedSize(const PoolQueue& aQueue,
+             const ServiceId& aService,
+             const Resources& aDeclared)
+{
+  return aQueue.workers_.LimitToWorker(
+    CorrectedSize(aQueue, aService, aDeclared));
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/Messages.h
+++ b/src/verbenawell/requests/Messages.h
@@ -73,6 +73,8 @@
   TeamId team_;
   Urgency urgency_ = Urgency::Interactive;
   ServiceId service_;
+  /// As declared by the caller.
+  Resources size_;
 };
 
 /// Answers `OwnerAnnounce` with the attempts that run for the pool.
--- a/src/verbenawell/requests/OwnerReducer.cpp
+++ b/src/verbenawell/requests/OwnerReducer.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/requests/OwnerReducer.h"
 
 #include "verbenawell/core/Overloaded.h"
+#include "verbenawell/requests/LearnedUsage.h"
 #include "verbenawell/requests/OwnerScope.h"
 #include "verbenawell/requests/OwnerTakeover.h"
 #include "verbenawell/requests/PoolWorkers.h"
@@ -16,6 +17,10 @@
 // Deadlines and probes are acted on this late at most.
 constexpr Duration kOwnerInterval = std::chrono::milliseconds(100);
 
+// One read may fail before the figures of the read before run out. At 100 VMs
+// a pool and about 150 bytes each this is 3 KB/s for the pool's owner.
+constexpr Duration kUsageInterval = std::chrono::seconds(5);
+
 class Reducer
 {
 public:
@@ -27,10 +32,15 @@
   void operator()(const Started&)
   {
     scope_.effects_.emplace_back(SetTimer{ OwnerTick{}, kOwnerInterval });
+    scope_.effects_.emplace_back(SetTimer{ UsagePoll{}, kUsageInterval });
   }
 
   void operator()(const TimerDue& aEvent)
   {
+    if (std::holds_alternative<UsagePoll>(aEvent.key_)) {
+      AskForUsage(scope_);
+      scope_.effects_.emplace_back(SetTimer{ UsagePoll{}, kUsageInterval });
+    }
     if (!std::holds_alternative<OwnerTick>(aEvent.key_)) {
       return;
     }
@@ -39,6 +49,7 @@
       ExpireSlots(scope_, id, queue);
       ProbeWorkers(scope_, queue);
       HoldWorkerForBlocked(scope_, queue);
+      ExpireUsage(scope_, queue);
     }
     GrantInAllPools();
     scope_.effects_.emplace_back(SetTimer{ OwnerTick{}, kOwnerInterval });
@@ -63,6 +74,13 @@
     GrantInAllPools();
   }
 
+  void operator()(const UsageRead& aEvent) { ApplyUsage(scope_, aEvent); }
+
+  void operator()(const UsageReadFailed&)
+  {
+    scope_.effects_.emplace_back(Count{ Counter::UsageReadsFailed });
+  }
+
   void operator()(const MembersChanged& aEvent)
   {
     for (const DaemonId& lost : aEvent.lost_) {
--- a/src/verbenawell/requests/OwnerState.h
+++ b/src/verbenawell/requests/OwnerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/requests/FairQueue.h"
+#include "verbenawell/requests/SizeEstimate.h"
 #include "verbenawell/requests/WorkerHealth.h"
 #include "verbenawell/requests/WorkerIndex.h"
 
@@ -61,6 +62,13 @@
   std::set<std::pair<TimePoint, SlotKey>> expiries_;
   std::map<VmId, UnconfirmedSlots> unconfirmed_;
   std::optional<HeldWorker> held_;
+  /// Learned corrections of declared sizes; learned anew by each owner.
+  std::map<ServiceId, SizeEstimate> sizes_;
+  /// Time of the last usage report of each worker, by the platform's clock.
+  std::map<VmId, WallTime> lastReports_;
+  /// Until when the figure in `workers_` counts, for workers that have one.
+  std::map<VmId, TimePoint> figures_;
+  std::set<std::pair<TimePoint, VmId>> figureExpiries_;
 };
 
 /// Queues of the pools that this daemon owns.
@@ -71,6 +79,8 @@
   /// VMs that the platform's list shows as leaving or not live. Kept here
   /// because it must hold back new work without the log.
   std::unordered_set<VmId> leaving_;
+  /// VMs whose usage has been asked for and not been reported.
+  std::set<VmId> usageAsked_;
 };
 
 } // namespace verbenawell
--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/Ownership.h"
+#include "verbenawell/requests/LearnedUsage.h"
 
 #include <algorithm>
 #include <optional>
@@ -50,6 +51,7 @@
   aQueue.workers_.Remove(aVm);
   aQueue.health_.erase(aVm);
   aQueue.unhealthy_.erase(aVm);
+  ForgetUsage(aQueue, aVm);
   NoteWorkersChanged(aQueue);
   ReportIfDrained(aScope, aPool, aVm);
 }
@@ -114,7 +116,8 @@
     aQueue.unhealthy_.insert(aVm);
   }
   const VmState& vm = aScope.views_.fleet_.vms_.at(aVm);
-  aQueue.workers_.SetCap(aVm, health.Cap(vm.facts_.slots_));
+  aQueue.workers_.SetCap(
+    aVm, health.Cap(vm.facts_.slots_), health.IsOnProbation());
   NoteWorkersChanged(aQueue);
 }
 
--- a/src/verbenawell/requests/Reasons.cpp
+++ b/src/verbenawell/requests/Reasons.cpp
@@ -34,6 +34,8 @@
       return "retries-exhausted";
     case RefusalReason::ServiceMoved:
       return "service-moved";
+    case RefusalReason::BuffersFull:
+      return "buffers-full";
   }
   return "invalid";
 }
--- a/src/verbenawell/requests/Reasons.h
+++ b/src/verbenawell/requests/Reasons.h
@@ -22,6 +22,8 @@
   Duplicate,
   RetriesExhausted,
   ServiceMoved,
+  /// The bodies that this daemon holds have reached their limit.
+  BuffersFull,
 };
 
 /// Why it is unknown whether a request ran.
--- /dev/null
+++ b/src/verbenawell/requests/SizeEstimate.cpp
@@ -0,0 +1,82 @@
+#include "verbenawell/requests/SizeEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenawell {
+
+namespace {
+
+// About the last 16 requests decide.
+constexpr double kLearningRate = 1.0 / 16.0;
+
+// Reports lag behind the requests that they measure, so that the declared
+// sizes are averaged over more requests than one report covers.
+constexpr double kDeclaredRate = 1.0 / 64.0;
+
+// Sizes that are ten times off are to be corrected; what is reported beyond
+// that says more about the report.
+constexpr double kLeastFactor = 0.1;
+constexpr double kMostFactor = 10.0;
+
+constexpr double kMilli = 1000.0;
+
+// Rounding errors must not add a whole core.
+constexpr double kRoundingError = 1e-6;
+
+} // namespace
+
+void
+SizeEstimate::NoteDeclared(const Resources& aDeclared)
+{
+  cores_.NoteDeclared(aDeclared.cores_.Value());
+  memory_.NoteDeclared(static_cast<double>(aDeclared.memory_.Value()));
+}
+
+void
+SizeEstimate::Learn(const ServiceUsage& aUsage)
+{
+  const double rate = 1.0 - std::pow(1.0 - kLearningRate, aUsage.requests_);
+  cores_.Learn(static_cast<double>(aUsage.perRequest_.cores_.Value()) / kMilli,
+               rate);
+  memory_.Learn(static_cast<double>(aUsage.perRequest_.memory_.Value()), rate);
+}
+
+Resources
+SizeEstimate::Correct(const Resources& aDeclared) const
+{
+  Resources size = aDeclared;
+  size.cores_ = Cores{ static_cast<std::uint32_t>(
+    cores_.Correct(aDeclared.cores_.Value())) };
+  size.memory_ = Megabytes{ static_cast<std::uint64_t>(
+    memory_.Correct(static_cast<double>(aDeclared.memory_.Value()))) };
+  return size;
+}
+
+void
+SizeEstimate::Part::NoteDeclared(double aDeclared)
+{
+  if (aDeclared > 0.0) {
+    declared_ = declared_ == 0.0
+                  ? aDeclared
+                  : declared_ + kDeclaredRate * (aDeclared - declared_);
+  }
+}
+
+void
+SizeEstimate::Part::Learn(double aUsed, double aRate)
+{
+  if (declared_ > 0.0) {
+    const double ratio =
+      std::clamp(aUsed / declared_, kLeastFactor, kMostFactor);
+    factor_ += aRate * (ratio - factor_);
+  }
+}
+
+double
+SizeEstimate::Part::Correct(double aDeclared) const
+{
+  return std::max(0.0, std::ceil(aDeclared * factor_ - kRoundingError));
+}
+
+} // namespace verbenawell
--- /dev/null
+++ b/src/verbenawell/requests/SizeEstimate.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "verbenawell/core/Resources.h"
+#include "verbenawell/requests/UsageReport.h"
+
+namespace verbenawell {
+
+/// Learns how the declared sizes of a service's requests relate to what the
+/// requests use. Means are compared: requests that declare nothing are not
+/// told apart in the reports, and make the correction too small.
+class SizeEstimate
+{
+public:
+  /// Notes the declared size of a request that starts.
+  void NoteDeclared(const Resources& aDeclared);
+
+  /// Learns from measured requests; says nothing before one was declared.
+  void Learn(const ServiceUsage& aUsage);
+
+  /// What a request that declares `aDeclared` is expected to use. A part that
+  /// was not declared stays zero; accelerators are not measured.
+  [[nodiscard]] Resources Correct(const Resources& aDeclared) const;
+
+  /// Used over declared, between 0.1 and 10.
+  [[nodiscard]] double CoresFactor() const { return cores_.factor_; }
+  [[nodiscard]] double MemoryFactor() const { return memory_.factor_; }
+
+private:
+  struct Part
+  {
+    double declared_ = 0.0;
+    double factor_ = 1.0;
+
+    void NoteDeclared(double aDeclared);
+    void Learn(double aUsed, double aRate);
+    [[nodiscard]] double Correct(double aDeclared) const;
+  };
+
+  Part cores_;
+  Part memory_;
+};
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/SlotAdmission.cpp
+++ b/src/verbenawell/requests/SlotAdmission.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/requests/SlotAdmission.h"
 
 #include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/requests/LearnedUsage.h"
 #include "verbenawell/requests/PoolWorkers.h"
 #include "verbenawell/requests/SlotGranting.h"
 
@@ -39,13 +40,18 @@
 
 /// Refusal of a request that no worker of the pool will run.
 std::optional<NotRun>
-CheckWorkers(const WorkerIndex& aWorkers, const SlotRequest& aRequest)
+CheckWorkers(const PoolQueue& aQueue, const SlotRequest& aRequest)
 {
-  const Resources& size = aRequest.head_.declared_;
-  if (!aWorkers.MayEverServe({ size, aRequest.tried_ })) {
+  const WorkerIndex& workers = aQueue.workers_;
+  const Resources& declared = aRequest.head_.declared_;
+  if (!workers.MayEverServe({ declared, aRequest.tried_ })) {
     return NotRun{ RefusalReason::NoWorker, kNoWorkerRetryAfter };
   }
-  if (!aWorkers.EverFits(size)) {
+  // What is learned never refuses a request that declares to fit: nothing
+  // would correct a wrong estimate any more.
+  if (!workers.EverFits(declared) &&
+      !workers.EverFits(
+        CorrectedSize(aQueue, aRequest.head_.service_, declared))) {
     return NotRun{ RefusalReason::NeverFits };
   }
   return {};
@@ -95,7 +101,7 @@
     // The entry daemon sent the ticket again and keeps its place.
     return;
   }
-  if (const auto refusal = CheckWorkers(queue.workers_, aRequest)) {
+  if (const auto refusal = CheckWorkers(queue, aRequest)) {
     Refuse(aScope, ticket, *refusal);
     return;
   }
--- a/src/verbenawell/requests/SlotGranting.cpp
+++ b/src/verbenawell/requests/SlotGranting.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/requests/SlotGranting.h"
 
 #include "verbenawell/requests/Grant.h"
+#include "verbenawell/requests/LearnedUsage.h"
 
 #include <algorithm>
 #include <iterator>
@@ -20,9 +21,12 @@
 constexpr Duration kHoldAfter = std::chrono::seconds(2);
 
 WorkerNeed
-NeedOf(const QueuedTicket& aTicket)
+NeedOf(const PoolQueue& aQueue, const QueuedTicket& aTicket)
 {
-  return { aTicket.request_.head_.declared_, aTicket.request_.tried_ };
+  const RequestHead& head = aTicket.request_.head_;
+  return { ReservedSize(aQueue, head.service_, head.declared_),
+           aTicket.request_.tried_,
+           head.idempotent_ };
 }
 
 void
@@ -46,7 +50,8 @@
 {
   const auto& [share, vm] = *aQueue.held_;
   return aQueue.queue_.Blocked().contains(share) &&
-         aQueue.workers_.CouldHold(vm, NeedOf(aQueue.queue_.Head(share)));
+         aQueue.workers_.CouldHold(vm,
+                                   NeedOf(aQueue, aQueue.queue_.Head(share)));
 }
 
 } // namespace
@@ -60,7 +65,7 @@
       return;
     }
     const std::optional<VmId> worker = aQueue.workers_.Choose(
-      NeedOf(aQueue.queue_.Head(*share)), aScope.random_);
+      NeedOf(aQueue, aQueue.queue_.Head(*share)), aScope.random_);
     if (worker) {
       Grant(aScope, aPool, aQueue, *share, *worker);
     } else {
@@ -84,7 +89,8 @@
   for (const ShareKey& share : blocked) {
     if (!IsHeldForOther(aQueue, share, aVm) &&
         aQueue.queue_.MayHoldMore(share) &&
-        aQueue.workers_.HasPlace(aVm, NeedOf(aQueue.queue_.Head(share)))) {
+        aQueue.workers_.HasPlace(aVm,
+                                 NeedOf(aQueue, aQueue.queue_.Head(share)))) {
       aQueue.queue_.Unblock(share);
       Grant(aScope, aPool, aQueue, share, aVm);
       if (aQueue.held_ && aQueue.held_->share_ == share) {
@@ -109,7 +115,7 @@
     if (aScope.context_.now_ - head.queuedAt_ < kHoldAfter) {
       continue;
     }
-    if (const auto vm = aQueue.workers_.FindToHold(NeedOf(head))) {
+    if (const auto vm = aQueue.workers_.FindToHold(NeedOf(aQueue, head))) {
       aQueue.workers_.SetHeld(*vm, true);
       aQueue.held_ = HeldWorker{ share, *vm };
       aScope.effects_.emplace_back(Count{ Counter::WorkersHeld });
--- a/src/verbenawell/requests/SlotReturn.cpp
+++ b/src/verbenawell/requests/SlotReturn.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
+#include "verbenawell/requests/LearnedUsage.h"
 #include "verbenawell/requests/PoolWorkers.h"
 #include "verbenawell/requests/SlotAdmission.h"
 #include "verbenawell/requests/SlotGranting.h"
@@ -104,11 +105,12 @@
   const ShareKey share{ aService, aRunning.team_, aRunning.urgency_ };
   const HeldShare held = queue.queue_.Adopt(share, TermsOf(aScope, share), now);
   const TimePoint expiresAt = now + kAdoptedSlotTime;
+  const Resources size = ReservedSize(queue, aService, aRunning.size_);
   queue.granted_[key] = {
-    { aEntry, aRunning.key_ }, aRunning.vm_, {}, now, expiresAt, held, {}
+    { aEntry, aRunning.key_ }, aRunning.vm_, {}, now, expiresAt, held, size
   };
   queue.expiries_.emplace(expiresAt, key);
-  queue.workers_.TakeSlot(aRunning.vm_, {});
+  queue.workers_.TakeSlot(aRunning.vm_, size);
 }
 
 void
--- /dev/null
+++ b/src/verbenawell/requests/WorkerChoice.cpp
@@ -0,0 +1,107 @@
+#include "verbenawell/requests/WorkerIndex.h"
+
+#include <algorithm>
+
+namespace verbenawell {
+
+namespace {
+
+// Random draws before all open workers are looked at; enough unless only a
+// small part of the workers has room for the request.
+constexpr int kDraws = 16;
+
+constexpr int kCandidates = 2;
+
+// A retry compares more workers, to find one in another rack and zone.
+constexpr int kRetryCandidates = 8;
+
+constexpr int kSameZone = 1;
+constexpr int kSameRack = 2;
+
+} // namespace
+
+std::optional<VmId>
+WorkerIndex::Choose(const WorkerNeed& aNeed, Random& aRandom) const
+{
+  std::optional<Position> chosen;
+  if (aNeed.size_.accelerators_ == Accelerators{}) {
+    chosen = ChooseFrom(openPlain_, aNeed, aRandom);
+  }
+  if (!chosen) {
+    chosen = ChooseFrom(openAccelerated_, aNeed, aRandom);
+  }
+  return chosen ? std::optional{ workers_[*chosen].facts_.vm_ } : std::nullopt;
+}
+
+std::optional<WorkerIndex::Position>
+WorkerIndex::ChooseFrom(const std::vector<Position>& aOpen,
+                        const WorkerNeed& aNeed,
+                        Random& aRandom) const
+{
+  std::optional<Position> best;
+  int candidates = 0;
+  const auto consider = [&](Position aPosition) {
+    const Worker& worker = workers_[aPosition];
+    if (!HasPlace(worker, aNeed)) {
+      return;
+    }
+    ++candidates;
+    if (!best || IsBetter(worker, workers_[*best], aNeed)) {
+      best = aPosition;
+    }
+  };
+  if (aOpen.empty()) {
+    return {};
+  }
+  const int wanted = aNeed.tried_.empty() ? kCandidates : kRetryCandidates;
+  for (int draw = 0; draw < kDraws && candidates < wanted; ++draw) {
+    consider(aOpen[aRandom.Below(aOpen.size())]);
+  }
+  if (!best) {
+    std::ranges::for_each(aOpen, consider);
+  }
+  return best;
+}
+
+bool
+WorkerIndex::IsBetter(const Worker& aLeft,
+                      const Worker& aRight,
+                      const WorkerNeed& aNeed) const
+{
+  const int left = Nearness(aLeft, aNeed);
+  const int right = Nearness(aRight, aNeed);
+  if (left != right) {
+    return left < right;
+  }
+  // Compares running / slots without a division.
+  const std::uint64_t leftLoad =
+    static_cast<std::uint64_t>(aLeft.running_.Value()) *
+    aRight.facts_.slots_.Value();
+  const std::uint64_t rightLoad =
+    static_cast<std::uint64_t>(aRight.running_.Value()) *
+    aLeft.facts_.slots_.Value();
+  if (leftLoad != rightLoad) {
+    return leftLoad < rightLoad;
+  }
+  return aLeft.usage_ && aRight.usage_ && *aLeft.usage_ < *aRight.usage_;
+}
+
+int
+WorkerIndex::Nearness(const Worker& aWorker, const WorkerNeed& aNeed) const
+{
+  int nearest = 0;
+  for (const VmId& vm : aNeed.tried_) {
+    const Worker* tried = Find(vm);
+    if (tried == nullptr) {
+      continue;
+    }
+    const VmFacts& facts = tried->facts_;
+    const bool sameZone = facts.zone_ == aWorker.facts_.zone_;
+    const bool sameRack = sameZone && facts.rack_ == aWorker.facts_.rack_;
+    nearest =
+      std::max(nearest, sameRack ? kSameRack : (sameZone ? kSameZone : 0));
+  }
+  return nearest;
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/requests/WorkerHealth.h
+++ b/src/verbenawell/requests/WorkerHealth.h
@@ -57,6 +57,13 @@
   {
     return std::holds_alternative<Healthy>(state_);
   }
+  /// No attempt has succeeded since the ejection: a probe may fail again, so
+  /// that it must be work that may run twice.
+  [[nodiscard]] bool IsOnProbation() const
+  {
+    const auto* readmitted = std::get_if<Readmitted>(&state_);
+    return readmitted != nullptr && readmitted->cap_ == SlotCount{ 1 };
+  }
   [[nodiscard]] bool IsEjected() const
   {
     return std::holds_alternative<Ejected>(state_);
--- a/src/verbenawell/requests/WorkerIndex.cpp
+++ b/src/verbenawell/requests/WorkerIndex.cpp
@@ -1,24 +1,13 @@
 #include "verbenawell/requests/WorkerIndex.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace verbenawell {
 
 namespace {
 
-// Random draws before all open workers are looked at; enough unless only a
-// small part of the workers has room for the request.
-constexpr int kDraws = 16;
-
-constexpr int kCandidates = 2;
-
-// A retry compares more workers, to find one in another rack and zone.
-constexpr int kRetryCandidates = 8;
-
-constexpr int kSameZone = 1;
-constexpr int kSameRack = 2;
-
 bool
 WasTried(const WorkerNeed& aNeed, const VmId& aVm)
 {
@@ -71,6 +60,8 @@
       aWorker.inPool_ = false;
       aWorker.held_ = false;
       aWorker.cap_ = kNoCap;
+      aWorker.onProbation_ = false;
+      aWorker.usage_.reset();
     });
     Erase(position);
   }
@@ -95,6 +86,7 @@
 WorkerIndex::CouldHold(const Worker& aWorker, const WorkerNeed& aNeed)
 {
   return aWorker.use_.usable_ && aWorker.cap_ != SlotCount{} &&
+         (aNeed.idempotent_ || !aWorker.onProbation_) &&
          FitsWithin(aNeed.size_, aWorker.facts_.size_) &&
          !WasTried(aNeed, aWorker.facts_.vm_);
 }
@@ -113,10 +105,21 @@
 }
 
 void
-WorkerIndex::SetCap(const VmId& aVm, SlotCount aCap)
+WorkerIndex::SetCap(const VmId& aVm, SlotCount aCap, bool aOnProbation)
+{
+  if (const auto found = positions_.find(aVm); found != positions_.end()) {
+    Update(found->second, [&](Worker& aWorker) {
+      aWorker.cap_ = aCap;
+      aWorker.onProbation_ = aOnProbation;
+    });
+  }
+}
+
+void
+WorkerIndex::SetUsage(const VmId& aVm, std::optional<UsedPart> aUsage)
 {
   if (const auto found = positions_.find(aVm); found != positions_.end()) {
-    Update(found->second, [&](Worker& aWorker) { aWorker.cap_ = aCap; });
+    workers_[found->second].usage_ = aUsage;
   }
 }
 
@@ -152,19 +155,6 @@
   }
 }
 
-std::optional<VmId>
-WorkerIndex::Choose(const WorkerNeed& aNeed, Random& aRandom) const
-{
-  std::optional<Position> chosen;
-  if (aNeed.size_.accelerators_ == Accelerators{}) {
-    chosen = ChooseFrom(openPlain_, aNeed, aRandom);
-  }
-  if (!chosen) {
-    chosen = ChooseFrom(openAccelerated_, aNeed, aRandom);
-  }
-  return chosen ? std::optional{ workers_[*chosen].facts_.vm_ } : std::nullopt;
-}
-
 bool
 WorkerIndex::HasPlace(const VmId& aVm, const WorkerNeed& aNeed) const
 {
@@ -179,6 +169,7 @@
     aWorker.held_ && aWorker.use_.usable_ &&
     aWorker.running_ < std::min(aWorker.facts_.slots_, aWorker.cap_);
   return (aWorker.openAt_ || heldWithSlot) &&
+         (aNeed.idempotent_ || !aWorker.onProbation_) &&
          FitsWithin(Sum(aWorker.reserved_, aNeed.size_),
                     aWorker.facts_.size_) &&
          !WasTried(aNeed, aWorker.facts_.vm_);
@@ -198,6 +189,26 @@
   });
 }
 
+Resources
+WorkerIndex::LimitToWorker(const Resources& aSize) const
+{
+  if (sizes_.empty() || EverFits(aSize)) {
+    return aSize;
+  }
+  const auto limit = [&](const SizeCount& aCount) {
+    const Resources& most = aCount.size_;
+    return Resources{ std::min(aSize.cores_, most.cores_),
+                      std::min(aSize.memory_, most.memory_),
+                      std::min(aSize.accelerators_, most.accelerators_) };
+  };
+  // Accelerators are never corrected: a worker without them is no choice.
+  const auto rank = [&](const SizeCount& aCount) {
+    const Resources limited = limit(aCount);
+    return std::tuple{ limited.accelerators_, limited.cores_, limited.memory_ };
+  };
+  return limit(*std::ranges::max_element(sizes_, {}, rank));
+}
+
 bool
 WorkerIndex::MayEverServe(const WorkerNeed& aNeed) const
 {
@@ -328,69 +339,4 @@
            : openAccelerated_;
 }
 
-std::optional<WorkerIndex::Position>
-WorkerIndex::ChooseFrom(const std::vector<Position>& aOpen,
-                        const WorkerNeed& aNeed,
-                        Random& aRandom) const
-{
-  std::optional<Position> best;
-  int candidates = 0;
-  const auto consider = [&](Position aPosition) {
-    const Worker& worker = workers_[aPosition];
-    if (!HasPlace(worker, aNeed)) {
-      return;
-    }
-    ++candidates;
-    if (!best || IsBetter(worker, workers_[*best], aNeed)) {
-      best = aPosition;
-    }
-  };
-  if (aOpen.empty()) {
-    return {};
-  }
-  const int wanted = aNeed.tried_.empty() ? kCandidates : kRetryCandidates;
-  for (int draw = 0; draw < kDraws && candidates < wanted; ++draw) {
-    consider(aOpen[aRandom.Below(aOpen.size())]);
-  }
-  if (!best) {
-    std::ranges::for_each(aOpen, consider);
-  }
-  return best;
-}
-
-bool
-WorkerIndex::IsBetter(const Worker& aLeft,
-                      const Worker& aRight,
-                      const WorkerNeed& aNeed) const
-{
-  const int left = Nearness(aLeft, aNeed);
-  const int right = Nearness(aRight, aNeed);
-  if (left != right) {
-    return left < right;
-  }
-  // Compares running / slots without a division.
-  return static_cast<std::uint64_t>(aLeft.running_.Value()) *
-           aRight.facts_.slots_.Value() <
-         static_cast<std::uint64_t>(aRight.running_.Value()) *
-           aLeft.facts_.slots_.Value();
-}
-
-int
-WorkerIndex::Nearness(const Worker& aWorker, const WorkerNeed& aNeed) const
-{
-  int nearest = 0;
-  for (const VmId& vm : aNeed.tried_) {
-    const Worker* tried = Find(vm);
-    if (tried == nullptr) {
-      continue;
-    }
-    const VmFacts& facts = tried->facts_;
-    const bool sameZone = facts.zone_ == aWorker.facts_.zone_;
-    const bool sameRack = sameZone && facts.rack_ == aWorker.facts_.rack_;
-    nearest =
-      std::max(nearest, sameRack ? kSameRack : (sameZone ? kSameZone : 0));
-  }
-  return nearest;
-}
-
 } // namespace verbenawell
--- a/src/verbenawell/requests/WorkerIndex.h
+++ b/src/verbenawell/requests/WorkerIndex.h
@@ -28,8 +28,13 @@
   Resources size_;
   /// Workers that have failed the request.
   std::vector<VmId> tried_;
+  /// Running it twice does no harm: it may go to a worker on probation.
+  bool idempotent_ = false;
 };
 
+/// Thousandths of a worker that its last usage report shows as used.
+using UsedPart = Quantity<struct UsedPartTag, std::uint32_t>;
+
 /// Workers of a pool and what runs on them. Choosing a worker costs the same
 /// in a small and in a large pool.
 class WorkerIndex
@@ -51,7 +56,12 @@
   [[nodiscard]] std::optional<VmId> FindToHold(const WorkerNeed& aNeed) const;
 
   /// Limits the slots of a worker that is being ejected or readmitted.
-  void SetCap(const VmId& aVm, SlotCount aCap);
+  /// A worker on probation gets idempotent work only.
+  void SetCap(const VmId& aVm, SlotCount aCap, bool aOnProbation = false);
+
+  /// Notes the lagging usage of a worker; empty counts as neutral. It decides
+  /// between workers with equal reservations only.
+  void SetUsage(const VmId& aVm, std::optional<UsedPart> aUsage);
 
   /// Counts what starts on a worker, also on one that is not in the pool.
   void TakeSlot(const VmId& aVm, const Resources& aSize);
@@ -70,6 +80,9 @@
   /// Tells whether any worker is large enough, whatever runs there.
   [[nodiscard]] bool EverFits(const Resources& aSize) const;
 
+  /// The size where it fits on a worker, else as much of it as one has.
+  [[nodiscard]] Resources LimitToWorker(const Resources& aSize) const;
+
   /// Tells whether a worker that has not failed the request serves or may.
   [[nodiscard]] bool MayEverServe(const WorkerNeed& aNeed) const;
 
@@ -97,9 +110,11 @@
     WorkerUse use_;
     bool inPool_ = true;
     bool held_ = false;
+    bool onProbation_ = false;
     SlotCount cap_ = kNoCap;
     SlotCount running_;
     Resources reserved_;
+    std::optional<UsedPart> usage_;
     /// Place in the list of workers with a free slot, if it has one.
     std::optional<std::size_t> openAt_;
   };
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -1,5 +1,6 @@
 #include "Platform.h"
 
+#include "verbenawell/codec/UsageCodec.h"
 #include "verbenawell/codec/VmListCodec.h"
 
 #include <utility>
@@ -8,6 +9,17 @@
 
 using verbenawell::VmListing;
 
+namespace {
+
+verbenawell::WallTime
+WallNow()
+{
+  return std::chrono::time_point_cast<verbenawell::WallTime::duration>(
+    std::chrono::system_clock::now());
+}
+
+} // namespace
+
 Platform::Platform(const std::vector<VmListing>& aVms,
                    std::chrono::milliseconds aRebootTime,
                    const WorkerOptions& aWorkers)
@@ -49,6 +61,20 @@
   return verbenawell::EncodeVmList(list);
 }
 
+std::string
+Platform::UsageAsJson(const std::vector<verbenawell::VmId>& aVms)
+{
+  const std::lock_guard lock{ mutex_ };
+  std::vector<verbenawell::UsageReport> reports;
+  for (const verbenawell::VmId& id : aVms) {
+    const auto vm = vms_.find(id.Value());
+    if (vm != vms_.end() && !vm->second.usage_.vm_.IsEmpty()) {
+      reports.push_back(vm->second.usage_);
+    }
+  }
+  return verbenawell::EncodeUsage(WallNow(), reports);
+}
+
 bool
 Platform::Reboot(const std::string& aVm, std::uint64_t aBoots)
 {
@@ -131,10 +157,27 @@
         Boot(vm);
       }
     }
+    MeasureUsage();
     changed_.wait_for(lock, kInterval);
   }
 }
 
+void
+Platform::MeasureUsage()
+{
+  constexpr std::chrono::seconds kMeasureInterval{ 1 };
+  const auto now = std::chrono::steady_clock::now();
+  if (now - measuredAt_ < kMeasureInterval) {
+    return;
+  }
+  measuredAt_ = now;
+  for (auto& [name, vm] : vms_) {
+    if (vm.listing_.live_) {
+      vm.usage_ = vm.worker_->TakeUsage(WallNow());
+    }
+  }
+}
+
 void
 Platform::Boot(Vm& aVm)
 {
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -37,6 +37,9 @@
   ~Platform();
 
   [[nodiscard]] std::string ListAsJson();
+  /// The last usage reports of the named VMs, which lag by up to a second.
+  [[nodiscard]] std::string UsageAsJson(
+    const std::vector<verbenawell::VmId>& aVms);
   [[nodiscard]] std::string LedgerAsJson() { return ledger_.ToJson(); }
 
   [[nodiscard]] std::string LedgerTotals() { return ledger_.Totals(); }
@@ -55,12 +58,14 @@
   {
     verbenawell::VmListing listing_;
     std::unique_ptr<Worker> worker_;
+    verbenawell::UsageReport usage_;
     std::chrono::steady_clock::time_point bootsAt_;
     bool rebooting_ = false;
   };
 
   void BootDueVms();
   void Boot(Vm& aVm);
+  void MeasureUsage();
 
   std::chrono::milliseconds rebootTime_;
   RunLedger ledger_;
@@ -68,6 +73,7 @@
   std::condition_variable changed_;
   std::map<std::string, Vm> vms_;
   bool stopping_ = false;
+  std::chrono::steady_clock::time_point measuredAt_;
   std::thread booter_;
 };
 
--- a/standins/Worker.cpp
+++ b/standins/Worker.cpp
@@ -22,6 +22,27 @@
   return std::chrono::milliseconds(text.empty() ? 0 : std::stoll(text));
 }
 
+std::uint64_t
+ReadNumber(const httplib::Request& aRequest, const char* aName)
+{
+  const std::string text = aRequest.get_header_value(aName);
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+verbenawell::Usage
+UseOf(const httplib::Request& aRequest)
+{
+  constexpr std::uint64_t kMilli = 1000;
+  const bool coresGiven = aRequest.has_header("Standin-Milli-Cores");
+  const bool memoryGiven = aRequest.has_header("Standin-Memory-Mb");
+  return { verbenawell::MilliCores{
+             coresGiven ? ReadNumber(aRequest, "Standin-Milli-Cores")
+                        : ReadNumber(aRequest, "Verbenawell-Cores") * kMilli },
+           verbenawell::Megabytes{ ReadNumber(
+             aRequest,
+             memoryGiven ? "Standin-Memory-Mb" : "Verbenawell-Memory-Mb") } };
+}
+
 } // namespace
 
 Worker::Worker(verbenawell::VmListing aListing, RunLedger& aLedger)
@@ -74,8 +95,11 @@
     ledger_.End(vm, true);
     return;
   }
+  const verbenawell::Usage use = UseOf(aRequest);
+  usage_.Begin(aRequest.get_header_value("Verbenawell-Service"), use);
   const bool whole =
     RunFor(mode_ == WorkerMode::Silent ? kForever : RunTime(aRequest));
+  usage_.End(use);
   ledger_.End(vm, whole);
   if (!whole) {
     shutdown(verbenawell::HttpServer::CurrentSocket(), SHUT_RDWR);
--- a/standins/Worker.h
+++ b/standins/Worker.h
@@ -4,6 +4,7 @@
 #include "verbenawell/fleet/FleetEvents.h"
 
 #include "RunLedger.h"
+#include "UsageMeter.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -24,7 +25,9 @@
 };
 
 /// A backend server on one VM. Each request runs for the time in its header
-/// `Standin-Run-Ms`; stopping the worker cuts what runs.
+/// `Standin-Run-Ms`; stopping the worker cuts what runs. It uses what its
+/// headers `Standin-Milli-Cores` and `Standin-Memory-Mb` say, else what it
+/// declares.
 class Worker
 {
 public:
@@ -34,6 +37,11 @@
   void Boot();
   void Stop();
   void SetMode(WorkerMode aMode) { mode_ = aMode; }
+  /// What has been used since the last call.
+  verbenawell::UsageReport TakeUsage(verbenawell::WallTime aNow)
+  {
+    return usage_.Take(listing_.facts_.vm_, aNow);
+  }
 
 private:
   void Handle(const httplib::Request& aRequest, httplib::Response& aResponse);
@@ -41,6 +49,7 @@
 
   verbenawell::VmListing listing_;
   RunLedger& ledger_;
+  UsageMeter usage_;
   std::atomic<WorkerMode> mode_ = WorkerMode::Serving;
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -1,4 +1,6 @@
 #include "verbenawell/adapters/HttpServer.h"
+#include "verbenawell/codec/DecodeError.h"
+#include "verbenawell/codec/UsageCodec.h"
 #include "verbenawell/codec/VmListCodec.h"
 
 #include "Platform.h"
@@ -30,6 +32,7 @@
 using verbenawell::HttpServer;
 
 constexpr std::size_t kMaxConnections = 512;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kNotModified = 304;
 
@@ -73,6 +76,15 @@
       aResponse.set_content(list, "application/json");
     }
   });
+  aServer.Post("/usage", [&](const Request& aRequest, Response& aResponse) {
+    try {
+      aResponse.set_content(
+        aPlatform.UsageAsJson(verbenawell::DecodeUsageQuery(aRequest.body)),
+        "application/json");
+    } catch (const verbenawell::DecodeError&) {
+      aResponse.status = kBadRequest;
+    }
+  });
   aServer.Get("/ledger", [&](const Request&, Response& aResponse) {
     aResponse.set_content(aPlatform.LedgerAsJson(), "application/json");
   });
--- /dev/null
+++ b/tests/unit/UsageTest.cpp
@@ -0,0 +1,343 @@
+#include "verbenawell/codec/DecodeError.h"
+#include "verbenawell/codec/UsageCodec.h"
+#include "verbenawell/core/State.h"
+#include "verbenawell/operators/Reports.h"
+#include "verbenawell/requests/OwnerReducer.h"
+
+#include <algorithm>
+#include <array>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+using namespace std::chrono_literals;
+
+const PoolId kPool{ "web" };
+const ServiceId kService{ "slot" };
+const DaemonId kSelf{ "self" };
+const DaemonId kEntry{ "entry" };
+constexpr std::uint32_t kManyRequests = 1000;
+constexpr int kAsked = 400;
+
+/// Drives the owner of a pool whose workers have 8 slots, 8 cores and 8 GB.
+class UsageTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    state_.membership_.members_[kSelf] = {};
+    state_.fleet_.pools_[kPool].services_.insert(kService);
+    state_.fleet_.services_[kService] = { kPool, VmCount{ 1 } };
+    AddVm("vm1");
+  }
+
+  void AddVm(const std::string& aName)
+  {
+    const VmId id{ aName };
+    VmState& vm = state_.fleet_.vms_[id];
+    vm.facts_.vm_ = id;
+    vm.facts_.slots_ = SlotCount{ 8 };
+    vm.facts_.size_ = { Cores{ 8 }, Megabytes{ 8000 }, {} };
+    vm.pool_ = kPool;
+    state_.fleet_.pools_[kPool].vms_.insert(id);
+    Send(FleetChanged{ { id } });
+  }
+
+  Effects Send(const Event& aEvent)
+  {
+    Effects effects;
+    ReduceOwner(
+      state_.requests_, state_.View(), aEvent, { now_, {}, kSelf }, effects);
+    for (const Effect& effect : effects) {
+      if (const auto* count = std::get_if<Count>(&effect)) {
+        ++counted_[count->key_];
+      }
+      const auto* send = std::get_if<SendPeer>(&effect);
+      if (send == nullptr) {
+        continue;
+      }
+      if (const auto* grant = std::get_if<SlotGrant>(&send->message_)) {
+        grants_.push_back(*grant);
+      } else if (const auto* no = std::get_if<SlotRefusal>(&send->message_)) {
+        refusals_.push_back(std::get<NotRun>(no->verdict_).reason_);
+      }
+    }
+    return effects;
+  }
+
+  void Ask(std::uint32_t aCores, std::uint64_t aMemory = 0)
+  {
+    SlotRequest request;
+    request.key_ = ++lastKey_;
+    request.head_.service_ = kService;
+    request.head_.deadline_ = 100s;
+    request.head_.idempotent_ = true;
+    request.head_.declared_ = { Cores{ aCores }, Megabytes{ aMemory }, {} };
+    request.head_.declaredRunTime_ = 1s;
+    Send(TicketReady{ kEntry, kPool, request });
+  }
+
+  void ReleaseAll()
+  {
+    for (const SlotGrant& grant : std::exchange(grants_, {})) {
+      Send(PeerMessageReceived{ kEntry,
+                                SlotRelease{ grant.key_,
+                                             grant.attempt_,
+                                             grant.pool_,
+                                             grant.term_,
+                                             grant.vm_,
+                                             WholeAnswer{ 200, {} },
+                                             1s } });
+    }
+  }
+
+  /// A report of requests that used this many thousandths of a core.
+  UsageReport ReportOf(const std::string& aVm,
+                       std::uint64_t aMilliCores,
+                       std::uint32_t aRequests = kManyRequests)
+  {
+    return { VmId{ aVm },
+             WallTime{ ++lastReport_ },
+             {},
+             { MilliCores{ aMilliCores }, {} },
+             { { kService, aRequests, { MilliCores{ aMilliCores }, {} } } } };
+  }
+
+  void Report(std::vector<UsageReport> aReports)
+  {
+    Send(TimerDue{ UsagePoll{} });
+    Send(UsageRead{ std::move(aReports) });
+  }
+
+  void OpenPool()
+  {
+    Ask(0);
+    ReleaseAll();
+  }
+
+  /// Of single requests on idle workers, how many get vm1.
+  int CountGrantsOfVm1()
+  {
+    int found = 0;
+    for (int i = 0; i < kAsked; ++i) {
+      Ask(0);
+      found += grants_.at(0).vm_ == VmId{ "vm1" } ? 1 : 0;
+      ReleaseAll();
+    }
+    return found;
+  }
+
+  std::uint64_t Counted(Counter aCounter) { return counted_[aCounter]; }
+
+  State state_;
+  TimePoint now_{ 100s };
+  RequestKey lastKey_;
+  std::chrono::milliseconds lastReport_{ 0 };
+  std::vector<SlotGrant> grants_;
+  std::vector<RefusalReason> refusals_;
+  std::map<CounterKey, std::uint64_t> counted_;
+};
+
+// Guards against declared sizes ten times too large that leave workers idle.
+TEST_F(UsageTest, FillsAWorkerWithRequestsThatUseATenthOfWhatTheyDeclare)
+{
+  Ask(8);
+  Ask(8);
+  ASSERT_EQ(grants_.size(), 1U);
+  Report({ ReportOf("vm1", 800) });
+  ReleaseAll();
+  for (int i = 0; i < 8; ++i) {
+    Ask(8);
+  }
+  EXPECT_EQ(grants_.size(), 8U);
+}
+
+// Guards against declared sizes ten times too small that crowd a worker.
+TEST_F(UsageTest, ReservesWhatRequestsUseThatDeclareTooLittle)
+{
+  Ask(1);
+  Report({ ReportOf("vm1", 8000) });
+  ReleaseAll();
+  Ask(1);
+  Ask(1);
+  EXPECT_EQ(grants_.size(), 1U);
+}
+
+// Guards against one absurd report that turns the sizes around.
+TEST_F(UsageTest, KeepsTheCorrectionBetweenATenthAndTenTimes)
+{
+  Ask(1, 100);
+  Report({ ReportOf("vm1", 100'000'000) });
+  const SizeEstimate& size =
+    state_.requests_.owner_.pools_.at(kPool).sizes_.at(kService);
+  EXPECT_NEAR(size.CoresFactor(), 10.0, 0.01);
+  EXPECT_NEAR(size.MemoryFactor(), 0.1, 0.01);
+  EXPECT_EQ(size.Correct({ Cores{ 2 }, Megabytes{ 1000 }, Accelerators{ 3 } }),
+            (Resources{ Cores{ 20 }, Megabytes{ 100 }, Accelerators{ 3 } }));
+}
+
+// Guards against a service that is refused for ever by what was learned, so
+// that nothing corrects the estimate any more.
+TEST_F(UsageTest, NeverRefusesByTheCorrectionWhatIsDeclaredToFit)
+{
+  Ask(2);
+  Report({ ReportOf("vm1", 20'000) });
+  ReleaseAll();
+  Ask(2);
+  EXPECT_EQ(grants_.size(), 1U);
+  EXPECT_TRUE(refusals_.empty());
+}
+
+// Guards against work that is refused as too large although it is known to
+// use a part of what it declares.
+TEST_F(UsageTest, AdmitsWhatFitsOnceItsDeclaredSizeIsCorrected)
+{
+  Ask(16);
+  ASSERT_EQ(refusals_, std::vector{ RefusalReason::NeverFits });
+  Ask(8);
+  Report({ ReportOf("vm1", 800) });
+  ReleaseAll();
+  Ask(16);
+  EXPECT_EQ(grants_.size(), 1U);
+}
+
+// Guards against slots whose reservation changes while they are held: what is
+// returned must be what was taken.
+TEST_F(UsageTest, ReturnsWhatWasReservedAfterTheCorrectionHasChanged)
+{
+  Ask(8);
+  Report({ ReportOf("vm1", 800) });
+  ReleaseAll();
+  Report({ ReportOf("vm1", 8000) });
+  Ask(8);
+  Ask(8);
+  EXPECT_EQ(grants_.size(), 1U);
+}
+
+// Guards against lagging usage that outweighs reservations, and against ties
+// that ignore it. vm1 is busy with work that is not ours.
+TEST_F(UsageTest, BreaksTiesBetweenEquallyReservedWorkersOnly)
+{
+  AddVm("vm2");
+  OpenPool();
+  EXPECT_NEAR(CountGrantsOfVm1(), kAsked / 2, kAsked / 8);
+  Report({ ReportOf("vm1", 7000, 0), ReportOf("vm2", 1000, 0) });
+  // In a quarter of the cases both random candidates are vm1.
+  EXPECT_NEAR(CountGrantsOfVm1(), kAsked / 4, kAsked / 8);
+  for (int i = 0; i < 16; ++i) {
+    Ask(0);
+  }
+  EXPECT_EQ(std::ranges::count(grants_, VmId{ "vm1" }, &SlotGrant::vm_), 8);
+}
+
+// Guards against a figure that decides long after it was true. A worker whose
+// reports are missing gets its share: an answer proves that it lives, and no
+// report proves that it does not.
+TEST_F(UsageTest, CountsAFigureAsNeutralOnceItIsTenSecondsOld)
+{
+  AddVm("vm2");
+  OpenPool();
+  Report({ ReportOf("vm1", 7000, 0), ReportOf("vm2", 1000, 0) });
+  now_ += 9s;
+  Report({});
+  Send(TimerDue{ OwnerTick{} });
+  EXPECT_NEAR(CountGrantsOfVm1(), kAsked / 4, kAsked / 8);
+  now_ += 1s;
+  Send(TimerDue{ OwnerTick{} });
+  EXPECT_NEAR(CountGrantsOfVm1(), kAsked / 2, kAsked / 8);
+  EXPECT_EQ(Counted(Counter::UsageReportsRead), 2U);
+  EXPECT_EQ(Counted(Counter::UsageReportsMissing), 2U);
+}
+
+// Guards against a report that is learned from with each read until the next
+// one, and against one that is older than a figure is good for.
+TEST_F(UsageTest, LearnsFromEachReportOnceAndNotFromOldOnes)
+{
+  Ask(1);
+  const UsageReport report = ReportOf("vm1", 2000, 1);
+  Report({ report });
+  const SizeEstimate& size =
+    state_.requests_.owner_.pools_.at(kPool).sizes_.at(kService);
+  const double once = size.CoresFactor();
+  EXPECT_GT(once, 1.0);
+  Report({ report });
+  EXPECT_EQ(size.CoresFactor(), once);
+  UsageReport old = ReportOf("vm1", 2000, 1);
+  old.age_ = 10s;
+  Report({ old });
+  EXPECT_EQ(size.CoresFactor(), once);
+  EXPECT_EQ(Counted(Counter::UsageReportsRead), 1U);
+  EXPECT_EQ(Counted(Counter::UsageReportsOld), 1U);
+  Send(UsageReadFailed{ "status 500" });
+  EXPECT_EQ(Counted(Counter::UsageReadsFailed), 1U);
+}
+
+// Guards against every daemon reading the usage of the whole fleet.
+TEST_F(UsageTest, AsksForTheWorkersOfItsOwnPoolsOnly)
+{
+  const auto asked = [&] {
+    std::vector<VmId> vms;
+    for (const Effect& effect : Send(TimerDue{ UsagePoll{} })) {
+      if (const auto* read = std::get_if<ReadUsage>(&effect)) {
+        vms = read->vms_;
+      }
+    }
+    return vms;
+  };
+  EXPECT_TRUE(asked().empty());
+  const VmId other{ "other" };
+  state_.fleet_.vms_[other].pool_ = PoolId{ "spare" };
+  state_.fleet_.pools_[PoolId{ "spare" }].vms_.insert(other);
+  Ask(1);
+  EXPECT_EQ(asked(), std::vector{ VmId{ "vm1" } });
+}
+
+// Guards against operators who cannot see why requests take another size than
+// they declare.
+TEST_F(UsageTest, ShowsTheLearnedSizeOfEachService)
+{
+  Ask(1);
+  Report({ ReportOf("vm1", 2000) });
+  const Table table =
+    ReportServices(state_.fleet_, state_.membership_, state_.requests_);
+  EXPECT_EQ(table.rows_.at(0).back(), "cores x2.00, memory x1.00");
+}
+
+// Guards against a platform and a daemon that do not read each other.
+TEST(UsageCodecTest, ReadsWhatItWrites)
+{
+  const UsageReport report{
+    VmId{ "vm1" },
+    WallTime{ 5000ms },
+    {},
+    { MilliCores{ 1500 }, Megabytes{ 700 } },
+    { { kService, 12, { MilliCores{ 250 }, Megabytes{ 70 } } } }
+  };
+  const auto read = DecodeUsage(EncodeUsage(WallTime{ 8000ms }, { report }));
+  ASSERT_EQ(read.size(), 1U);
+  EXPECT_EQ(read[0].vm_, report.vm_);
+  EXPECT_EQ(read[0].at_, report.at_);
+  EXPECT_EQ(read[0].age_, 3s);
+  EXPECT_EQ(read[0].used_, report.used_);
+  ASSERT_EQ(read[0].services_.size(), 1U);
+  EXPECT_EQ(read[0].services_[0].service_, kService);
+  EXPECT_EQ(read[0].services_[0].requests_, 12U);
+  EXPECT_EQ(read[0].services_[0].perRequest_, report.services_[0].perRequest_);
+  const std::vector<VmId> vms{ VmId{ "vm1" }, VmId{ "vm2" } };
+  EXPECT_EQ(DecodeUsageQuery(EncodeUsageQuery(vms)), vms);
+}
+
+// Guards against a platform of another version that ends the daemon.
+TEST(UsageCodecTest, RefusesWhatIsNoUsage)
+{
+  for (const char* text :
+       { "", "[]", "{}", R"({"now":1,"reports":[{}]})", R"({"now":"x"})" }) {
+    EXPECT_THROW(DecodeUsage(text), DecodeError) << text;
+  }
+  EXPECT_THROW(DecodeUsageQuery("[1]"), DecodeError);
+}
+
+} // namespace
+} // namespace verbenawell
