--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -112,15 +112,28 @@
   const WorkerHealth& health = aQueue.health_.at(aVm);
   if (health.IsHealthy()) {
     aQueue.unhealthy_.erase(aVm);
+    aQueue.workers_.ClearCap(aVm);
   } else {
+    const VmState& vm = aScope.views_.fleet_.vms_.at(aVm);
     aQueue.unhealthy_.insert(aVm);
+    aQueue.workers_.SetCap(
+      aVm, health.Cap(vm.facts_.slots_), health.IsOnProbation());
   }
-  const VmState& vm = aScope.views_.fleet_.vms_.at(aVm);
-  aQueue.workers_.SetCap(
-    aVm, health.Cap(vm.facts_.slots_), health.IsOnProbation());
   NoteWorkersChanged(aQueue);
 }
 
+/// A reboot ends what made the worker fail. It is also the way back for a
+/// worker that waits for a probe in a pool without idempotent work.
+void
+ForgetHealthAfterReboot(PoolQueue& aQueue, const VmFacts& aFacts)
+{
+  if (aQueue.workers_.Boots(aFacts.vm_) < aFacts.boots_ &&
+      aQueue.health_.erase(aFacts.vm_) > 0) {
+    aQueue.unhealthy_.erase(aFacts.vm_);
+    aQueue.workers_.ClearCap(aFacts.vm_);
+  }
+}
+
 } // namespace
 
 PoolQueue&
@@ -151,6 +164,7 @@
     if (!belongs && queue.workers_.Contains(aVm)) {
       RemoveWorker(aScope, id, queue, aVm);
     } else if (belongs) {
+      ForgetHealthAfterReboot(queue, vm->second.facts_);
       queue.workers_.Put(vm->second.facts_, UseOf(aScope, vm->second));
       NoteWorkersChanged(queue);
     }
--- a/src/verbenawell/requests/WorkerIndex.cpp
+++ b/src/verbenawell/requests/WorkerIndex.cpp
@@ -234,6 +234,13 @@
   return worker == nullptr ? SlotCount{} : worker->running_;
 }
 
+BootCount
+WorkerIndex::Boots(const VmId& aVm) const
+{
+  const Worker* worker = Find(aVm);
+  return worker == nullptr ? BootCount{} : worker->facts_.boots_;
+}
+
 WorkerIndex::Position
 WorkerIndex::Add(Worker aWorker)
 {
--- a/src/verbenawell/requests/WorkerIndex.h
+++ b/src/verbenawell/requests/WorkerIndex.h
@@ -59,6 +59,9 @@
   /// A worker on probation gets idempotent work only.
   void SetCap(const VmId& aVm, SlotCount aCap, bool aOnProbation = false);
 
+  /// Lets a worker use all of its slots again.
+  void ClearCap(const VmId& aVm) { SetCap(aVm, kNoCap); }
+
   /// Notes the lagging usage of a worker; empty counts as neutral. It decides
   /// between workers with equal reservations only.
   void SetUsage(const VmId& aVm, std::optional<UsedPart> aUsage);
@@ -91,6 +94,9 @@
 
   [[nodiscard]] SlotCount Running(const VmId& aVm) const;
 
+  /// Boot of the worker when it was last put here.
+  [[nodiscard]] BootCount Boots(const VmId& aVm) const;
+
   /// Slots of usable workers, within their caps.
   [[nodiscard]] SlotCount UsableSlots() const { return usableSlots_; }
 
