Bound the bodies that a daemon buffers and share idle connections

Bodies of requests and answers were buffered up to 1 MiB each without a bound over all of them: 1024 connections could hold 2 GiB. They now share callers.maxBufferedBytes, 64 MiB by default, half of it for requests and half for answers, apart from 16 KiB a connection that most bodies do not exceed. A request without room is refused as buffers-full, with Retry-After, before its body is read. An answer is not dropped: it waits for the room of the largest answer until its deadline, so that whoever has room needs no more of it and ends. Settings whose halves cannot hold one largest body are refused.

The idle connections to a backend server were fixed at 7, which exceeds the 64 connections of a worker from ten daemons on. The limit is now 56 divided by the live daemons, and connections beyond a lower limit are closed.

--- a/src/verbenawell/adapters/BackendConnections.cpp
+++ b/src/verbenawell/adapters/BackendConnections.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/adapters/BackendConnections.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <netinet/in.h>
@@ -24,6 +25,12 @@
 {
   const std::lock_guard lock{ mutex_ };
   idleLimit_ = aLimit;
+  // The first ones have been idle for the longest time.
+  for (auto& [address, idle] : idle_) {
+    const std::size_t excess = idle.size() - std::min(idle.size(), aLimit);
+    idle.erase(idle.begin(),
+               idle.begin() + static_cast<std::ptrdiff_t>(excess));
+  }
 }
 
 std::unique_ptr<httplib::Client>
@@ -72,4 +79,11 @@
   }
 }
 
+std::size_t
+BackendConnections::CountIdle(const Endpoint& aAddress)
+{
+  const std::lock_guard lock{ mutex_ };
+  return idle_[aAddress].size();
+}
+
 } // namespace verbenawell
--- a/src/verbenawell/adapters/BackendConnections.h
+++ b/src/verbenawell/adapters/BackendConnections.h
@@ -18,7 +18,8 @@
 class BackendConnections
 {
 public:
-  /// Keeps at most this many idle connections a backend server.
+  /// Keeps at most this many idle connections a backend server, and closes
+  /// those beyond.
   void SetIdleLimit(std::size_t aLimit);
 
   /// A kept connection where there is one, else a new one.
@@ -29,6 +30,8 @@
   void Return(const Endpoint& aAddress,
               std::unique_ptr<httplib::Client> aClient);
 
+  [[nodiscard]] std::size_t CountIdle(const Endpoint& aAddress);
+
 private:
   struct Idle
   {
@@ -37,7 +40,7 @@
   };
 
   std::mutex mutex_;
-  std::size_t idleLimit_ = 7;
+  std::size_t idleLimit_ = 0;
   std::map<Endpoint, std::vector<Idle>> idle_;
 };
 
--- /dev/null
+++ b/src/verbenawell/adapters/CallerBuffers.cpp
@@ -0,0 +1,83 @@
+#include "verbenawell/adapters/CallerBuffers.h"
+
+#include <utility>
+
+namespace verbenawell {
+
+BufferShare::BufferShare(BufferShare&& aOther) noexcept
+  : budget_(std::exchange(aOther.budget_, nullptr))
+  , size_(std::exchange(aOther.size_, ByteCount{}))
+{
+}
+
+BufferShare&
+BufferShare::operator=(BufferShare&& aOther) noexcept
+{
+  if (this != &aOther) {
+    ShrinkTo({});
+    budget_ = std::exchange(aOther.budget_, nullptr);
+    size_ = std::exchange(aOther.size_, ByteCount{});
+  }
+  return *this;
+}
+
+BufferShare::~BufferShare()
+{
+  ShrinkTo({});
+}
+
+void
+BufferShare::ShrinkTo(ByteCount aSize)
+{
+  if (budget_ != nullptr && aSize < size_) {
+    budget_->Return(size_ - aSize);
+    size_ = aSize;
+  }
+}
+
+BufferShare
+BufferBudget::TryTake(ByteCount aSize)
+{
+  const std::lock_guard lock{ mutex_ };
+  if (!IsFree(aSize)) {
+    return {};
+  }
+  used_ += aSize;
+  return { *this, aSize };
+}
+
+BufferShare
+BufferBudget::Take(ByteCount aSize,
+                   Clock::time_point aUntil,
+                   const std::function<bool()>& aIsGivenUp)
+{
+  std::unique_lock lock{ mutex_ };
+  bool givenUp = false;
+  const bool woken = changed_.wait_until(lock, aUntil, [&] {
+    givenUp = aIsGivenUp();
+    return givenUp || IsFree(aSize);
+  });
+  if (!woken || givenUp) {
+    return {};
+  }
+  used_ += aSize;
+  return { *this, aSize };
+}
+
+void
+BufferBudget::Wake()
+{
+  // With the lock, so that no waiter misses it between look and wait.
+  const std::lock_guard lock{ mutex_ };
+  changed_.notify_all();
+}
+
+void
+BufferBudget::Return(ByteCount aSize)
+{
+  const std::lock_guard lock{ mutex_ };
+  used_ -= aSize;
+  changed_.notify_all();
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/adapters/CallerExchange.cpp
+++ b/src/verbenawell/adapters/CallerExchange.cpp
@@ -151,6 +151,8 @@
                                const RequestHead& aHead,
                                ByteCount aMaxBody,
                                BackendConnections& aBackends,
+                               BufferBudget& aAnswers,
+                               Metrics& aMetrics,
                                EventSink aSink)
   : key_(aKey)
   , id_(aHead.id_)
@@ -158,6 +160,8 @@
   , declaredRunTime_(aHead.declaredRunTime_)
   , maxBody_(aMaxBody)
   , backends_(aBackends)
+  , answers_(aAnswers)
+  , metrics_(aMetrics)
   , sink_(std::move(aSink))
 {
 }
@@ -196,11 +200,15 @@
 void
 CallerExchange::Run(const CancelAttempt& aEffect)
 {
-  const std::lock_guard lock{ mutex_ };
-  cancelled_ = aEffect.attempt_;
-  if (client_ != nullptr) {
-    client_->stop();
+  {
+    const std::lock_guard lock{ mutex_ };
+    cancelled_ = aEffect.attempt_;
+    if (client_ != nullptr) {
+      client_->stop();
+    }
   }
+  // The attempt may wait for room for its answer.
+  answers_.Wake();
 }
 
 void
@@ -282,6 +290,32 @@
            : aTimeLeft;
 }
 
+// A large answer takes the room of the largest one before its next byte is
+// read: whoever holds that room needs no more of it and comes to an end.
+bool
+CallerExchange::Receive(const StartAttempt& aStart,
+                        BufferBudget::Clock::time_point aUntil,
+                        std::string& aBody,
+                        std::string_view aBytes)
+{
+  const std::size_t size = aBody.size() + aBytes.size();
+  if (size > maxBody_.Value()) {
+    return false;
+  }
+  if (size > kFreeBodyBytes.Value() && !answerShare_) {
+    answerShare_ = answers_.Take(maxBody_, aUntil, [&] {
+      const std::lock_guard lock{ mutex_ };
+      return cancelled_ == aStart.attempt_;
+    });
+    if (!answerShare_) {
+      metrics_.Increment(Counter::AnswersWithoutRoom);
+      return false;
+    }
+  }
+  aBody.append(aBytes);
+  return true;
+}
+
 AttemptOutcome
 CallerExchange::Send(const httplib::Request& aRequest,
                      const StartAttempt& aStart,
@@ -300,14 +334,13 @@
     request.set_header("Verbenawell-Request-Id", id_.Value());
   }
   request.body = aRequest.body;
+  answerShare_ = {};
   bool oversize = false;
   std::string body;
   request.content_receiver =
     [&](const char* aData, std::size_t aSize, std::uint64_t, std::uint64_t) {
-      oversize = body.size() + aSize > maxBody_.Value();
-      if (!oversize) {
-        body.append(aData, aSize);
-      }
+      oversize =
+        !Receive(aStart, began + aStart.timeLeft_, body, { aData, aSize });
       return !oversize;
     };
   const httplib::Result result = aClient.send(request);
@@ -333,6 +366,7 @@
   }
   answer_ = *result;
   answer_.body = std::move(body);
+  answerShare_.ShrinkTo(ByteCount{ answer_.body.size() });
   return WholeAnswer{ answer_.status, ByteCount{ answer_.body.size() } };
 }
 
--- a/src/verbenawell/adapters/CallerExchange.h
+++ b/src/verbenawell/adapters/CallerExchange.h
@@ -1,18 +1,27 @@
 #pragma once
 
 #include "verbenawell/adapters/BackendConnections.h"
+#include "verbenawell/adapters/CallerBuffers.h"
 #include "verbenawell/adapters/EventSink.h"
 #include "verbenawell/core/Effect.h"
+#include "verbenawell/metrics/Metrics.h"
 
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 
 #include <httplib.h>
 
 namespace verbenawell {
 
+/// Bytes of a body that each connection may hold outside of the budgets. Most
+/// bodies are smaller, and the number of connections bounds them.
+constexpr ByteCount kFreeBodyBytes{ 16U << 10U };
+
 /// One caller's request in the adapter: its thread waits here for what the
 /// core decides and runs attempts on backend servers.
 class CallerExchange
@@ -22,6 +31,8 @@
                  const RequestHead& aHead,
                  ByteCount aMaxBody,
                  BackendConnections& aBackends,
+                 BufferBudget& aAnswers,
+                 Metrics& aMetrics,
                  EventSink aSink);
 
   /// Serves the request to its end; called by the caller's thread.
@@ -35,6 +46,9 @@
   /// The caller closed its connection.
   void Abandon();
 
+  /// The room that the answer takes until it has been written.
+  BufferShare MoveAnswerShare() { return std::move(answerShare_); }
+
 private:
   struct Abandoned
   {};
@@ -49,6 +63,12 @@
                       const StartAttempt& aStart,
                       httplib::Client& aClient);
 
+  /// Appends to the answer's body; returns false where it has no room.
+  bool Receive(const StartAttempt& aStart,
+               BufferBudget::Clock::time_point aUntil,
+               std::string& aBody,
+               std::string_view aBytes);
+
   [[nodiscard]] Duration FirstByteLimit(Duration aTimeLeft) const;
 
   RequestKey key_;
@@ -57,6 +77,8 @@
   Duration declaredRunTime_;
   ByteCount maxBody_;
   BackendConnections& backends_;
+  BufferBudget& answers_;
+  Metrics& metrics_;
   EventSink sink_;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -65,6 +87,7 @@
   httplib::Client* client_ = nullptr;
   AttemptId cancelled_;
   httplib::Response answer_;
+  BufferShare answerShare_;
 };
 
 /// Writes a refusal or an honest "unknown" as HTTP.
--- a/src/verbenawell/adapters/CallerListener.cpp
+++ b/src/verbenawell/adapters/CallerListener.cpp
@@ -18,10 +18,29 @@
                                     "Content-Length: 0\r\n"
                                     "Connection: close\r\n\r\n";
 
-// Whether the answer that the calling thread writes was made by `Handle`.
+// Whether the answer that the calling thread writes was made here.
 thread_local bool handled = false;
 
+// Room for the bodies of the request that the calling thread serves.
+thread_local BufferShare requestShare;
+thread_local BufferShare answerShare;
+
 constexpr int kPayloadTooLarge = 413;
+constexpr Duration kNoRoomRetryAfter = std::chrono::seconds(1);
+
+constexpr std::uint64_t kHalves = 2;
+
+/// Bytes that the body of the request may take.
+ByteCount
+BodySizeOf(const httplib::Request& aRequest, ByteCount aMaxBody)
+{
+  if (aRequest.has_header("Transfer-Encoding")) {
+    return aMaxBody;
+  }
+  // A body over the limit is refused before any of it is kept.
+  const auto size = aRequest.get_header_value<std::uint64_t>("Content-Length");
+  return size > aMaxBody.Value() ? ByteCount{} : ByteCount{ size };
+}
 
 // Calendar time keeps the keys of a daemon apart from those it gave before it
 // was replaced: intents in the log name them.
@@ -47,6 +66,8 @@
   , io_(aIo)
   , metrics_(aMetrics)
   , sink_(std::move(aSink))
+  , requestBodies_(ByteCount{ aSettings.maxBuffered_.Value() / kHalves })
+  , answerBodies_(ByteCount{ aSettings.maxBuffered_.Value() / kHalves })
   , lastKey_(FirstKey())
   , server_({ aSettings.maxConnections_,
               static_cast<std::size_t>(aSettings.maxBody_.Value()) })
@@ -65,8 +86,18 @@
       RefuseUnread(aResponse);
     });
   // Called once an answer has been written.
-  server_.set_logger(
-    [](const httplib::Request&, const httplib::Response&) { handled = false; });
+  server_.set_logger([](const httplib::Request&, const httplib::Response&) {
+    handled = false;
+    requestShare = {};
+    answerShare = {};
+  });
+  // Called with the headers of a request, before its body is read.
+  server_.set_pre_routing_handler(
+    [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      return TakeRoom(aRequest, aResponse)
+               ? httplib::Server::HandlerResponse::Unhandled
+               : httplib::Server::HandlerResponse::Handled;
+    });
   server_.Get(".*", handler);
   server_.Post(".*", handler);
   server_.Put(".*", handler);
@@ -106,6 +137,30 @@
   aResponse.status = status;
 }
 
+bool
+CallerListener::TakeRoom(const httplib::Request& aRequest,
+                         httplib::Response& aResponse)
+{
+  handled = false;
+  requestShare = {};
+  answerShare = {};
+  const ByteCount size = BodySizeOf(aRequest, settings_.maxBody_);
+  if (size <= kFreeBodyBytes) {
+    return true;
+  }
+  requestShare = requestBodies_.TryTake(size);
+  if (requestShare) {
+    return true;
+  }
+  handled = true;
+  metrics_.Increment(Counter::RequestsReceived);
+  metrics_.Increment(RefusalReason::BuffersFull);
+  WriteVerdict(NotRun{ RefusalReason::BuffersFull, kNoRoomRetryAfter },
+               aResponse);
+  HttpServer::CloseAfterAnswer();
+  return false;
+}
+
 void
 CallerListener::Handle(const httplib::Request& aRequest,
                        httplib::Response& aResponse)
@@ -125,7 +180,7 @@
     head.id_ = RequestId{ self_.Value() + "#" + std::to_string(key.Value()) };
   }
   const auto exchange = std::make_shared<CallerExchange>(
-    key, head, settings_.maxBody_, backends_, sink_);
+    key, head, settings_.maxBody_, backends_, answerBodies_, metrics_, sink_);
   {
     const std::lock_guard lock{ mutex_ };
     exchanges_[key] = exchange;
@@ -139,6 +194,7 @@
     });
   sink_(RequestArrived{ key, std::move(head) });
   exchange->Serve(aRequest, aResponse);
+  answerShare = exchange->MoveAnswerShare();
   watch->Stop();
   const std::lock_guard lock{ mutex_ };
   exchanges_.erase(key);
--- a/src/verbenawell/adapters/CallerListener.h
+++ b/src/verbenawell/adapters/CallerListener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/adapters/BackendConnections.h"
+#include "verbenawell/adapters/CallerBuffers.h"
 #include "verbenawell/adapters/EventSink.h"
 #include "verbenawell/adapters/HttpServer.h"
 #include "verbenawell/core/Effect.h"
@@ -44,6 +45,9 @@
   void Handle(const httplib::Request& aRequest, httplib::Response& aResponse);
   /// Refuses a request that the library has not handed to `Handle`.
   void RefuseUnread(httplib::Response& aResponse);
+  /// Takes room for the request's body before it is read; returns false and
+  /// refuses the request where there is none.
+  bool TakeRoom(const httplib::Request& aRequest, httplib::Response& aResponse);
   std::shared_ptr<CallerExchange> Find(RequestKey aKey);
 
   CallerSettings settings_;
@@ -52,6 +56,10 @@
   Metrics& metrics_;
   EventSink sink_;
   BackendConnections backends_;
+  /// Each may use half of the limit: bodies that wait must leave room for the
+  /// answers that let them end.
+  BufferBudget requestBodies_;
+  BufferBudget answerBodies_;
   std::atomic<std::uint64_t> lastKey_;
   std::mutex mutex_;
   std::unordered_map<RequestKey, std::shared_ptr<CallerExchange>> exchanges_;
--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -3,6 +3,8 @@
 #include "verbenawell/adapters/BoundedTaskQueue.h"
 #include "verbenawell/adapters/internal/SocketStream.h"
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <system_error>
 #include <utility>
@@ -20,6 +22,11 @@
 constexpr int kBacklog = 1024;
 
 thread_local int currentSocket = -1;
+thread_local bool closeAfterAnswer = false;
+
+// A sender that does not stop is cut off after this time.
+constexpr std::chrono::milliseconds kDiscardTime{ 1000 };
+constexpr std::size_t kDiscardBytes = 16U << 10U;
 
 } // namespace
 
@@ -84,6 +91,12 @@
   return currentSocket;
 }
 
+void
+HttpServer::CloseAfterAnswer()
+{
+  closeAfterAnswer = true;
+}
+
 void
 HttpServer::SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy)
 {
@@ -127,9 +140,14 @@
       idleSockets_.erase(aSocket);
     }
     stream.SetReadDeadline(std::chrono::steady_clock::now() + limits_.request_);
+    closeAfterAnswer = false;
     if (!readable || !process_request(stream, stopping_, closed, nullptr)) {
       return;
     }
+    if (closeAfterAnswer) {
+      DiscardRest(aSocket);
+      return;
+    }
     // The library answers 400 to a request that did not arrive in time and
     // would read its rest as the next request.
     if (stream.HasTimedOut()) {
@@ -138,4 +156,26 @@
   }
 }
 
+// A connection that is closed with unread bytes is reset, and the answer may
+// be lost with it.
+void
+HttpServer::DiscardRest(int aSocket) const
+{
+  shutdown(aSocket, SHUT_WR);
+  const auto until = std::chrono::steady_clock::now() + kDiscardTime;
+  std::array<char, kDiscardBytes> rest{};
+  for (std::size_t left = limits_.maxBodyBytes_; left > 0;) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+      until - std::chrono::steady_clock::now());
+    if (wait.count() <= 0 || !WaitForSocket(aSocket, POLLIN, wait)) {
+      return;
+    }
+    const ssize_t got = recv(aSocket, rest.data(), rest.size(), 0);
+    if (got <= 0) {
+      return;
+    }
+    left -= std::min(left, static_cast<std::size_t>(got));
+  }
+}
+
 } // namespace verbenawell
--- a/src/verbenawell/adapters/HttpServer.h
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -46,12 +46,17 @@
   /// Socket of the connection that the calling handler serves.
   static int CurrentSocket();
 
+  /// Closes the connection that the calling handler serves once the answer is
+  /// written: the request's body has not been read.
+  static void CloseAfterAnswer();
+
   /// Answer for a connection beyond the limit, and what to do with each.
   void SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy);
 
 private:
   bool process_and_close_socket(socket_t aSocket) override;
   void ServeConnection(int aSocket);
+  void DiscardRest(int aSocket) const;
 
   HttpServerLimits limits_;
   std::string busyAnswer_;
--- a/src/verbenawell/metrics/Counter.cpp
+++ b/src/verbenawell/metrics/Counter.cpp
@@ -92,6 +92,8 @@
       return "control_bytes";
     case Counter::CallerFramesInvalid:
       return "caller_frames_invalid";
+    case Counter::AnswersWithoutRoom:
+      return "answers_without_room";
   }
   return "invalid";
 }
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -56,6 +56,8 @@
   PeerMessagesDropped,
   CallersRefusedBusy,
   CallerFramesInvalid,
+  /// Large answers for which no buffer became free in time.
+  AnswersWithoutRoom,
   /// Bytes exchanged with peers, the log and the VM list. Without requests
   /// all of it is control.
   ControlBytes,
--- a/src/verbenawell/requests/EntryReducer.cpp
+++ b/src/verbenawell/requests/EntryReducer.cpp
@@ -19,6 +19,9 @@
 constexpr Duration kMaxOwnerless = std::chrono::seconds(2);
 constexpr std::size_t kMaxAttempts = 3;
 
+// A backend server takes 64 connections; 8 are left for its slots.
+constexpr std::size_t kIdleConnections = 64 - 8;
+
 using Verdict = std::variant<NotRun, MayHaveRun>;
 
 /// What an attempt without a whole answer means for its request.
@@ -58,6 +61,7 @@
   void operator()(const Started&)
   {
     effects_.emplace_back(SetTimer{ EntryTick{}, kTickInterval });
+    ShareIdleConnections();
   }
 
   void operator()(const StopRequested&)
@@ -121,7 +125,11 @@
     Settle(aEvent.key_, *request, aEvent.outcome_);
   }
 
-  void operator()(const MembersChanged&) { AskNewOwners(); }
+  void operator()(const MembersChanged&)
+  {
+    AskNewOwners();
+    ShareIdleConnections();
+  }
 
   void operator()(const FleetChanged& aEvent)
   {
@@ -150,6 +158,13 @@
   void operator()(const auto&) {}
 
 private:
+  void ShareIdleConnections()
+  {
+    const std::size_t daemons = LiveMembers(views_.membership_).size();
+    effects_.emplace_back(LimitIdleConnections{
+      kIdleConnections / std::max<std::size_t>(1, daemons) });
+  }
+
   [[nodiscard]] static bool IsWaitingAt(const EntryRequest* aRequest,
                                         const DaemonId& aOwner)
   {
--- a/src/verbenawell/settings/CheckSettings.cpp
+++ b/src/verbenawell/settings/CheckSettings.cpp
@@ -205,6 +205,7 @@
       }
     }
     CheckListeners();
+    CheckBuffers();
     if (faults_.empty()) {
       if (settings_.peers_.advertise_.host_.empty()) {
         settings_.peers_.advertise_ = settings_.peers_.listen_;
@@ -347,6 +348,24 @@
     }
   }
 
+  /// Half of the buffers must hold one body of the largest size: such a body
+  /// would never be taken.
+  void CheckBuffers()
+  {
+    constexpr std::uint64_t kHalves = 2;
+    const std::uint64_t least = settings_.callers_.maxBody_.Value() * kHalves;
+    const std::uint64_t given = settings_.callers_.maxBuffered_.Value();
+    if (given < least) {
+      const std::string path = "callers.maxBufferedBytes";
+      const auto line = lines_.find(path);
+      faults_.push_back(
+        { line == lines_.end() ? LineOfParent(path) : line->second,
+          path,
+          "given " + std::to_string(given) + ", allowed at least " +
+            std::to_string(least) + ", twice callers.maxBodyBytes" });
+    }
+  }
+
   const std::string& folder_;
   Settings settings_;
   std::map<std::string, std::size_t> lines_;
--- a/src/verbenawell/settings/SettingDescription.cpp
+++ b/src/verbenawell/settings/SettingDescription.cpp
@@ -14,6 +14,7 @@
 // Each connection holds one thread of the daemon.
 constexpr std::uint64_t kMaxConnections = 16'384;
 constexpr std::uint64_t kMaxBodyBytes = 64U << 20U;
+constexpr std::uint64_t kMaxBufferedBytes = 16ULL << 30U;
 constexpr std::uint64_t kYearInSeconds = 31'536'000;
 
 template<Endpoint& (*Get)(Settings&, ListIndex)>
@@ -149,6 +150,16 @@
                   } },
       "1048576",
       "largest request or answer body; larger ones are refused" });
+  aList.push_back(
+    { "callers.maxBufferedBytes",
+      NumberType{ 1,
+                  kMaxBufferedBytes,
+                  "bytes",
+                  [](Settings& aSettings, ListIndex, std::uint64_t aNumber) {
+                    aSettings.callers_.maxBuffered_ = ByteCount{ aNumber };
+                  } },
+      "67108864",
+      "bodies over 16 KiB held at once, half of it for answers" });
 }
 
 void
--- a/src/verbenawell/settings/Settings.h
+++ b/src/verbenawell/settings/Settings.h
@@ -17,6 +17,8 @@
   /// Connections served at once; more are refused as busy.
   std::size_t maxConnections_ = 1024;
   ByteCount maxBody_{ 1U << 20U };
+  /// Bodies of requests and answers that are held at once; half for each.
+  ByteCount maxBuffered_{ 64U << 20U };
 };
 
 struct OperatorSettings
