Record VMs that are gone and facts that have changed

VmGone was never recorded, so that a VM that left the platform stayed in its pool and counted for the budget; a new size, rack or zone was not recorded either. The daemon that records the platform's facts now does both: a VM after 10 minutes in which every list lacked it, facts after 10 s in which every list showed them. Lists more than 30 s apart prove nothing of the time between them. An empty list, or one that lacks more than a quarter of the fleet, is counted and starts the time again. A VM with a planned stop is left to its wave, and recorded boots stay as they are.

--- a/src/verbenawell/fleet/FleetReducer.cpp
+++ b/src/verbenawell/fleet/FleetReducer.cpp
@@ -68,8 +68,10 @@
     FleetChanged changed{ ListSubjects(fleet_) };
     const bool loaded =
       fleet_.loaded_ || aEvent.source_ == SnapshotSource::Peer;
+    VmListWatch watch = std::move(fleet_.watch_);
     fleet_ = *aEvent.fleet_;
     fleet_.loaded_ = loaded;
+    fleet_.watch_ = std::move(watch);
     PublishOffset();
     std::ranges::copy(ListSubjects(fleet_),
                       std::back_inserter(changed.subjects_));
@@ -80,11 +82,13 @@
   {
     if (!OwnsFleetRecords(views_.membership_, context_.self_) ||
         FindSparePool(fleet_).IsEmpty()) {
+      fleet_.watch_ = {};
       return;
     }
     for (const VmListing& listing : aEvent.vms_) {
       RecordDifference(listing);
     }
+    RecordLasting(WatchVmList(fleet_.watch_, fleet_, aEvent, context_.now_));
   }
 
   void operator()(const VmListFailed&)
@@ -175,6 +179,20 @@
     }
   }
 
+  /// Appends what lists have shown for long.
+  void RecordLasting(const ListDifferences& aDifferences)
+  {
+    if (aDifferences.implausible_) {
+      effects_.emplace_back(Count{ Counter::VmListsImplausible });
+    }
+    for (const VmFacts& facts : aDifferences.changed_) {
+      Append("changed", facts, VmSeen{ facts });
+    }
+    for (const VmId& vm : aDifferences.gone_) {
+      Append("gone", fleet_.vms_.at(vm).facts_, VmGone{ vm });
+    }
+  }
+
   void Append(const std::string& aKind,
               const VmFacts& aFacts,
               FleetChange aChange)
--- a/src/verbenawell/fleet/FleetState.h
+++ b/src/verbenawell/fleet/FleetState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/fleet/FleetRecord.h"
+#include "verbenawell/fleet/VmListWatch.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -136,6 +137,9 @@
   /// The state is the log's or a peer's, not the empty one of a daemon that
   /// has just started. A fact of this daemon, not a part of the fold.
   bool loaded_ = false;
+  /// Kept by the daemon that records the platform's facts; not a part of the
+  /// fold either.
+  VmListWatch watch_;
 };
 
 /// Tells whether the VM can run requests and is not about to stop.
--- /dev/null
+++ b/tests/unit/VmListTest.cpp
@@ -0,0 +1,179 @@
+#include "verbenawell/core/State.h"
+#include "verbenawell/fleet/FleetReducer.h"
+#include "verbenawell/fleet/Fold.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+using namespace std::chrono_literals;
+
+const DaemonId kSelf{ "self" };
+const PoolId kSpare{ "spare" };
+
+/// Drives the daemon that records the platform's facts, with 8 VMs.
+class VmListTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    state_.membership_.members_[kSelf] = {};
+    Fold(DefinePool{ kSpare, true });
+    for (int i = 1; i <= 8; ++i) {
+      VmListing listing;
+      listing.facts_.vm_ = VmId{ "vm" + std::to_string(i) };
+      listing.facts_.rack_ = RackId{ "r1" };
+      listing.facts_.slots_ = SlotCount{ 8 };
+      Fold(VmSeen{ listing.facts_ });
+      list_.push_back(listing);
+    }
+  }
+
+  void Fold(FleetChange aChange)
+  {
+    ++offset_;
+    FleetRecord record;
+    record.id_ = RecordId{ std::to_string(offset_.Value()) };
+    record.change_ = std::move(aChange);
+    ASSERT_EQ(Apply(state_.fleet_, offset_, record).refusal_, "");
+  }
+
+  /// The changes that one list makes the daemon append.
+  std::vector<FleetChange> Read(const std::vector<VmListing>& aList)
+  {
+    Effects effects;
+    ReduceFleet(state_.fleet_,
+                state_.View(),
+                VmListRead{ aList },
+                { now_, {}, kSelf },
+                effects);
+    std::vector<FleetChange> changes;
+    for (const Effect& effect : effects) {
+      if (const auto* raise = std::get_if<Raise>(&effect)) {
+        const auto& append = std::get<AppendWanted>(raise->event_);
+        const auto& record = std::get<FleetRecord>(append.body_);
+        EXPECT_EQ(record.preconditions_.size(), 1U);
+        changes.push_back(record.change_);
+      } else if (const auto* count = std::get_if<Count>(&effect)) {
+        implausible_ +=
+          count->key_ == CounterKey{ Counter::VmListsImplausible } ? 1 : 0;
+      }
+    }
+    return changes;
+  }
+
+  /// Reads the list each 5 s; returns what the last one makes append.
+  std::vector<FleetChange> ReadFor(Duration aTime,
+                                   const std::vector<VmListing>& aList)
+  {
+    const TimePoint end = now_ + aTime;
+    std::vector<FleetChange> changes = Read(aList);
+    while (now_ < end) {
+      now_ += 5s;
+      changes = Read(aList);
+    }
+    return changes;
+  }
+
+  [[nodiscard]] std::vector<VmListing> Without(std::size_t aCount) const
+  {
+    return { list_.begin() + static_cast<std::ptrdiff_t>(aCount), list_.end() };
+  }
+
+  State state_;
+  Offset offset_;
+  TimePoint now_{ 1000s };
+  std::vector<VmListing> list_;
+  int implausible_ = 0;
+};
+
+// Guards against a VM that stays in its pool and counts for its budget after
+// it has left, and against one that is given up early.
+TEST_F(VmListTest, RecordsAVmAsGoneAfterTenMinutesOfAbsence)
+{
+  EXPECT_TRUE(ReadFor(595s, Without(1)).empty());
+  const auto changes = ReadFor(5s, Without(1));
+  ASSERT_EQ(changes.size(), 1U);
+  const auto* gone = std::get_if<VmGone>(&changes[0]);
+  ASSERT_NE(gone, nullptr);
+  EXPECT_EQ(gone->vm_, VmId{ "vm1" });
+  Fold(*gone);
+  EXPECT_TRUE(Read(Without(1)).empty());
+  EXPECT_TRUE(state_.fleet_.watch_.absentSince_.empty());
+}
+
+// Guards against absences that are added up although the VM was listed in
+// between.
+TEST_F(VmListTest, StartsAgainWhenAVmIsListed)
+{
+  ReadFor(595s, Without(1));
+  Read(list_);
+  EXPECT_TRUE(ReadFor(595s, Without(1)).empty());
+}
+
+// Guards against an empty or cut list that empties the pools.
+TEST_F(VmListTest, TakesNothingFromAListThatLacksManyVms)
+{
+  EXPECT_TRUE(ReadFor(1200s, {}).empty());
+  EXPECT_TRUE(ReadFor(1200s, Without(3)).empty());
+  EXPECT_GT(implausible_, 0);
+  ReadFor(300s, Without(2));
+  Read({});
+  EXPECT_TRUE(ReadFor(595s, Without(2)).empty());
+  EXPECT_EQ(ReadFor(5s, Without(2)).size(), 2U);
+}
+
+// Guards against a stale list: what was not read cannot have shown absence.
+TEST_F(VmListTest, CountsNoTimeInWhichNoListWasRead)
+{
+  Read(Without(1));
+  now_ += 600s;
+  EXPECT_TRUE(ReadFor(595s, Without(1)).empty());
+  EXPECT_EQ(ReadFor(5s, Without(1)).size(), 1U);
+}
+
+// Guards against a VM that is recorded as gone during its planned reboot.
+TEST_F(VmListTest, LeavesAVmWithAPlannedStopToItsWave)
+{
+  state_.fleet_.vms_.at(VmId{ "vm1" }).stop_ = WaveId{ "w1" };
+  EXPECT_TRUE(ReadFor(1200s, Without(1)).empty());
+}
+
+// Guards against a new size, rack or zone that placement never learns of, and
+// against a boot that is recorded beside its wave.
+TEST_F(VmListTest, RecordsChangedFactsOnceTheyLast)
+{
+  std::vector<VmListing> changed = list_;
+  changed[0].facts_.rack_ = RackId{ "r2" };
+  changed[0].facts_.size_.cores_ = Cores{ 64 };
+  changed[0].facts_.boots_ = BootCount{ 3 };
+  EXPECT_TRUE(ReadFor(5s, changed).empty());
+  const auto changes = ReadFor(5s, changed);
+  ASSERT_EQ(changes.size(), 1U);
+  const auto* seen = std::get_if<VmSeen>(&changes[0]);
+  ASSERT_NE(seen, nullptr);
+  EXPECT_EQ(seen->facts_.rack_, RackId{ "r2" });
+  EXPECT_EQ(seen->facts_.size_.cores_, Cores{ 64 });
+  EXPECT_EQ(seen->facts_.boots_, BootCount{});
+  Fold(*seen);
+  EXPECT_TRUE(ReadFor(60s, changed).empty());
+  EXPECT_EQ(state_.fleet_.vms_.at(VmId{ "vm1" }).pool_, kSpare);
+}
+
+// Guards against a platform whose copies disagree: each of their lists would
+// be recorded in turn.
+TEST_F(VmListTest, RecordsNoFactsThatComeAndGo)
+{
+  std::vector<VmListing> changed = list_;
+  changed[0].facts_.rack_ = RackId{ "r2" };
+  for (int i = 0; i < 60; ++i) {
+    now_ += 5s;
+    EXPECT_TRUE(Read(i % 2 == 0 ? changed : list_).empty());
+  }
+}
+
+} // namespace
+} // namespace verbenawell
