--- a/src/verbenawell/metrics/Metrics.cpp
+++ b/src/verbenawell/metrics/Metrics.cpp
@@ -62,7 +62,7 @@
 Metrics::Metrics()
 {
   AddZeros(counters_, Counter::ControlBytes);
-  AddZeros(counters_, RefusalReason::ServiceMoved);
+  AddZeros(counters_, RefusalReason::BuffersFull);
   AddZeros(counters_, UnknownReason::AlreadyStarted);
   AddZeros(counters_, RetryReason::WorkerRefused);
 }
--- a/tests/unit/PagesTest.cpp
+++ b/tests/unit/PagesTest.cpp
@@ -1,8 +1,11 @@
+#include "verbenawell/metrics/Metrics.h"
 #include "verbenawell/operators/Parser.h"
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <string>
+#include <string_view>
 
 #include <gtest/gtest.h>
 
@@ -49,5 +52,61 @@
   EXPECT_NE(squeeze(text).find(squeeze(GrammarText())), std::string::npos);
 }
 
+std::string
+ReadPage(const char* aName)
+{
+  std::ifstream file{ std::filesystem::path(VERBENAWELL_SOURCE_DIR) / "docs" /
+                      aName };
+  return { std::istreambuf_iterator<char>{ file }, {} };
+}
+
+// Guards against a counter that operators meet and cannot look up.
+TEST(PagesTest, HasARowForEveryCounterOnTheOperatorsPage)
+{
+  const std::string page = ReadPage("operators.md");
+  std::istringstream metrics{ Metrics().Expose() };
+  constexpr std::string_view kPrefix = "verbenawell_";
+  constexpr std::string_view kSuffix = "_total";
+  int counters = 0;
+  for (std::string line; std::getline(metrics, line);) {
+    std::string name = line.substr(0, line.rfind(' '));
+    const std::size_t suffix = name.find(kSuffix);
+    if (suffix == std::string::npos) {
+      continue;
+    }
+    ++counters;
+    name = name.erase(suffix, kSuffix.size()).substr(kPrefix.size());
+    EXPECT_NE(page.find('`' + name + '`'), std::string::npos) << name;
+  }
+  EXPECT_GT(counters, 60);
+}
+
+// Guards against a reason that is counted or answered and named nowhere: the
+// last value of each enumeration is written down in several places.
+TEST(PagesTest, NamesEveryReasonOnThePagesAndInTheMetrics)
+{
+  const std::string operators = ReadPage("operators.md");
+  const std::string callers = ReadPage("callers.md");
+  const std::string metrics = Metrics().Expose();
+  const auto check = [&](auto aFirst, bool aForCallers) {
+    using Reason = decltype(aFirst);
+    for (int value = 0;; ++value) {
+      const std::string name{ ToString(static_cast<Reason>(value)) };
+      if (name == "invalid") {
+        return value;
+      }
+      const std::string label = "reason=\"" + name + "\"}";
+      EXPECT_NE(operators.find(label), std::string::npos) << name;
+      EXPECT_NE(metrics.find(label), std::string::npos) << name;
+      EXPECT_TRUE(!aForCallers ||
+                  callers.find('`' + name + '`') != std::string::npos)
+        << name;
+    }
+  };
+  EXPECT_EQ(check(RefusalReason{}, true), 15);
+  EXPECT_EQ(check(UnknownReason{}, true), 4);
+  EXPECT_EQ(check(RetryReason{}, false), 5);
+}
+
 } // namespace
 } // namespace verbenawell
