--- a/src/verbenawell/adapters/BackendConnections.h
+++ b/src/verbenawell/adapters/BackendConnections.h
@@ -17,7 +17,8 @@
 class BackendConnections
 {
 public:
-  /// Keeps at most this many idle connections a backend server.
+  /// Keeps at most this many idle connections a backend server, and closes
+  /// those beyond.
   void SetIdleLimit(std::size_t aLimit);
 
   /// A kept connection where there is one, else a new one.
@@ -27,6 +28,8 @@
   static std::unique_ptr<BackendClient> Open(const Endpoint& aAddress);
   void Return(const Endpoint& aAddress, std::unique_ptr<BackendClient> aClient);
 
+  [[nodiscard]] std::size_t CountIdle(const Endpoint& aAddress);
+
 private:
   struct Idle
   {
@@ -35,7 +38,7 @@
   };
 
   std::mutex mutex_;
-  std::size_t idleLimit_ = 7;
+  std::size_t idleLimit_ = 0;
   std::map<Endpoint, std::vector<Idle>> idle_;
 };
 
--- a/src/verbenawell/requests/Intents.cpp
+++ b/src/verbenawell/requests/Intents.cpp
@@ -334,17 +334,16 @@
     if (send == nullptr) {
       continue;
     }
-    std::visit(
-      Overloaded{
-        [&](const SlotGrant& aGrant) {
-          MarkGranted(aIntents, { send->to_, aGrant.key_ }, aGrant);
-        },
-        [&](const SlotRefusal& aRefusal) {
-          MarkRefused(aIntents, { send->to_, aRefusal.key_ });
-        },
-        [](const auto&) {},
-      },
-      send->message_);
+    std::visit(Overloaded{
+                 [&](const SlotGrant& aGrant) {
+                   MarkGranted(aIntents, { send->to_, aGrant.key_ }, aGrant);
+                 },
+                 [&](const SlotRefusal& aRefusal) {
+                   MarkRefused(aIntents, { send->to_, aRefusal.key_ });
+                 },
+                 [](const auto&) {},
+               },
+               send->message_);
   }
 }
 
