Take no VM for idle before every member has reported

Cause: an owner opens its queue a second after its claim although reports are missing, and did not await the report of a member that joined later.

Change: a joining member is awaited, too. A member whose report is missing is asked again with each audit, and while one is missing no VM of the pool counts as drained.

--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/membership/Ownership.h"
+#include "verbenawell/requests/RequestsState.h"
 
 #include <algorithm>
 #include <optional>
@@ -186,9 +187,13 @@
       !TakesNoWork(aScope, aPool, aVm)) {
     return;
   }
-  // There is no queue while the reports of running attempts are awaited.
+  // What a member runs whose report is awaited is not known, also after the
+  // queue has been opened without it.
+  const auto& owned = aScope.views_.requests_.takeover_.owned_;
+  const auto claim = owned.find(aPool);
+  const bool complete = claim == owned.end() || claim->second.awaited_.empty();
   const auto pool = aScope.owner_.pools_.find(aPool);
-  if (pool != aScope.owner_.pools_.end() &&
+  if (complete && pool != aScope.owner_.pools_.end() &&
       pool->second.workers_.Running(aVm) == SlotCount{}) {
     aScope.effects_.emplace_back(Raise{ PoolDrained{ aPool, aVm } });
   }
--- a/src/verbenawell/requests/TakeoverReducer.cpp
+++ b/src/verbenawell/requests/TakeoverReducer.cpp
@@ -75,6 +75,7 @@
     Refresh();
     for (auto& [pool, owned] : takeover_.owned_) {
       for (const DaemonId& joined : aEvent.joined_) {
+        owned.awaited_.insert(joined);
         Announce(pool, owned.term_, joined);
       }
       for (const DaemonId& lost : aEvent.lost_) {
@@ -251,6 +252,7 @@
       ClaimAbove(aReport.pool_, aReport.term_);
       return;
     }
+    const bool awaited = owned.awaited_.erase(aFrom) > 0;
     if (owned.open_) {
       if (const auto queue = requests_.owner_.pools_.find(aReport.pool_);
           queue != requests_.owner_.pools_.end()) {
@@ -258,7 +260,7 @@
       }
       return;
     }
-    if (owned.awaited_.erase(aFrom) > 0) {
+    if (awaited) {
       for (const RunningAttempt& attempt : aReport.running_) {
         owned.running_.push_back({ aFrom, attempt });
       }
@@ -300,9 +302,14 @@
     });
   }
 
+  // A member whose report was lost is asked again: no VM is taken for idle
+  // before it comes.
   void AskForAudits()
   {
     for (auto& [pool, owned] : takeover_.owned_) {
+      for (const DaemonId& member : owned.awaited_) {
+        Announce(pool, owned.term_, member);
+      }
       const auto queue = requests_.owner_.pools_.find(pool);
       if (owned.open_ && queue != requests_.owner_.pools_.end()) {
         Audit(pool, owned, queue->second, context_.now_, effects_);
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/core/Reduce.h"
 #include "verbenawell/core/State.h"
 #include "verbenawell/log/Streams.h"
+#include "verbenawell/membership/Ownership.h"
 
 #include <algorithm>
 
@@ -123,6 +124,29 @@
   EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
 }
 
+// Guards against a planned stop that cuts the requests of an entry daemon that
+// was out of reach when the pool was claimed and is a member again.
+TEST_F(WaveDrainTest, WaitsForTheReportOfAMemberThatJoins)
+{
+  MemberUpdate other;
+  auto& membership = state_.membership_;
+  for (char name = 'e'; name <= 'z'; ++name) {
+    other.daemon_ = DaemonId{ std::string(1, name) };
+    membership.members_[other.daemon_] = { other, now_, now_ };
+    membership.owners_.clear();
+    if (OwnerOfPool(membership, kBatch) == DaemonId{ "d" }) {
+      break;
+    }
+    membership.members_.erase(other.daemon_);
+  }
+  Do(MembersChanged{ { other.daemon_ }, {} });
+  EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+  const Term term = state_.requests_.takeover_.owned_.at(kBatch).term_;
+  Do(PeerMessageReceived{ other.daemon_, OwnerReport{ kBatch, term, {} } });
+  EXPECT_TRUE(Reboots(Do(TimerDue{ WaveTick{} })));
+}
+
 // Guards against moves that nobody finishes: the pool had no owner when the
 // move became known, and the next owner did not ask whether the VM was idle
 // (fuzz_reducers seed 1 with two killed daemons and the log down).
