Follow the linter in the fakes

Cause: clang-tidy does not compile the ranges' stable_partition of this library, and a chunk was read beside its move. Change: the iterator form, an id of its own, appended text.

--- a/tests/fuzz/Cluster.cpp
+++ b/tests/fuzz/Cluster.cpp
@@ -123,7 +123,7 @@
   std::vector<Event> held = std::exchange(node.held_, {});
   // Sockets may be served before timers.
   if (world_.Chance(50)) {
-    std::ranges::stable_partition(held, [](const Event& aEvent) {
+    std::stable_partition(held.begin(), held.end(), [](const Event& aEvent) {
       return !std::holds_alternative<TimerDue>(aEvent);
     });
   }
@@ -218,7 +218,7 @@
       [&](const LogLine& aLine) {
         std::string line = nodes_[aNode].id_.Value() + ": " + aLine.event_;
         for (const auto& [name, value] : aLine.fields_) {
-          line += " " + name + "=" + value;
+          line.append(" ").append(name).append("=").append(value);
         }
         world_.Trace(line);
       },
--- a/tests/fuzz/FakeLog.cpp
+++ b/tests/fuzz/FakeLog.cpp
@@ -27,10 +27,11 @@
   } else if (const auto* batch = std::get_if<IntentBatch>(&aBody)) {
     text += " of " + batch->owner_.Value();
     for (const StartedIntent& started : batch->started_) {
-      text += " " + started.request_.Value() + "@" + started.entry_.Value();
+      text.append(" ").append(started.request_.Value());
+      text.append("@").append(started.entry_.Value());
     }
     for (const RequestId& request : batch->notRun_) {
-      text += " not " + request.Value();
+      text.append(" not ").append(request.Value());
     }
   }
   return text;
@@ -124,10 +125,9 @@
   const DaemonId author{ "past" };
   for (SnapshotChunk& chunk :
        SplitSnapshot(fold_.through_, EncodeFleet(fold_), author, {})) {
-    Store(SnapshotStream(),
-          RecordId{ "past/" + std::to_string(fold_.through_.Value()) + "/" +
-                    std::to_string(chunk.index_) },
-          std::move(chunk));
+    RecordId id{ "past/" + std::to_string(fold_.through_.Value()) + "/" +
+                 std::to_string(chunk.index_) };
+    Store(SnapshotStream(), std::move(id), std::move(chunk));
   }
   streams_[FleetStream()].records_.clear();
 }
