Count what a member still runs after it was taken for dead

Cause: an owner frees the slots of a member that seems dead. Where the member rejoined at once, its report was asked for and not awaited, because it stood among the lost members, too; and attempts of the owner's present term in the report were not adopted.

Change: lost members are dropped before joined ones are awaited; a report's attempts of the present term are adopted. One that ends at the same time is released behind the report, or freed by the next audit.

--- a/src/verbenawell/requests/SlotAudit.cpp
+++ b/src/verbenawell/requests/SlotAudit.cpp
@@ -42,7 +42,9 @@
 {
   AttemptsAdopted adopted{ aReport.pool_, {} };
   for (const RunningAttempt& attempt : aReport.running_) {
-    if (attempt.term_ < aQueue.term_ &&
+    // One of the present term has been freed while its entry seemed dead. A
+    // release comes behind the reports that name its attempt.
+    if (attempt.term_ <= aQueue.term_ &&
         !aQueue.granted_.contains({ attempt.term_, attempt.attempt_ })) {
       adopted.attempts_.push_back({ aFrom, attempt });
     }
--- a/src/verbenawell/requests/TakeoverReducer.cpp
+++ b/src/verbenawell/requests/TakeoverReducer.cpp
@@ -74,13 +74,14 @@
   {
     Refresh();
     for (auto& [pool, owned] : takeover_.owned_) {
+      for (const DaemonId& lost : aEvent.lost_) {
+        Drop(owned, lost);
+      }
+      // A member in both lists may still run what it was granted before.
       for (const DaemonId& joined : aEvent.joined_) {
         owned.awaited_.insert(joined);
         Announce(pool, owned.term_, joined);
       }
-      for (const DaemonId& lost : aEvent.lost_) {
-        Drop(owned, lost);
-      }
     }
     OpenReady();
   }
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -89,6 +89,23 @@
     return {};
   }
 
+  /// Another member that does not own the pool.
+  DaemonId AddMember()
+  {
+    MemberUpdate other;
+    auto& membership = state_.membership_;
+    for (char name = 'e'; name <= 'z'; ++name) {
+      other.daemon_ = DaemonId{ std::string(1, name) };
+      membership.members_[other.daemon_] = { other, now_, now_ };
+      membership.owners_.clear();
+      if (OwnerOfPool(membership, kBatch) == DaemonId{ "d" }) {
+        break;
+      }
+      membership.members_.erase(other.daemon_);
+    }
+    return other.daemon_;
+  }
+
   State state_;
   TimePoint now_{ std::chrono::seconds(1) };
   Offset offset_;
@@ -128,25 +145,33 @@
 // was out of reach when the pool was claimed and is a member again.
 TEST_F(WaveDrainTest, WaitsForTheReportOfAMemberThatJoins)
 {
-  MemberUpdate other;
-  auto& membership = state_.membership_;
-  for (char name = 'e'; name <= 'z'; ++name) {
-    other.daemon_ = DaemonId{ std::string(1, name) };
-    membership.members_[other.daemon_] = { other, now_, now_ };
-    membership.owners_.clear();
-    if (OwnerOfPool(membership, kBatch) == DaemonId{ "d" }) {
-      break;
-    }
-    membership.members_.erase(other.daemon_);
-  }
-  Do(MembersChanged{ { other.daemon_ }, {} });
+  const DaemonId other = AddMember();
+  Do(MembersChanged{ { other }, {} });
   EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
   EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
   const Term term = state_.requests_.takeover_.owned_.at(kBatch).term_;
-  Do(PeerMessageReceived{ other.daemon_, OwnerReport{ kBatch, term, {} } });
+  Do(PeerMessageReceived{ other, OwnerReport{ kBatch, term, {} } });
   EXPECT_TRUE(Reboots(Do(TimerDue{ WaveTick{} })));
 }
 
+// Guards against a planned stop that cuts the requests of an entry daemon that
+// was taken for dead for a moment: its slots had been freed, and its report
+// was not awaited and then not believed (fuzz_reducers seed 50879).
+TEST_F(WaveDrainTest, CountsWhatAMemberStillRunsThatWasTakenForDead)
+{
+  const DaemonId other = AddMember();
+  Do(MembersChanged{ { other }, { other } });
+  EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  RunningAttempt running;
+  running.key_ = RequestKey{ 7 };
+  running.service_ = ServiceId{ "survey" };
+  running.vm_ = kVm;
+  running.term_ = state_.requests_.takeover_.owned_.at(kBatch).term_;
+  Do(PeerMessageReceived{ other,
+                          OwnerReport{ kBatch, running.term_, { running } } });
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+}
+
 // Guards against moves that nobody finishes: the pool had no owner when the
 // move became known, and the next owner did not ask whether the VM was idle
 // (fuzz_reducers seed 1 with two killed daemons and the log down).
