--- a/bench/HopBench.cpp
+++ b/bench/HopBench.cpp
@@ -1,3 +1,5 @@
+#include "verbenawell/codec/VmListCodec.h"
+
 #include "LocalFleet.h"
 #include "Row.h"
 
@@ -105,8 +107,11 @@
 MeasureHops(LocalFleet& aFleet)
 {
   const std::filesystem::path build{ FLAGS_build };
-  const Endpoint worker{ "127.0.0.1",
-                         static_cast<std::uint16_t>(aFleet.Log().port_ + 200) };
+  const Endpoint worker =
+    verbenawell::DecodeVmList(
+      LocalFleet::Get(aFleet.Platform(), "/vms").value_or(""))
+      .at(0)
+      .facts_.address_;
   const Endpoint plainAt{ "127.0.0.1",
                           static_cast<std::uint16_t>(aFleet.Log().port_ + 9) };
   const ChildProcess plain{ { (build / "bench/pass_through").string(),
