Read an idle stream soon once something is appended to it

The poll of an idle intent stream could be 8 s away when an append's answer was lost; its record was read only after the time-out of the append, and requests were refused as log-down meanwhile. An append now brings the poll forward to 250 ms, as it was before idle streams were polled more seldom.

--- a/src/verbenawell/log/ReadReducer.cpp
+++ b/src/verbenawell/log/ReadReducer.cpp
@@ -82,18 +82,20 @@
     }
   }
 
-  // A poll that is due soon is kept: appends that fail often would put it off
-  // for ever.
-  void operator()(const LogAppendFailed& aEvent)
+  // The answer of the append may get lost; its record is read all the same.
+  void operator()(const AppendWanted& aEvent)
   {
-    const auto found = log_.streams_.find(aEvent.stream_);
-    if (found == log_.streams_.end()) {
-      return;
+    if (const auto found = log_.streams_.find(aEvent.stream_);
+        found != log_.streams_.end() && found->second.pollSet_) {
+      PollSoon(found->first, found->second);
     }
-    StreamState& stream = found->second;
-    const bool isPollFar = std::exchange(stream.idleReads_, 0) > 1;
-    if (!stream.reading_ && (!stream.pollSet_ || isPollFar)) {
-      SchedulePoll(aEvent.stream_, stream);
+  }
+
+  void operator()(const LogAppendFailed& aEvent)
+  {
+    if (const auto found = log_.streams_.find(aEvent.stream_);
+        found != log_.streams_.end()) {
+      PollSoon(found->first, found->second);
     }
   }
 
@@ -172,6 +174,16 @@
     effects_.emplace_back(ReadLog{ aId, aStream.next_, kMaxPageRecords });
   }
 
+  // A poll that is due soon is kept: appends that fail often would put it off
+  // for ever.
+  void PollSoon(const StreamId& aId, StreamState& aStream)
+  {
+    const bool isPollFar = std::exchange(aStream.idleReads_, 0) > 1;
+    if (!aStream.reading_ && (!aStream.pollSet_ || isPollFar)) {
+      SchedulePoll(aId, aStream);
+    }
+  }
+
   [[nodiscard]] Duration PollInterval(const StreamId& aId,
                                       const StreamState& aStream) const
   {
--- a/tests/unit/LogReadTest.cpp
+++ b/tests/unit/LogReadTest.cpp
@@ -203,9 +203,9 @@
   EXPECT_LE(All<SetTimer>().at(0).after_, std::chrono::milliseconds(250));
 }
 
-// Guards against an append that waits for a poll of an idle stream: its
-// request would be refused meanwhile.
-TEST_F(LogReadTest, ReadsAnIdleStreamSoonWhenAnAppendFails)
+// Guards against an append that waits for a poll of an idle stream when its
+// answer is lost: its request would be refused meanwhile.
+TEST_F(LogReadTest, ReadsAnIdleStreamSoonOnceItIsAppendedTo)
 {
   Want(1);
   for (int read = 0; read < 6; ++read) {
@@ -214,9 +214,9 @@
   }
   Page(1, 1, {});
   Append("a");
-  FailAppend("a");
-  ASSERT_EQ(All<SetTimer>().size(), 1U);
-  EXPECT_LE(All<SetTimer>()[0].after_, std::chrono::milliseconds(250));
+  ASSERT_EQ(All<SetTimer>().size(), 2U);
+  EXPECT_EQ(All<SetTimer>()[1].key_, TimerKey{ LogPoll{ kStream } });
+  EXPECT_LE(All<SetTimer>()[1].after_, std::chrono::milliseconds(250));
   FailAppend("a");
   EXPECT_TRUE(All<SetTimer>().empty());
 }
