Retry reads of shared streams after 250 ms again while they fail

The slower poll of shared streams also doubled the first pause after a failed read, which a daemon that starts while the log is slow has to wait for.

One run of reducers_fuzz_tests before this change failed: a single daemon replaced while the log is slow lacks a record for more than 4 s.

--- a/src/verbenawell/log/ReadReducer.cpp
+++ b/src/verbenawell/log/ReadReducer.cpp
@@ -190,7 +190,9 @@
     if (aId == FleetStream() || aId == SnapshotStream()) {
       const auto members =
         static_cast<Duration::rep>(views_.membership_.members_.size());
-      return std::max(kSharedPollInterval, kPollIntervalPerMember * members);
+      return std::max(aStream.failures_ > 0 ? kPollInterval
+                                            : kSharedPollInterval,
+                      kPollIntervalPerMember * members);
     }
     if (aStream.failures_ > 0 || aStream.appends_ > 0) {
       return kPollInterval;
