--- a/tests/unit/UsageTest.cpp
+++ b/tests/unit/UsageTest.cpp
@@ -19,7 +19,7 @@
 const DaemonId kSelf{ "self" };
 const DaemonId kEntry{ "entry" };
 constexpr std::uint32_t kManyRequests = 1000;
-constexpr int kAsked = 400;
+constexpr double kAsked = 400;
 
 /// Drives the owner of a pool whose workers have 8 slots, 8 cores and 8 GB.
 class UsageTest : public testing::Test
