Test large answers that wait for room

The wait was tested at the budget only. The tests run one attempt against a backend server: the answer waits while another one holds the room and keeps what it needs, gives up at its deadline and is counted, and ends when its caller has left.

--- a/tests/unit/CallerBuffersTest.cpp
+++ b/tests/unit/CallerBuffersTest.cpp
@@ -1,3 +1,4 @@
+#include "verbenawell/adapters/CallerExchange.h"
 #include "verbenawell/adapters/CallerListener.h"
 #include "verbenawell/core/State.h"
 #include "verbenawell/requests/EntryReducer.h"
@@ -115,6 +116,92 @@
   listener.Stop();
 }
 
+/// One attempt on a backend server whose answer of 40 KiB needs room.
+class LargeAnswerTest : public testing::Test
+{
+protected:
+  static constexpr ByteCount kMaxBody{ 64U << 10U };
+
+  void SetUp() override
+  {
+    backend_.Get("/", [](const httplib::Request&, httplib::Response& aAnswer) {
+      constexpr std::size_t kAnswerSize = 40U << 10U;
+      aAnswer.set_content(std::string(kAnswerSize, 'x'), "text/plain");
+    });
+    backend_.Start({ "127.0.0.1", ports_.At(0) });
+  }
+
+  /// Starts the attempt on a thread; the result is how it ended.
+  std::future<AttemptOutcome> Start(Duration aTimeLeft)
+  {
+    exchange_.Run(StartAttempt{ RequestKey{ 1 },
+                                AttemptId{ 1 },
+                                VmId{ "vm1" },
+                                { "127.0.0.1", ports_.At(0) },
+                                aTimeLeft });
+    return std::async(std::launch::async, [this] {
+      httplib::Request request;
+      request.method = "GET";
+      request.target = "/";
+      httplib::Response answer;
+      exchange_.Serve(request, answer);
+      return outcome_;
+    });
+  }
+
+  standins::PortRange ports_;
+  HttpServer backend_{ HttpServerLimits{} };
+  Metrics metrics_;
+  BackendConnections backends_;
+  BufferBudget answers_{ kMaxBody };
+  AttemptOutcome outcome_;
+  CallerExchange exchange_{ RequestKey{ 1 },
+                            RequestHead{},
+                            kMaxBody,
+                            backends_,
+                            answers_,
+                            metrics_,
+                            [this](const Event& aEvent) {
+                              outcome_ =
+                                std::get<AttemptEnded>(aEvent).outcome_;
+                              exchange_.Abandon();
+                            } };
+};
+
+// Guards against a large answer that is dropped while another one holds the
+// room for it, and against room that is not given back.
+TEST_F(LargeAnswerTest, WaitsForRoomAndKeepsWhatItNeeds)
+{
+  BufferShare other = answers_.TryTake(kMaxBody);
+  auto ended = Start(60s);
+  other = {};
+  EXPECT_TRUE(std::holds_alternative<WholeAnswer>(ended.get()));
+  EXPECT_FALSE(answers_.TryTake(ByteCount{ 25U << 10U }));
+  EXPECT_TRUE(answers_.TryTake(ByteCount{ 24U << 10U }));
+  const BufferShare held = exchange_.MoveAnswerShare();
+  EXPECT_TRUE(held);
+}
+
+// Guards against an attempt without room that outlives its deadline, and
+// against one that nobody sees.
+TEST_F(LargeAnswerTest, GivesUpAtItsDeadlineAndCountsIt)
+{
+  const BufferShare other = answers_.TryTake(kMaxBody);
+  EXPECT_TRUE(std::holds_alternative<OversizeAnswer>(Start(200ms).get()));
+  EXPECT_NE(metrics_.Expose().find("answers_without_room_total 1\n"),
+            std::string::npos);
+}
+
+// Guards against a thread that waits for room until the deadline although its
+// caller has left.
+TEST_F(LargeAnswerTest, GivesUpOnceItIsCancelled)
+{
+  const BufferShare other = answers_.TryTake(kMaxBody);
+  auto ended = Start(600s);
+  exchange_.Run(CancelAttempt{ RequestKey{ 1 }, AttemptId{ 1 } });
+  EXPECT_FALSE(std::holds_alternative<WholeAnswer>(ended.get()));
+}
+
 // Guards against more idle connections than a backend server can take, once
 // more daemons share it.
 TEST(CallerBuffersTest, ClosesIdleConnectionsBeyondALowerLimit)
