Pass answers on in the encoding of the backend server

The HTTP library decompressed answers of backend servers, left the header Content-Encoding as it was, compressed them again for callers that accept it and cut the ranges out of them that the request named, refusals included.

Answers now reach the caller with the bytes and headers of the backend server: no decompression, and the library does not see the two headers.

--- a/src/verbenawell/adapters/BackendConnections.cpp
+++ b/src/verbenawell/adapters/BackendConnections.cpp
@@ -50,6 +50,8 @@
   auto client = std::make_unique<BackendClient>(aAddress);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
+  // Answers are passed on with the encoding that their headers name.
+  client->set_decompress(false);
   client->set_connection_timeout(kConnectTimeout);
   client->set_socket_options([](socket_t aSocket) {
     setsockopt(aSocket,
--- a/src/verbenawell/adapters/CallerExchange.cpp
+++ b/src/verbenawell/adapters/CallerExchange.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/adapters/CallerExchange.h"
 
+#include "verbenawell/adapters/HttpServer.h"
 #include "verbenawell/core/Overloaded.h"
 
 #include <algorithm>
@@ -291,6 +292,10 @@
   request.method = aRequest.method;
   request.path = aRequest.target;
   request.headers = PassedOn(aRequest.headers);
+  if (const auto& accepted = HttpServer::CurrentAcceptEncoding();
+      !accepted.empty()) {
+    request.set_header("Accept-Encoding", accepted);
+  }
   // The backend server learns the id that was assigned where there was none.
   if (!aRequest.has_header("Verbenawell-Request-Id")) {
     request.set_header("Verbenawell-Request-Id", id_.Value());
--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -24,6 +24,17 @@
 constexpr std::chrono::milliseconds kRefusalWait{ 50 };
 
 thread_local int currentSocket = -1;
+thread_local std::string currentAcceptEncoding;
+
+// The library would compress an answer that is compressed already, and cut
+// the request's ranges out of an answer that holds only them.
+void
+KeepAnswersAsTheyAre(httplib::Request& aRequest)
+{
+  currentAcceptEncoding = aRequest.get_header_value("Accept-Encoding");
+  aRequest.headers.erase("Accept-Encoding");
+  aRequest.ranges.clear();
+}
 
 /// Reads until the other side closes or the time is over.
 void
@@ -32,7 +43,8 @@
   std::array<char, 64U << 10U> buffer{};
   const auto end = std::chrono::steady_clock::now() + kRefusalWait;
   auto left = kRefusalWait;
-  while (left > left.zero() && WaitForSocket(aSocket, POLLIN, left) &&
+  while (left > std::chrono::milliseconds::zero() &&
+         WaitForSocket(aSocket, POLLIN, left) &&
          recv(aSocket, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0) {
     left = std::chrono::duration_cast<std::chrono::milliseconds>(
       end - std::chrono::steady_clock::now());
@@ -102,6 +114,12 @@
   return currentSocket;
 }
 
+const std::string&
+HttpServer::CurrentAcceptEncoding()
+{
+  return currentAcceptEncoding;
+}
+
 void
 HttpServer::SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy)
 {
@@ -157,7 +175,8 @@
       idleSockets_.erase(aSocket);
     }
     stream.SetReadDeadline(std::chrono::steady_clock::now() + limits_.request_);
-    if (!readable || !process_request(stream, stopping_, closed, nullptr)) {
+    if (!readable ||
+        !process_request(stream, stopping_, closed, KeepAnswersAsTheyAre)) {
       return;
     }
     // The library answers 400 to a request that did not arrive in time and
--- a/src/verbenawell/adapters/HttpServer.h
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -46,6 +46,9 @@
   /// Socket of the connection that the calling handler serves.
   static int CurrentSocket();
 
+  /// `Accept-Encoding` of the request that the calling handler serves.
+  static const std::string& CurrentAcceptEncoding();
+
   /// Answer for a connection beyond the limit, and what to do with each.
   void SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy);
 
