--- a/standins/Worker.cpp
+++ b/standins/Worker.cpp
@@ -97,6 +97,13 @@
     return;
   }
   aResponse.set_header("Standin-Vm", vm);
+  if (const std::string encoding =
+        aRequest.get_header_value("Standin-Encoding");
+      !encoding.empty()) {
+    aResponse.set_header("Content-Encoding", encoding);
+    aResponse.set_content(aRequest.body, "text/plain");
+    return;
+  }
   std::string text = "answer to " +
                      aRequest.get_header_value("Verbenawell-Request-Id") +
                      "\n" + aRequest.body;
--- a/standins/Worker.h
+++ b/standins/Worker.h
@@ -25,7 +25,8 @@
 
 /// A backend server on one VM. Each request runs for the time in its header
 /// `Standin-Run-Ms`, and is answered in chunks where `Standin-Chunked` is
-/// "true"; stopping the worker cuts what runs.
+/// "true"; with `Standin-Encoding` the answer is the body in that encoding.
+/// Stopping the worker cuts what runs.
 class Worker
 {
 public:
--- a/tests/integration/CallersTest.cpp
+++ b/tests/integration/CallersTest.cpp
@@ -29,6 +29,34 @@
 
 } // namespace
 
+// Guards against a daemon that decompresses an answer, or compresses it again:
+// the encoding that its headers name would not be that of its bytes.
+TEST(Callers, GetAnswersInTheEncodingOfTheBackendServer)
+{
+  const Cluster cluster;
+  httplib::Client client{ cluster.CallerAddress(0).host_,
+                          cluster.CallerAddress(0).port_ };
+  client.set_decompress(false);
+  httplib::Headers headers = HeadersOf({ "encoded" });
+  headers.emplace("Accept-Encoding", "gzip, br");
+  const std::string body(3000, 'x');
+  const auto plain = client.Post("/", headers, body, "text/plain");
+  ASSERT_TRUE(plain);
+  EXPECT_EQ(plain->get_header_value_count("Content-Encoding"), 0U);
+  EXPECT_EQ(plain->body, "answer to encoded\n" + body);
+  // Not valid gzip: who looks into it fails.
+  headers.emplace("Standin-Encoding", "gzip");
+  const auto encoded = client.Post("/", headers, body, "text/plain");
+  ASSERT_TRUE(encoded);
+  EXPECT_EQ(encoded->get_header_value_count("Content-Encoding"), 1U);
+  EXPECT_EQ(encoded->get_header_value("Content-Encoding"), "gzip");
+  EXPECT_EQ(encoded->body, body);
+  headers.emplace("Range", "bytes=2-5");
+  const auto part = client.Post("/", headers, body, "text/plain");
+  ASSERT_TRUE(part);
+  EXPECT_EQ(part->body, body) << "the backend server ignores ranges";
+}
+
 // Guards against slots and queue places that stay taken by callers who are
 // gone, and against backend connections that go on without a caller.
 TEST(Callers, AWaveOfCancelledRequestsFreesSlotsAndQueuePlacesAtOnce)
