--- a/standins/Worker.cpp
+++ b/standins/Worker.cpp
@@ -24,11 +24,10 @@
 
 /// The text in two chunks.
 void
-SetChunkedContent(httplib::Response& aResponse, std::string aText)
+SetChunkedContent(httplib::Response& aResponse, const std::string& aText)
 {
   aResponse.set_chunked_content_provider(
-    "text/plain",
-    [text = std::move(aText)](std::size_t, httplib::DataSink& aSink) {
+    "text/plain", [text = aText](std::size_t, httplib::DataSink& aSink) {
       const std::size_t half = text.size() / 2;
       aSink.write(text.data(), half);
       aSink.write(text.data() + half, text.size() - half);
@@ -104,13 +103,13 @@
     aResponse.set_content(aRequest.body, "text/plain");
     return;
   }
-  std::string text = "answer to " +
-                     aRequest.get_header_value("Verbenawell-Request-Id") +
-                     "\n" + aRequest.body;
+  const std::string text = "answer to " +
+                           aRequest.get_header_value("Verbenawell-Request-Id") +
+                           "\n" + aRequest.body;
   if (aRequest.get_header_value("Standin-Chunked") == "true") {
-    SetChunkedContent(aResponse, std::move(text));
+    SetChunkedContent(aResponse, text);
   } else {
-    aResponse.set_content(std::move(text), "text/plain");
+    aResponse.set_content(text, "text/plain");
   }
 }
 
--- a/tests/support/RawConnection.cpp
+++ b/tests/support/RawConnection.cpp
@@ -91,7 +91,7 @@
 {
   std::string text = "POST / HTTP/1.1\r\nHost: test\r\n";
   for (const auto& [name, value] : HeadersOf(aRequest)) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   return text + "Content-Length: " + std::to_string(aRequest.body_.size()) +
          "\r\n\r\n" + aRequest.body_;
