--- a/bench/FloodRun.h
+++ b/bench/FloodRun.h
@@ -2,8 +2,21 @@
 
 #include "FloodPolicies.h"
 
+#include <optional>
+#include <vector>
+
 namespace verbenawell::bench {
 
+/// Outcome of a request of other work that is not long; times in seconds.
+struct Outcome
+{
+  ServiceId service_;
+  double arrivedAt_ = 0;
+  /// Empty where the request was refused.
+  std::optional<double> latency_;
+  bool inTime_ = false;
+};
+
 /// What became of the jobs of one run.
 struct RunResult
 {
@@ -16,6 +29,7 @@
   std::uint64_t floodFinished_ = 0;
   /// Seconds from arrival to the answer, of other work that is not long.
   std::vector<double> otherLatency_;
+  std::vector<Outcome> outcomes_;
   /// Seconds from arrival to the start.
   std::vector<double> urgentWait_;
   std::vector<double> otherLongWait_;
--- a/bench/report_main.cpp
+++ b/bench/report_main.cpp
@@ -30,12 +30,15 @@
 struct Chart
 {
   std::string unit_;
+  std::string xUnit_;
   Curves curves_;
 };
 
 constexpr double kWidth = 760;
 constexpr double kHeight = 220;
 constexpr double kMargin = 50;
+/// Keeps the label of the largest value off a curve along the top.
+constexpr double kLabelGap = 6;
 constexpr const char* kColours[] = { "#1b6ca8", "#c8553d", "#3c8d2f",
                                      "#7d4e9e", "#b8860b", "#4d4d4d" };
 
@@ -141,10 +144,11 @@
   aOut << "<h2>" << Escape(aTitle) << "</h2>\n<svg viewBox=\"0 0 " << kWidth
        << ' ' << kHeight << "\">\n<path class=\"axis\" d=\"M" << kMargin << ','
        << kMargin << " V" << kHeight - kMargin << " H" << kWidth - kMargin
-       << "\"/>\n<text x=\"5\" y=\"" << kMargin << "\">" << largest.y_ << ' '
-       << Escape(aChart.unit_) << "</text>\n<text x=\"" << kWidth - kMargin
-       << "\" y=\"" << kHeight - kMargin / 2 << "\">" << largest.x_
-       << " s</text>\n";
+       << "\"/>\n<text x=\"5\" y=\"" << kMargin - kLabelGap << "\">"
+       << largest.y_ << ' ' << Escape(aChart.unit_)
+       << "</text>\n<text text-anchor=\"end\" x=\"" << kWidth - kMargin
+       << "\" y=\"" << kHeight - kMargin / 2 << "\">" << largest.x_ << ' '
+       << Escape(aChart.xUnit_) << "</text>\n";
   std::size_t number = 0;
   for (const auto& [name, points] : aChart.curves_) {
     const char* colour = kColours[number % std::size(kColours)];
@@ -162,6 +166,7 @@
 {
   Chart& chart = aCharts[aLine.at("chart").get<std::string>()];
   chart.unit_ = aLine.at("unit").get<std::string>();
+  chart.xUnit_ = aLine.value("xUnit", "s");
   auto& points = chart.curves_[aLine.at("series").get<std::string>()];
   for (const json& point : aLine.at("points")) {
     points.push_back({ point.at(0).get<double>(), point.at(1).get<double>() });
--- a/src/verbenawell/adapters/HttpServer.cpp
+++ b/src/verbenawell/adapters/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/adapters/BoundedTaskQueue.h"
 #include "verbenawell/adapters/internal/SocketStream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <system_error>
@@ -20,10 +21,15 @@
 // the retransmission of their first packet, one second at the least.
 constexpr int kBacklog = 1024;
 
-// Time for a refused caller to read its answer and close.
+// Time for a caller that was refused as busy to read its answer and close.
 constexpr std::chrono::milliseconds kRefusalWait{ 50 };
 
+// A sender that does not stop is cut off after this time.
+constexpr std::chrono::milliseconds kDiscardTime{ 1000 };
+constexpr std::size_t kDiscardBytes = 16U << 10U;
+
 thread_local int currentSocket = -1;
+thread_local bool closeAfterAnswer = false;
 thread_local std::string currentAcceptEncoding;
 
 // The library would compress an answer that is compressed already, and cut
@@ -36,18 +42,28 @@
   aRequest.ranges.clear();
 }
 
-/// Reads until the other side closes or the time is over.
+// A connection that is closed with unread bytes is reset, and the caller may
+// not see the answer: it would take a refusal for a broken connection. Reads
+// until the other side closes or a limit is reached.
 void
-DiscardInput(int aSocket)
+DiscardInput(int aSocket,
+             std::chrono::milliseconds aTime,
+             std::size_t aMaxBytes)
 {
-  std::array<char, 64U << 10U> buffer{};
-  const auto end = std::chrono::steady_clock::now() + kRefusalWait;
-  auto left = kRefusalWait;
-  while (left > std::chrono::milliseconds::zero() &&
-         WaitForSocket(aSocket, POLLIN, left) &&
-         recv(aSocket, buffer.data(), buffer.size(), MSG_DONTWAIT) > 0) {
-    left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      end - std::chrono::steady_clock::now());
+  shutdown(aSocket, SHUT_WR);
+  const auto until = std::chrono::steady_clock::now() + aTime;
+  std::array<char, kDiscardBytes> rest{};
+  for (std::size_t left = aMaxBytes; left > 0;) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+      until - std::chrono::steady_clock::now());
+    if (wait.count() <= 0 || !WaitForSocket(aSocket, POLLIN, wait)) {
+      return;
+    }
+    const ssize_t got = recv(aSocket, rest.data(), rest.size(), 0);
+    if (got <= 0) {
+      return;
+    }
+    left -= std::min(left, static_cast<std::size_t>(got));
   }
 }
 
@@ -56,7 +72,9 @@
 HttpServer::HttpServer(const HttpServerLimits& aLimits)
   : limits_(aLimits)
 {
+  // The library calls this once it accepts; `stop` does nothing before.
   new_task_queue = [this] {
+    accepting_.count_down();
     return new BoundedTaskQueue(limits_.maxConnections_);
   };
   set_payload_max_length(limits_.maxBodyBytes_);
@@ -100,10 +118,7 @@
       shutdown(idle, SHUT_RD);
     }
   }
-  // `stop` does nothing before the listening thread has begun to accept.
-  while (!is_running()) {
-    std::this_thread::yield();
-  }
+  accepting_.wait();
   stop();
   thread_.join();
 }
@@ -120,6 +135,12 @@
   return currentAcceptEncoding;
 }
 
+void
+HttpServer::CloseAfterAnswer()
+{
+  closeAfterAnswer = true;
+}
+
 void
 HttpServer::SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy)
 {
@@ -143,15 +164,12 @@
   return true;
 }
 
-// A socket that is closed with unread bytes is reset, and the caller does not
-// see the answer: it would take an honest refusal for a broken connection.
 void
 HttpServer::RefuseAsBusy(int aSocket) const
 {
   send(aSocket, busyAnswer_.data(), busyAnswer_.size(), MSG_NOSIGNAL);
-  shutdown(aSocket, SHUT_WR);
   if (BoundedTaskQueue::IsOverflowShort()) {
-    DiscardInput(aSocket);
+    DiscardInput(aSocket, kRefusalWait, limits_.maxBodyBytes_);
   }
 }
 
@@ -175,10 +193,15 @@
       idleSockets_.erase(aSocket);
     }
     stream.SetReadDeadline(std::chrono::steady_clock::now() + limits_.request_);
+    closeAfterAnswer = false;
     if (!readable ||
         !process_request(stream, stopping_, closed, KeepAnswersAsTheyAre)) {
       return;
     }
+    if (closeAfterAnswer) {
+      DiscardInput(aSocket, kDiscardTime, limits_.maxBodyBytes_);
+      return;
+    }
     // The library answers 400 to a request that did not arrive in time and
     // would read its rest as the next request.
     if (stream.HasTimedOut()) {
--- a/src/verbenawell/adapters/HttpServer.h
+++ b/src/verbenawell/adapters/HttpServer.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <latch>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -49,6 +50,10 @@
   /// `Accept-Encoding` of the request that the calling handler serves.
   static const std::string& CurrentAcceptEncoding();
 
+  /// Closes the connection that the calling handler serves once the answer is
+  /// written: the request's body has not been read.
+  static void CloseAfterAnswer();
+
   /// Answer for a connection beyond the limit, and what to do with each.
   void SetBusyAnswer(std::string aAnswer, std::function<void()> aOnBusy);
 
@@ -62,6 +67,7 @@
   std::function<void()> onBusy_ = [] {};
   int listener_ = -1;
   std::thread thread_;
+  std::latch accepting_{ 1 };
   std::atomic<bool> stopping_ = false;
   std::mutex mutex_;
   std::unordered_set<int> idleSockets_;
--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/membership/MembershipReducer.h"
 
+#include "verbenawell/core/Overloaded.h"
 #include "verbenawell/fleet/FleetState.h"
 #include "verbenawell/log/LogState.h"
 #include "verbenawell/log/Streams.h"
@@ -11,6 +12,7 @@
 #include "verbenawell/membership/Pings.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -92,14 +94,16 @@
     if (aEvent.from_ == context_.self_) {
       return;
     }
-    if (const auto* ping = std::get_if<Ping>(&aEvent.message_)) {
-      AnswerPing(aEvent.from_, *ping);
-    } else if (const auto* ack = std::get_if<Ack>(&aEvent.message_)) {
-      TakeAck(aEvent.from_, *ack);
-    } else if (const auto* request =
-                 std::get_if<PingRequest>(&aEvent.message_)) {
-      RelayPing(membership_, aEvent.from_, *request, context_, effects_);
-    }
+    std::visit(Overloaded{
+                 [&](const Ping& aPing) { AnswerPing(aEvent.from_, aPing); },
+                 [&](const Ack& aAck) { TakeAck(aEvent.from_, aAck); },
+                 [&](const PingRequest& aRequest) {
+                   RelayPing(
+                     membership_, aEvent.from_, aRequest, context_, effects_);
+                 },
+                 [](const auto&) {},
+               },
+               aEvent.message_);
   }
 
   void operator()(const auto&) {}
@@ -133,13 +137,16 @@
   /// Makes the change of this daemon's own entry known.
   void PublishSelf()
   {
+    membership_.selfChangedTick_ = membership_.ticks_;
     membership_.members_[context_.self_].latest_ = membership_.self_;
   }
 
   void ShowFleetOffset()
   {
-    membership_.self_.fleetOffset_ = views_.fleet_.through_;
-    PublishSelf();
+    if (membership_.self_.fleetOffset_ != views_.fleet_.through_) {
+      membership_.self_.fleetOffset_ = views_.fleet_.through_;
+      PublishSelf();
+    }
   }
 
   /// Starts a new run, which holds nothing of the earlier one.
@@ -189,8 +196,10 @@
 
   void AnswerPing(const DaemonId& aFrom, const Ping& aPing)
   {
-    const bool isNew = !membership_.members_.contains(aFrom);
+    const std::optional<MemberRun> known = RunOf(aFrom);
     Merge(aPing.updates_);
+    // A replaced daemon knows as little as one that joins.
+    const bool isNew = !known || known != RunOf(aFrom);
     effects_.emplace_back(SendPeer{
       aFrom,
       Ack{ aPing.sequence_,
@@ -198,6 +207,14 @@
            {} } });
   }
 
+  [[nodiscard]] std::optional<MemberRun> RunOf(const DaemonId& aMember) const
+  {
+    const auto found = membership_.members_.find(aMember);
+    return found == membership_.members_.end()
+             ? std::nullopt
+             : std::optional{ found->second.latest_.run_ };
+  }
+
   void TakeAck(const DaemonId& aFrom, const Ack& aAck)
   {
     Merge(aAck.updates_);
@@ -299,8 +316,7 @@
     const auto fleet = views_.log_.streams_.find(FleetStream());
     const bool caughtUp =
       fleet != views_.log_.streams_.end() && fleet->second.caughtUp_;
-    return caughtUp ||
-           (!LogAnswers(views_.log_) && views_.fleet_.through_ > Offset{});
+    return caughtUp || (!LogAnswers(views_.log_) && views_.fleet_.loaded_);
   }
 
   void SetReadiness()
--- a/src/verbenawell/metrics/Counter.h
+++ b/src/verbenawell/metrics/Counter.h
@@ -31,6 +31,14 @@
   LogAppendsGivenUp,
   LogGaps,
   VmListsFailed,
+  /// Lists that lack more VMs than can have left.
+  VmListsImplausible,
+  UsageReportsRead,
+  /// Asked for and not in the answer.
+  UsageReportsMissing,
+  /// Older than a figure is used.
+  UsageReportsOld,
+  UsageReadsFailed,
   WorkersEjected,
   WorkersProbed,
   WorkersRecovered,
@@ -48,6 +56,8 @@
   PeerMessagesDropped,
   CallersRefusedBusy,
   CallerFramesInvalid,
+  /// Large answers for which no buffer became free in time.
+  AnswersWithoutRoom,
   /// Bytes exchanged with peers, the log and the VM list. Without requests
   /// all of it is control.
   ControlBytes,
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -1,5 +1,6 @@
 #include "Platform.h"
 
+#include "verbenawell/codec/UsageCodec.h"
 #include "verbenawell/codec/VmListCodec.h"
 
 #include <utility>
@@ -8,6 +9,17 @@
 
 using verbenawell::VmListing;
 
+namespace {
+
+verbenawell::WallTime
+WallNow()
+{
+  return std::chrono::time_point_cast<verbenawell::WallTime::duration>(
+    std::chrono::system_clock::now());
+}
+
+} // namespace
+
 Platform::Platform(const std::vector<VmListing>& aVms,
                    std::chrono::milliseconds aRebootTime,
                    const WorkerOptions& aWorkers)
@@ -49,6 +61,20 @@
   return verbenawell::EncodeVmList(list);
 }
 
+std::string
+Platform::UsageAsJson(const std::vector<verbenawell::VmId>& aVms)
+{
+  const std::lock_guard lock{ mutex_ };
+  std::vector<verbenawell::UsageReport> reports;
+  for (const verbenawell::VmId& id : aVms) {
+    const auto vm = vms_.find(id.Value());
+    if (vm != vms_.end() && !vm->second.usage_.vm_.IsEmpty()) {
+      reports.push_back(vm->second.usage_);
+    }
+  }
+  return verbenawell::EncodeUsage(WallNow(), reports);
+}
+
 bool
 Platform::Reboot(const std::string& aVm, std::uint64_t aBoots)
 {
@@ -58,7 +84,8 @@
     return false;
   }
   Vm& vm = found->second;
-  if (vm.rebooting_ || vm.listing_.facts_.boots_.Value() != aBoots) {
+  if (vm.rebooting_ || vm.broken_ ||
+      vm.listing_.facts_.boots_.Value() != aBoots) {
     return true;
   }
   vm.worker_->Stop();
@@ -70,7 +97,7 @@
 }
 
 bool
-Platform::Fail(const std::string& aVm)
+Platform::Fail(const std::string& aVm, bool aBroken)
 {
   const std::lock_guard lock{ mutex_ };
   const auto found = vms_.find(aVm);
@@ -80,6 +107,7 @@
   found->second.worker_->Stop();
   found->second.listing_.live_ = false;
   found->second.rebooting_ = false;
+  found->second.broken_ = aBroken;
   return true;
 }
 
@@ -131,14 +159,32 @@
         Boot(vm);
       }
     }
+    MeasureUsage();
     changed_.wait_for(lock, kInterval);
   }
 }
 
+void
+Platform::MeasureUsage()
+{
+  constexpr std::chrono::seconds kMeasureInterval{ 1 };
+  const auto now = std::chrono::steady_clock::now();
+  if (now - measuredAt_ < kMeasureInterval) {
+    return;
+  }
+  measuredAt_ = now;
+  for (auto& [name, vm] : vms_) {
+    if (vm.listing_.live_) {
+      vm.usage_ = vm.worker_->TakeUsage(WallNow());
+    }
+  }
+}
+
 void
 Platform::Boot(Vm& aVm)
 {
   aVm.rebooting_ = false;
+  aVm.broken_ = false;
   aVm.listing_.live_ = true;
   ++aVm.listing_.facts_.boots_;
   aVm.worker_->Boot();
--- a/standins/Platform.h
+++ b/standins/Platform.h
@@ -37,6 +37,9 @@
   ~Platform();
 
   [[nodiscard]] std::string ListAsJson();
+  /// The last usage reports of the named VMs, which lag by up to a second.
+  [[nodiscard]] std::string UsageAsJson(
+    const std::vector<verbenawell::VmId>& aVms);
   [[nodiscard]] std::string LedgerAsJson() { return ledger_.ToJson(); }
 
   [[nodiscard]] std::string LedgerTotals() { return ledger_.Totals(); }
@@ -44,8 +47,9 @@
   /// Reboots a VM that still runs the named boot.
   bool Reboot(const std::string& aVm, std::uint64_t aBoots);
 
-  /// The VM fails and stays down until `Repair`.
-  bool Fail(const std::string& aVm);
+  /// The VM fails and stays down until `Repair`, or until a reboot is ordered
+  /// unless it is broken.
+  bool Fail(const std::string& aVm, bool aBroken);
   bool Repair(const std::string& aVm);
   bool SetLeaving(const std::string& aVm, bool aLeaving);
   bool SetMode(const std::string& aVm, WorkerMode aMode);
@@ -55,12 +59,15 @@
   {
     verbenawell::VmListing listing_;
     std::unique_ptr<Worker> worker_;
+    verbenawell::UsageReport usage_;
     std::chrono::steady_clock::time_point bootsAt_;
     bool rebooting_ = false;
+    bool broken_ = false;
   };
 
   void BootDueVms();
   void Boot(Vm& aVm);
+  void MeasureUsage();
 
   std::chrono::milliseconds rebootTime_;
   RunLedger ledger_;
@@ -68,6 +75,7 @@
   std::condition_variable changed_;
   std::map<std::string, Vm> vms_;
   bool stopping_ = false;
+  std::chrono::steady_clock::time_point measuredAt_;
   std::thread booter_;
 };
 
--- a/standins/Worker.h
+++ b/standins/Worker.h
@@ -4,6 +4,7 @@
 #include "verbenawell/fleet/FleetEvents.h"
 
 #include "RunLedger.h"
+#include "UsageMeter.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -24,9 +25,10 @@
 };
 
 /// A backend server on one VM. Each request runs for the time in its header
-/// `Standin-Run-Ms`, and is answered in chunks where `Standin-Chunked` is
-/// "true"; with `Standin-Encoding` the answer is the body in that encoding.
-/// Stopping the worker cuts what runs.
+/// `Standin-Run-Ms`, uses what its headers `Standin-Milli-Cores` and
+/// `Standin-Memory-Mb` say, else what it declares, and is answered in chunks
+/// where `Standin-Chunked` is "true"; with `Standin-Encoding` the answer is the
+/// body in that encoding. Stopping the worker cuts what runs.
 class Worker
 {
 public:
@@ -36,6 +38,11 @@
   void Boot();
   void Stop();
   void SetMode(WorkerMode aMode) { mode_ = aMode; }
+  /// What has been used since the last call.
+  verbenawell::UsageReport TakeUsage(verbenawell::WallTime aNow)
+  {
+    return usage_.Take(listing_.facts_.vm_, aNow);
+  }
 
 private:
   void Handle(const httplib::Request& aRequest, httplib::Response& aResponse);
@@ -43,6 +50,7 @@
 
   verbenawell::VmListing listing_;
   RunLedger& ledger_;
+  UsageMeter usage_;
   std::atomic<WorkerMode> mode_ = WorkerMode::Serving;
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -1,5 +1,6 @@
 #include "Cluster.h"
 
+#include "verbenawell/codec/OperatorCodec.h"
 #include "verbenawell/core/Overloaded.h"
 
 #include "ClusterAddresses.h"
@@ -210,8 +211,7 @@
 std::size_t
 Cluster::RunsOf(const std::string& aId) const
 {
-  const json ledger =
-    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
+  const json ledger = json::parse(GetFromPlatform("/ledger"));
   return ledger.at("runs").value(aId, std::size_t{ 0 });
 }
 
@@ -229,8 +229,7 @@
 std::size_t
 Cluster::Running() const
 {
-  const json ledger =
-    json::parse(Get(PlatformHost(), range_.At(kVmListPort), "/ledger"));
+  const json ledger = json::parse(GetFromPlatform("/ledger"));
   std::size_t running = 0;
   for (const auto& [vm, load] : ledger.at("vms").items()) {
     running += load.at("running").get<std::size_t>();
@@ -238,6 +237,18 @@
   return running;
 }
 
+std::string
+Cluster::GetFromLog(const std::string& aPath) const
+{
+  return Get(PlatformHost(), range_.At(kLogPort), aPath);
+}
+
+std::string
+Cluster::GetFromPlatform(const std::string& aPath) const
+{
+  return Get(PlatformHost(), range_.At(kVmListPort), aPath);
+}
+
 std::string
 Cluster::PlatformHost() const
 {
@@ -296,12 +307,16 @@
 }
 
 httplib::Result
-Cluster::GiveCommand(std::size_t aIndex, const std::string& aText) const
+Cluster::GiveCommand(std::size_t aIndex,
+                     const std::string& aText,
+                     const std::string& aConfirmation) const
 {
   httplib::Client client{ kHost, ports_.at(aIndex).operators_ };
   client.set_read_timeout(std::chrono::seconds(20));
   const httplib::Headers headers{ { "Authorization", "Bearer operators-token" },
-                                  { "Verbenawell-Operator", "test" } };
+                                  { "Verbenawell-Operator", "test" },
+                                  { "Verbenawell-Confirmation",
+                                    aConfirmation } };
   return client.Post("/command", headers, aText, "text/plain");
 }
 
@@ -309,16 +324,21 @@
 Cluster::Command(const std::string& aText) const
 {
   // A VM is in the fleet some time after it is in the list.
-  std::string answer;
+  std::string confirmation;
+  std::string given;
   const bool done = WaitFor([&] {
-    const auto result = GiveCommand(0, aText);
-    answer = result ? result->body : httplib::to_string(result.error());
-    return result && result->status == 200 &&
-           result->body.find("in effect") != std::string::npos;
+    const auto result = GiveCommand(0, aText, confirmation);
+    given = result ? result->body : httplib::to_string(result.error());
+    if (!result || result->status != 200) {
+      return false;
+    }
+    const OperatorAnswer answer = DecodeOperatorAnswer(result->body);
+    confirmation = answer.confirmation_;
+    return answer.status_ == CommandStatus::Done;
   });
   if (!done) {
     throw std::runtime_error("command \"" + aText +
-                             "\" has no effect: " + answer);
+                             "\" has no effect: " + given);
   }
 }
 
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -52,7 +52,8 @@
 {
   std::size_t workers_ = 3;
   std::size_t slots_ = 2;
-  /// Of the service. A budget below what the loss of a zone leaves asks for a
+  /// Availability budget of the service "s".
+  /// A budget below what the loss of a zone leaves asks for a
   /// confirmation, which the fixture does not give.
   std::size_t budget_ = 1;
   std::chrono::milliseconds reboot_{ 500 };
@@ -118,6 +119,11 @@
   /// Requests that run on workers now.
   [[nodiscard]] std::size_t Running() const;
 
+  /// Body of what the log service, or the platform, answers without a proxy;
+  /// empty where it does not answer.
+  [[nodiscard]] std::string GetFromLog(const std::string& aPath) const;
+  [[nodiscard]] std::string GetFromPlatform(const std::string& aPath) const;
+
   [[nodiscard]] WorkerLoad LoadOf(const std::string& aVm) const;
 
   /// Names each daemon whose counters do not add up: received = answered +
@@ -144,9 +150,12 @@
   void PostToPlatform(const std::string& aPath) const;
 
   /// Gives an operator's command through a daemon; the whole answer.
-  [[nodiscard]] httplib::Result GiveCommand(std::size_t aIndex,
-                                            const std::string& aText) const;
-  /// Repeats a command until it is in effect.
+  [[nodiscard]] httplib::Result GiveCommand(
+    std::size_t aIndex,
+    const std::string& aText,
+    const std::string& aConfirmation = "") const;
+  /// Repeats a command until it is in effect, with its confirmation where one
+  /// is asked for.
   void Command(const std::string& aText) const;
 
   /// Breaks, or mends, all paths between one daemon and the others.
--- a/tests/unit/SnapshotTest.cpp
+++ b/tests/unit/SnapshotTest.cpp
@@ -69,6 +69,25 @@
   EXPECT_EQ(decoded.pools_.at(spare).vms_, fleet.pools_.at(spare).vms_);
 }
 
+// Guards against a daemon that loads a snapshot and no longer knows that a VM
+// was on its way to another pool, or when a wave rebooted it.
+TEST(SnapshotCodecTest, KeepsMovesInProgressAndMaintenanceTimes)
+{
+  FleetState fleet = MakeFleet(2);
+  const VmId vm{ "vm2" };
+  Apply(
+    fleet, Offset{ 4 }, MakeRecord(4, DefinePool{ PoolId{ "web" }, false }));
+  ASSERT_EQ(
+    Apply(fleet, Offset{ 5 }, MakeRecord(5, StartMove{ vm, PoolId{ "web" } }))
+      .refusal_,
+    "");
+  const WallTime maintained{ std::chrono::hours(1) };
+  fleet.vms_.at(vm).maintainedAt_ = maintained;
+  const FleetState decoded = DecodeFleet(EncodeFleet(fleet));
+  EXPECT_EQ(decoded.vms_.at(vm).movingTo_, PoolId{ "web" });
+  EXPECT_EQ(decoded.vms_.at(vm).maintainedAt_, maintained);
+}
+
 // Guards against a snapshot whose missing pool ends the daemon that loads it.
 TEST(SnapshotCodecTest, RefusesASnapshotThatRefersToAMissingPool)
 {
@@ -307,6 +326,25 @@
   EXPECT_EQ(EncodeFleet(fresh.state_.fleet_), EncodeFleet(old.state_.fleet_));
 }
 
+// Guards against a daemon that serves the part of the configuration that it
+// had read when the log went down.
+TEST(SnapshotTest, ADaemonWithAPartOfTheStateIsNotReady)
+{
+  Node node{ "d1" };
+  FillLog(node, 2000);
+  const FleetState part = MakeFleet(10);
+  node.logDown_ = true;
+  node.Run(Started{});
+  node.Run(FleetReplaced{ SnapshotSource::Log,
+                          std::make_shared<const FleetState>(part) });
+  EXPECT_EQ(node.state_.fleet_.through_, Offset{ 11 });
+  for (int tick = 0; tick < 20; ++tick) {
+    node.Wait(std::chrono::milliseconds(250), MembershipTick{});
+  }
+  EXPECT_TRUE(node.state_.membership_.settled_);
+  EXPECT_FALSE(node.state_.membership_.ready_);
+}
+
 // Guards against a configuration that waits for each daemon's own poll, and
 // against one that is passed on for ever.
 TEST(SpreadTest, PassesANewRecordOnOnce)
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -106,5 +106,40 @@
     RequestKey{ 1 }, attempt, WholeAnswer{ 200, ByteCount{} }, {} })));
 }
 
+// Guards against a planned stop that cuts requests: an owner that still waited
+// for the reports of running attempts took a VM for idle.
+TEST_F(WaveDrainTest, WaitsForTheReportsOfRunningAttempts)
+{
+  ASSERT_NE(Start(), AttemptId{});
+  EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  // A term above the own one makes the owner claim the pool anew. The report
+  // of the daemon itself does not suffice while another member is awaited.
+  MemberUpdate other;
+  other.daemon_ = DaemonId{ "e" };
+  state_.membership_.members_[other.daemon_] = { other, now_, now_ };
+  Do(PeerMessageReceived{ other.daemon_,
+                          OwnerReport{ kBatch, Term{ 1'000'000 }, {} } });
+  ASSERT_FALSE(state_.requests_.owner_.pools_.contains(kBatch));
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+}
+
+// Guards against moves that nobody finishes: the pool had no owner when the
+// move became known, and the next owner did not ask whether the VM was idle
+// (fuzz_reducers seed 1 with two killed daemons and the log down).
+TEST_F(WaveDrainTest, FinishesAMoveThatBeganWithoutAnOwner)
+{
+  state_.membership_.hasMajority_ = false;
+  Read(StartMove{ kVm, kWeb });
+  state_.membership_.hasMajority_ = true;
+  Do(TimerDue{ TakeoverTick{} });
+  const Effects effects = Do(TimerDue{ WaveTick{} });
+  EXPECT_TRUE(std::ranges::any_of(effects, [](const Effect& aEffect) {
+    const auto* append = std::get_if<AppendLog>(&aEffect);
+    const auto* record =
+      append == nullptr ? nullptr : std::get_if<FleetRecord>(&append->body_);
+    return record != nullptr && std::holds_alternative<MoveVm>(record->change_);
+  }));
+}
+
 } // namespace
 } // namespace verbenawell
