Read the VM list once at a time

The list is polled every 500 ms by a pool of two threads, which the orders to reboot share. A list that takes longer than a second to read made polls queue up without bound, so that a reboot was ordered later and later, up to the reboot limit, after which a VM that was never stopped counts as failed. Two reads at once could also deliver the older list after the newer one. A poll is now skipped while a read is on its way.

--- a/src/verbenawell/adapters/PlatformClient.cpp
+++ b/src/verbenawell/adapters/PlatformClient.cpp
@@ -55,10 +55,17 @@
   threads_.join();
 }
 
+// One read at a time: polls of a slow list would queue up in front of the
+// orders to reboot, and an older list could be delivered after a newer one.
 void
 PlatformClient::Run(const ReadVmList&)
 {
-  asio::post(threads_, [this] { ReadList(); });
+  if (!reading_.exchange(true)) {
+    asio::post(threads_, [this] {
+      ReadList();
+      reading_ = false;
+    });
+  }
 }
 
 void
--- a/src/verbenawell/adapters/PlatformClient.h
+++ b/src/verbenawell/adapters/PlatformClient.h
@@ -5,6 +5,7 @@
 #include "verbenawell/core/Endpoint.h"
 #include "verbenawell/metrics/Metrics.h"
 
+#include <atomic>
 #include <cstddef>
 #include <mutex>
 #include <string>
@@ -39,6 +40,7 @@
   std::string entityTag_;
   std::vector<VmListing> latest_;
   std::size_t unchangedReads_ = 0;
+  std::atomic<bool> reading_ = false;
   asio::thread_pool threads_;
 };
 
--- /dev/null
+++ b/tests/unit/PlatformClientTest.cpp
@@ -0,0 +1,56 @@
+#include "verbenawell/adapters/PlatformClient.h"
+
+#include "verbenawell/adapters/HttpServer.h"
+#include "verbenawell/metrics/Metrics.h"
+
+#include "PortRange.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <variant>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell {
+namespace {
+
+// Guards against reads of a slow list that queue up in front of the orders to
+// reboot, later and later the longer the list is slow; and against an older
+// list that is delivered after a newer one.
+TEST(PlatformClientTest, ARebootDoesNotWaitForASlowList)
+{
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool ordered = false;
+  int reads = 0;
+  HttpServer server{ {} };
+  server.Get("/vms", [&](const httplib::Request&, httplib::Response&) {
+    std::unique_lock lock{ mutex };
+    ++reads;
+    changed.wait_for(lock, std::chrono::seconds(1), [&] { return ordered; });
+  });
+  server.Post("/reboot", [&](const httplib::Request&, httplib::Response&) {
+    const std::lock_guard lock{ mutex };
+    ordered = true;
+    changed.notify_all();
+  });
+  const standins::PortRange ports;
+  const Endpoint address{ "127.0.0.1", ports.At(0) };
+  server.Start(address);
+  {
+    Metrics metrics;
+    PlatformClient client{ address, metrics, [](const Event&) {} };
+    for (int poll = 0; poll < 6; ++poll) {
+      client.Run(ReadVmList{});
+    }
+    client.Run(RebootVm{ VmId{ "w0" }, BootCount{} });
+    std::unique_lock lock{ mutex };
+    EXPECT_TRUE(changed.wait_for(
+      lock, std::chrono::seconds(20), [&] { return ordered; }));
+    EXPECT_EQ(reads, 1);
+  }
+  server.Stop();
+}
+
+} // namespace
+} // namespace verbenawell
