--- a/tests/integration/LogFaultsTest.cpp
+++ b/tests/integration/LogFaultsTest.cpp
@@ -1,6 +1,7 @@
 #include "Cluster.h"
 #include "FleetView.h"
 
+#include <csignal>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -94,10 +95,11 @@
 }
 
 // Guards against time-outs that take a slow log for one that is down, and
-// against a command that is not in effect everywhere in time.
+// against a command that is not in effect everywhere in time, also where a
+// daemon starts empty.
 TEST(LogFaults, ASlowLogStopsNothing)
 {
-  const Cluster cluster;
+  Cluster cluster;
   cluster.PostToLog("/faults?delayMs=300");
   for (std::size_t index = 0; index < kDaemons; ++index) {
     EXPECT_TRUE(cluster.IsAnswered(index));
@@ -117,6 +119,14 @@
   }
   EXPECT_TRUE(cluster.AreReady());
   EXPECT_EQ(CounterOfAll(cluster, "log_appends_given_up_total"), 0U);
+  cluster.End(1, SIGKILL);
+  EXPECT_EQ(Tell(cluster, 0, "set reboot-limit to 800").status_,
+            CommandStatus::Done);
+  cluster.StartDaemon(1);
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_TRUE(WaitFor([&] { return RebootLimitAt(cluster, index) == "800"; },
+                        kEverywhere));
+  }
 }
 
 // Guards against an append that is repeated because its answer was lost: the
