Test a silent log and two waves over one pool

A log that takes connections and answers nothing must be taken for down. Two operators who start waves over one pool at once share one budget, and both waves end.

--- a/tests/integration/LogFaultsTest.cpp
+++ b/tests/integration/LogFaultsTest.cpp
@@ -178,4 +178,35 @@
   EXPECT_EQ(MostCopies(FleetRecords(cluster)), 1U);
 }
 
+// Guards against a daemon that hangs with a log that takes connections and
+// answers nothing, and against work that waits for it once it answers again.
+TEST(LogFaults, ALogThatAnswersNothingIsTakenForDown)
+{
+  ClusterOptions options;
+  options.proxiedPlatform_ = true;
+  const Cluster cluster{ options };
+  cluster.SetRule(ToLog{}, "fault=silence");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    const std::string id = "silent-" + std::to_string(index);
+    EXPECT_EQ(AskOnce(cluster, index, id), "log-down, runs 0");
+    EXPECT_TRUE(cluster.IsAnswered(index)) << "daemon " << index;
+    EXPECT_TRUE(WaitFor([&] {
+      return Tell(cluster, index, "set reboot-limit to 777").status_ ==
+             CommandStatus::Refused;
+    }));
+  }
+  EXPECT_TRUE(cluster.AreReady());
+  cluster.SetRule(ToLog{}, "fault=pass");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    const std::string name = "silent-" + std::to_string(index);
+    EXPECT_TRUE(IsBookedAgain(cluster, index, name));
+  }
+  cluster.Command("set reboot-limit to 700");
+  for (std::size_t index = 0; index < kDaemons; ++index) {
+    EXPECT_TRUE(WaitFor([&] { return RebootLimitAt(cluster, index) == "700"; },
+                        kEverywhere));
+  }
+  EXPECT_EQ(MostCopies(FleetRecords(cluster)), 1U);
+}
+
 } // namespace verbenawell::tests
--- a/tests/integration/WavesTest.cpp
+++ b/tests/integration/WavesTest.cpp
@@ -20,9 +20,12 @@
 constexpr const char* kPool = "p";
 
 std::string
-WaveAt(const Cluster& aCluster, std::size_t aIndex, const std::string& aColumn)
+WaveAt(const Cluster& aCluster,
+       std::size_t aIndex,
+       const std::string& aColumn,
+       const std::string& aWave = "w")
 {
-  return ShownAt(aCluster, aIndex, "show waves", "w", aColumn);
+  return ShownAt(aCluster, aIndex, "show waves", aWave, aColumn);
 }
 
 /// A pool of VMs in zones of their own, and one spare VM; a reboot takes
@@ -174,6 +177,32 @@
   watch.ExpectHeld();
 }
 
+// Guards against two operators whose waves both spend the same VM of a budget,
+// and against waves that wait for each other.
+TEST(Waves, OfTwoOperatorsShareOneBudget)
+{
+  const Cluster cluster{ PoolOf(4, 2) };
+  BudgetWatch watch{ cluster, 2 };
+  const auto start = [&](std::size_t aIndex, const std::string& aWave) {
+    return std::async(std::launch::async, [&, aIndex, aWave] {
+      return Tell(cluster, aIndex, "start wave " + aWave + " over p").status_;
+    });
+  };
+  auto first = start(0, "w");
+  auto second = start(1, "w2");
+  EXPECT_EQ(first.get(), CommandStatus::Done);
+  EXPECT_EQ(second.get(), CommandStatus::Done);
+  ASSERT_TRUE(WaitForWave(cluster, watch, 2, "state", "ended"));
+  ASSERT_TRUE(WaitFor([&] {
+    watch.Look(2);
+    return WaveAt(cluster, 2, "state", "w2") == "ended";
+  }));
+  EXPECT_EQ(WaveAt(cluster, 2, "finished"), "4");
+  EXPECT_EQ(WaveAt(cluster, 2, "finished", "w2"), "4");
+  EXPECT_EQ(BootsOf(cluster), (std::vector<std::uint64_t>{ 2, 2, 2, 2, 0 }));
+  watch.ExpectHeld();
+}
+
 // Guards against a wave that stops VMs without a record while the log is down,
 // that never goes on after it, or that reboots a VM again.
 TEST(Waves, WaitForALogThatIsDownForLong)
