--- a/tests/integration/ReplacementTest.cpp
+++ b/tests/integration/ReplacementTest.cpp
@@ -104,6 +104,35 @@
   }
 }
 
+// Guards against a stale reader of the log: one that was paused while the
+// records that it lacks have expired goes on with an old configuration.
+TEST(Replacement, OfRecordsThatExpiredInAPauseComesFromAPeer)
+{
+  const Cluster cluster;
+  for (std::size_t paused = 0; paused < kDaemons; ++paused) {
+    const std::size_t other = (paused + 1) % kDaemons;
+    cluster.Signal(paused, SIGSTOP);
+    std::string value;
+    for (std::size_t change = 0; change < 5; ++change) {
+      value = std::to_string(700 + 10 * paused + change);
+      EXPECT_TRUE(WaitFor([&] {
+        return Tell(cluster, other, "set reboot-limit to " + value).status_ ==
+               CommandStatus::Done;
+      }));
+    }
+    cluster.PostToLog("/expire?keep=1");
+    cluster.Signal(paused, SIGCONT);
+    EXPECT_TRUE(WaitFor(
+      [&] {
+        return ShownAt(
+                 cluster, paused, "show settings", "reboot-limit", "value") ==
+               value;
+      },
+      std::chrono::seconds(4)));
+  }
+  ExpectConfiguration(cluster, ConfigurationAt(cluster, 0));
+}
+
 // Guards against configuration that ends with the retention of its records.
 // Daemons write the first snapshot 30 s after their start.
 TEST(Replacement, OfAllAfterRecordsHaveExpiredLoadsASnapshot)
