Let the pause in the test of a stale reader outlast its connections

Records that were pushed to the paused daemon waited in its sockets, so that it met no gap: the test passed with all requests to peers taken out.

--- a/tests/integration/ReplacementTest.cpp
+++ b/tests/integration/ReplacementTest.cpp
@@ -112,6 +112,14 @@
   for (std::size_t paused = 0; paused < kDaemons; ++paused) {
     const std::size_t other = (paused + 1) % kDaemons;
     cluster.Signal(paused, SIGSTOP);
+    // From then on nothing waits for it on its connections.
+    ASSERT_TRUE(WaitFor([&] {
+      return ShownAt(cluster,
+                     other,
+                     "show status",
+                     "d" + std::to_string(paused),
+                     "status") == "dead";
+    }));
     std::string value;
     for (std::size_t change = 0; change < 5; ++change) {
       value = std::to_string(700 + 10 * paused + change);
