Give no side of an even split the majority once a daemon has left

Cause: of two members that are left of three, the one with the lowest id keeps the majority when they lose each other.

Change: the lowest id decides an even split only where as many members are known as the settings name. Dead members still count, so that a death alone changes nothing.

Conclusion: a leave followed by a split stops half of the daemons until one comes back, in place of two owners.

--- a/src/verbenawell/membership/Majority.cpp
+++ b/src/verbenawell/membership/Majority.cpp
@@ -62,11 +62,13 @@
     ++known;
     heard += isHeard ? 1 : 0;
   }
+  const std::size_t configured = CountSeedsAndSelf(aMembership);
   const std::size_t expected =
-    aMembership.joined_ ? known
-                        : std::max(known, CountSeedsAndSelf(aMembership));
+    aMembership.joined_ ? known : std::max(known, configured);
+  // Where daemons have left, one that comes back on the other side of a split
+  // makes a majority there.
   if (2 * heard == expected) {
-    return known == expected && hearsLowest;
+    return known == expected && known >= configured && hearsLowest;
   }
   return 2 * heard > expected &&
          !(aMembership.targets_.size() < known / 2 &&
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -53,6 +53,13 @@
     Apply(id, Started{});
   }
 
+  /// Asks a daemon to stop; it tells the others that it leaves.
+  void Stop(std::size_t aIndex)
+  {
+    Apply(Name(aIndex), StopRequested{});
+    Pause(aIndex, true);
+  }
+
   void Pause(std::size_t aIndex, bool aPaused)
   {
     if (aPaused) {
@@ -245,6 +252,26 @@
   EXPECT_FALSE(OwnerOf(network.At(0).membership_, "pool/p").IsEmpty());
 }
 
+// Guards against two majorities: one daemon has left, the two others lose each
+// other, and the one that left comes back on the other side.
+TEST(Membership, NoSideOfASplitIsAMajorityOnceADaemonHasLeft)
+{
+  Network network{ 3 };
+  for (std::size_t index = 0; index < 3; ++index) {
+    network.At(index).membership_.seeds_ = { { "127.0.0.1", 1 },
+                                             { "127.0.0.1", 2 },
+                                             { "127.0.0.1", 3 } };
+  }
+  network.Run(5s);
+  network.Stop(2);
+  network.Run(2s);
+  EXPECT_FALSE(OwnerOf(network.At(0).membership_, "pool/p").IsEmpty());
+  network.Separate({ Network::Name(0) });
+  network.Run(5s);
+  EXPECT_TRUE(OwnerOf(network.At(0).membership_, "pool/p").IsEmpty());
+  EXPECT_TRUE(OwnerOf(network.At(1).membership_, "pool/p").IsEmpty());
+}
+
 // Guards against slots of a replaced daemon that nobody frees.
 TEST(Membership, AReplacedDaemonIsLostAndJoined)
 {
