Count only proven workers where another one may be ejected

Cause: a worker that is let back for a probe counted as one at work, so that the pool's last working worker could be ejected beside it. Since probes take idempotent work only, a pool of non-idempotent work then had none at all.

Change: workers on probation do not count.

Conclusion: ejection never takes the last worker that is known to work.

--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -7,6 +7,7 @@
 #include "verbenawell/requests/RequestsState.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -57,9 +58,13 @@
   ReportIfDrained(aScope, aPool, aVm);
 }
 
-/// Tells whether the pool's budgets hold with one worker less at work.
+/// Tells whether the pool's budgets hold without this worker. Others that are
+/// not known to work again do not count: they may be out the next moment.
 bool
-MayEject(const OwnerScope& aScope, const PoolId& aPool, const PoolQueue& aQueue)
+MayEject(const OwnerScope& aScope,
+         const PoolId& aPool,
+         const PoolQueue& aQueue,
+         const VmId& aVm)
 {
   const FleetState& fleet = aScope.views_.fleet_;
   const auto pool = fleet.pools_.find(aPool);
@@ -70,7 +75,14 @@
   for (const ServiceId& service : pool->second.services_) {
     least = std::max(least, fleet.services_.at(service).budget_);
   }
-  return aQueue.workers_.Serving() > least;
+  const auto unproven =
+    std::ranges::count_if(aQueue.unhealthy_, [&](const VmId& aOther) {
+      return aOther != aVm &&
+             aQueue.health_.at(aOther).Cap(SlotCount{ 1 }) > SlotCount{};
+    });
+  const auto serving =
+    static_cast<std::ptrdiff_t>(aQueue.workers_.Serving().Value());
+  return serving - unproven > static_cast<std::ptrdiff_t>(least.Value());
 }
 
 /// Empty where the outcome says nothing about the worker.
@@ -231,10 +243,11 @@
   }
   WorkerHealth& health = aQueue.health_[aVm];
   const bool wasHealthy = health.IsHealthy();
-  const HealthChange change = health.Record(*failed,
-                                            MayEject(aScope, aPool, aQueue),
-                                            vm->second.facts_.slots_,
-                                            aScope.context_.now_);
+  const HealthChange change =
+    health.Record(*failed,
+                  MayEject(aScope, aPool, aQueue, aVm),
+                  vm->second.facts_.slots_,
+                  aScope.context_.now_);
   if (!wasHealthy || !health.IsHealthy()) {
     ApplyHealth(aScope, aQueue, aVm, change);
   }
--- a/tests/unit/WorkerProbeTest.cpp
+++ b/tests/unit/WorkerProbeTest.cpp
@@ -130,6 +130,21 @@
   EXPECT_GT(CountRuns(vm, false), 0);
 }
 
+// Guards against a pool that loses its last worker because another one, that
+// was just let back for a probe, counts as one that works.
+TEST_F(WorkerProbeTest, KeepsTheLastProvenWorkerWhileAnotherIsOnProbation)
+{
+  const VmId probed = EjectOne();
+  now_ += 2s;
+  Send(TimerDue{ OwnerTick{} });
+  for (int i = 0; i < 20; ++i) {
+    const auto grant = Ask(false);
+    ASSERT_TRUE(grant);
+    EXPECT_NE(grant->vm_, probed);
+    Release(*grant, 500);
+  }
+}
+
 // Guards against a new owner that puts more on a worker than it has, because
 // the attempts of the owner before seem to need nothing.
 TEST_F(WorkerProbeTest, ReservesTheDeclaredSizeOfAdoptedAttempts)
