Stop no VM while a member taken for dead may still run requests there

Cause: an entry daemon that is paused or cut off is declared dead within 2 s, but its requests go on at the workers.

Change: a member's entry carries the time after which none of its callers' requests runs, from the latest deadline, with 5 s added so that a steady load changes it each few seconds only. VMs of pools with work are not idle before that time of a member that is taken for dead. Slots are freed as before: only planned stops and moves wait.

Ruled out: waiting for the longest deadline that is allowed (1 h), which needs no message but stalls waves after each death.

Conclusion: a planned stop waits for the deadlines of requests that nobody can ask about. A restart of the lost daemon under its own id still hides them.

--- a/src/verbenawell/codec/internal/Fields.h
+++ b/src/verbenawell/codec/internal/Fields.h
@@ -157,7 +157,8 @@
            aValue.region_,
            aValue.fleetOffset_,
            aValue.run_,
-           aValue.leaving_);
+           aValue.leaving_,
+           aValue.busyUntil_);
 }
 
 template<typename Archive, OneOf<Ping> T>
--- a/src/verbenawell/membership/MemberUpdates.cpp
+++ b/src/verbenawell/membership/MemberUpdates.cpp
@@ -79,8 +79,11 @@
     aMember.latest_.run_ == aUpdate.run_
       ? std::max(aMember.latest_.fleetOffset_, aUpdate.fleetOffset_)
       : aUpdate.fleetOffset_;
+  const WallTime busyUntil =
+    std::max(aMember.latest_.busyUntil_, aUpdate.busyUntil_);
   aMember.latest_ = aUpdate;
   aMember.latest_.fleetOffset_ = offset;
+  aMember.latest_.busyUntil_ = busyUntil;
   TellOthers(aMembership, aUpdate.daemon_);
 }
 
@@ -173,6 +176,8 @@
   } else if (aUpdate.incarnation_ == member.latest_.incarnation_) {
     member.latest_.fleetOffset_ =
       std::max(member.latest_.fleetOffset_, aUpdate.fleetOffset_);
+    member.latest_.busyUntil_ =
+      std::max(member.latest_.busyUntil_, aUpdate.busyUntil_);
   }
 }
 
--- a/src/verbenawell/membership/MembershipLimits.h
+++ b/src/verbenawell/membership/MembershipLimits.h
@@ -44,6 +44,10 @@
 /// although neither has changed. In every message they were 5.8 KB a second.
 inline constexpr std::size_t kFullPingTicks = 4;
 
+/// Added to the time until which a daemon says that its requests run: less
+/// often news under a steady load, and room for clocks that differ.
+inline constexpr Duration kBusyMargin = std::chrono::seconds(5);
+
 inline constexpr std::size_t kIndirectHelpers = 3;
 /// Changes of other members that one message carries.
 inline constexpr std::size_t kMaxNews = 10;
--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -10,6 +10,7 @@
 #include "verbenawell/membership/MembershipState.h"
 #include "verbenawell/membership/PingTargets.h"
 #include "verbenawell/membership/Pings.h"
+#include "verbenawell/requests/RequestsState.h"
 
 #include <algorithm>
 #include <optional>
@@ -79,6 +80,7 @@
     membership_.tickedAt_ = context_.now_;
     ++membership_.ticks_;
     ShowFleetOffset();
+    ShowBusyUntil();
     ViewChange change;
     ExpireMembers(membership_, context_, change);
     Adopt(change);
@@ -149,6 +151,25 @@
     }
   }
 
+  /// Others that do not hear this daemon any more must know how long it may
+  /// still run requests on workers.
+  void ShowBusyUntil()
+  {
+    const auto& deadlines = views_.requests_.entry_.deadlines_;
+    if (deadlines.empty()) {
+      return;
+    }
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      deadlines.rbegin()->first - context_.now_);
+    const WallTime until = context_.wallNow_ + left;
+    if (membership_.self_.busyUntil_ < until + std::chrono::seconds(1)) {
+      membership_.self_.busyUntil_ =
+        until +
+        std::chrono::duration_cast<std::chrono::milliseconds>(kBusyMargin);
+      PublishSelf();
+    }
+  }
+
   /// Starts a new run, which holds nothing of the earlier one.
   void Rejoin(const MemberUpdate& aKnown)
   {
--- a/src/verbenawell/membership/Messages.h
+++ b/src/verbenawell/membership/Messages.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Endpoint.h"
 #include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
 #include "verbenawell/core/Units.h"
 
 #include <cstdint>
@@ -31,6 +32,8 @@
   MemberRun run_;
   /// The daemon finishes its requests and owns nothing any more.
   bool leaving_ = false;
+  /// No request of its callers runs after this time. It never goes back.
+  WallTime busyUntil_;
 };
 
 /// Asks a member for an `Ack`; carries membership changes.
--- a/src/verbenawell/membership/Ownership.cpp
+++ b/src/verbenawell/membership/Ownership.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/membership/MembershipState.h"
 
+#include <algorithm>
 #include <cstdint>
 
 #include <xxhash.h>
@@ -71,6 +72,15 @@
   return aMembership.hasMajority_ && aMembership.settled_;
 }
 
+bool
+MayRunUnheard(const MembershipState& aMembership, WallTime aNow)
+{
+  return std::ranges::any_of(aMembership.members_, [&](const auto& aEntry) {
+    const MemberUpdate& latest = aEntry.second.latest_;
+    return latest.status_ == MemberStatus::Dead && latest.busyUntil_ > aNow;
+  });
+}
+
 DaemonId
 OwnerOfPool(const MembershipState& aMembership, const PoolId& aPool)
 {
--- a/src/verbenawell/membership/Ownership.h
+++ b/src/verbenawell/membership/Ownership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
 
 #include <string_view>
 #include <vector>
@@ -26,6 +27,11 @@
 bool
 MayOwnPools(const MembershipState& aMembership);
 
+/// Tells whether a member that is taken for dead may still run requests: one
+/// that is paused or cut off goes on with those that it has begun.
+bool
+MayRunUnheard(const MembershipState& aMembership, WallTime aNow);
+
 DaemonId
 OwnerOfPool(const MembershipState& aMembership, const PoolId& aPool);
 
--- a/src/verbenawell/requests/PoolWorkers.cpp
+++ b/src/verbenawell/requests/PoolWorkers.cpp
@@ -216,6 +216,14 @@
       !TakesNoWork(aScope, aPool, aVm)) {
     return;
   }
+  const auto fleetPool = aScope.views_.fleet_.pools_.find(aPool);
+  const bool mayHaveWork = fleetPool == aScope.views_.fleet_.pools_.end() ||
+                           !fleetPool->second.spare_ ||
+                           !fleetPool->second.services_.empty();
+  if (mayHaveWork &&
+      MayRunUnheard(aScope.views_.membership_, aScope.context_.wallNow_)) {
+    return;
+  }
   // What a member runs whose report is awaited is not known, also after the
   // queue has been opened without it.
   const auto& owned = aScope.views_.requests_.takeover_.owned_;
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -272,6 +272,29 @@
   EXPECT_TRUE(OwnerOf(network.At(1).membership_, "pool/p").IsEmpty());
 }
 
+// Guards against members that do not know how long a daemon that they lose may
+// still run requests, and against news of it with each request.
+TEST(Membership, OthersLearnHowLongTheRequestsOfADaemonMayRun)
+{
+  Network network{ 3 };
+  network.Run(5s);
+  network.At(1).requests_.entry_.deadlines_.emplace(TimePoint{ 60s },
+                                                    RequestKey{ 1 });
+  network.Run(1s);
+  const auto known = [&](std::size_t aAt) {
+    return network.At(aAt)
+      .membership_.members_.at(Network::Name(1))
+      .latest_.busyUntil_;
+  };
+  EXPECT_GE(known(0), WallTime{ 60s });
+  EXPECT_GE(known(2), WallTime{ 60s });
+  const WallTime before = known(0);
+  network.At(1).requests_.entry_.deadlines_.emplace(TimePoint{ 61s },
+                                                    RequestKey{ 2 });
+  network.Run(1s);
+  EXPECT_EQ(known(0), before);
+}
+
 // Guards against slots of a replaced daemon that nobody frees.
 TEST(Membership, AReplacedDaemonIsLostAndJoined)
 {
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -22,7 +22,7 @@
   Effects Do(const Event& aEvent)
   {
     now_ += std::chrono::milliseconds(1);
-    return Reduce(state_, aEvent, { now_, WallTime{}, DaemonId{ "d" } });
+    return Reduce(state_, aEvent, { now_, wallNow_, DaemonId{ "d" } });
   }
 
   Effects Read(FleetChange aChange)
@@ -108,6 +108,7 @@
 
   State state_;
   TimePoint now_{ std::chrono::seconds(1) };
+  WallTime wallNow_;
   Offset offset_;
 };
 
@@ -172,6 +173,23 @@
   EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
 }
 
+// Guards against a planned stop that cuts the requests of an entry daemon that
+// is paused or cut off, and so taken for dead, while its requests go on at the
+// workers (fuzz_reducers seed 1978).
+TEST_F(WaveDrainTest, WaitsForWhatAMemberThatIsTakenForDeadMayStillRun)
+{
+  const DaemonId other = AddMember();
+  MemberUpdate& latest = state_.membership_.members_[other].latest_;
+  latest.status_ = MemberStatus::Dead;
+  latest.busyUntil_ = wallNow_ + std::chrono::seconds(10);
+  Do(MembersChanged{ {}, { other } });
+  EXPECT_FALSE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  wallNow_ += std::chrono::seconds(9);
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+  wallNow_ += std::chrono::seconds(1);
+  EXPECT_TRUE(Reboots(Do(TimerDue{ WaveTick{} })));
+}
+
 // Guards against moves that nobody finishes: the pool had no owner when the
 // move became known, and the next owner did not ask whether the VM was idle
 // (fuzz_reducers seed 1 with two killed daemons and the log down).
