Keep a reboot's order until its stop has ended

Cause: once a VM was back, the driver of its wave forgot the order and sent the record that ends the stop.

Change: the order stays until the fold has ended the stop, and names the record that ends it; a record that is given up is sent again.

Ruled out: the precondition on boots at the platform. The VM's new boot is in the fold by then, so that the second order names it.

--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -199,25 +199,38 @@
   void OrderReboot(const VmState& aVm)
   {
     const VmId& id = aVm.facts_.vm_;
-    const auto [entry, isNew] = waves_.reboots_.try_emplace(
-      id,
-      OrderedReboot{
-        aVm.stop_, aVm.facts_.boots_, context_.now_, context_.now_ });
+    const auto [entry, isNew] =
+      waves_.reboots_.try_emplace(id,
+                                  OrderedReboot{ .wave_ = aVm.stop_,
+                                                 .boots_ = aVm.facts_.boots_,
+                                                 .orderedAt_ = context_.now_,
+                                                 .lastOrderAt_ = context_.now_,
+                                                 .ending_ = {} });
     if (isNew) {
       effects_.emplace_back(RebootVm{ id, aVm.facts_.boots_ });
     }
   }
 
-  void Verify(const VmListing& aListing, const OrderedReboot& aReboot)
+  [[nodiscard]] bool IsEnding(const OrderedReboot& aReboot) const
+  {
+    return waves_.pending_.contains(aReboot.ending_);
+  }
+
+  // The order is kept until the fold has ended the stop: a stop that is still
+  // reserved would be taken for one that needs a reboot.
+  void Verify(const VmListing& aListing, OrderedReboot& aReboot)
   {
     const VmFacts& facts = aListing.facts_;
-    if (!aListing.live_ || facts.boots_ <= aReboot.boots_) {
+    if (!aListing.live_ || facts.boots_ <= aReboot.boots_ ||
+        IsEnding(aReboot)) {
       return;
     }
-    const Duration took = context_.now_ - aReboot.orderedAt_;
-    waves_.rebootTime_ += (took - waves_.rebootTime_) / kRebootSmoothing;
-    Append(FinishStop{ aReboot.wave_, facts.vm_, facts.boots_ });
-    waves_.reboots_.erase(facts.vm_);
+    if (!std::exchange(aReboot.verified_, true)) {
+      const Duration took = context_.now_ - aReboot.orderedAt_;
+      waves_.rebootTime_ += (took - waves_.rebootTime_) / kRebootSmoothing;
+    }
+    aReboot.ending_ =
+      Append(FinishStop{ aReboot.wave_, facts.vm_, facts.boots_ });
   }
 
   void CheckReboots()
@@ -229,13 +242,16 @@
       const auto found = fleet_.vms_.find(vm);
       if (found == fleet_.vms_.end() || found->second.stop_ != reboot.wave_) {
         entry = waves_.reboots_.erase(entry);
-      } else if (context_.now_ - reboot.orderedAt_ >= limit) {
-        Append(FailStop{ reboot.wave_, vm });
-        entry = waves_.reboots_.erase(entry);
-      } else {
-        RepeatOrder(vm, reboot);
-        ++entry;
+        continue;
+      }
+      if (!reboot.verified_ && !IsEnding(reboot)) {
+        if (context_.now_ - reboot.orderedAt_ >= limit) {
+          reboot.ending_ = Append(FailStop{ reboot.wave_, vm });
+        } else {
+          RepeatOrder(vm, reboot);
+        }
       }
+      ++entry;
     }
   }
 
@@ -261,8 +277,8 @@
     }
   }
 
-  void Append(FleetChange aChange,
-              std::vector<Precondition> aPreconditions = {})
+  RecordId Append(FleetChange aChange,
+                  std::vector<Precondition> aPreconditions = {})
   {
     FleetRecord record;
     record.id_ =
@@ -277,6 +293,7 @@
     waves_.pending_.insert(id);
     effects_.emplace_back(
       Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
+    return id;
   }
 
   WavesState& waves_;
--- a/src/verbenawell/waves/WavesState.h
+++ b/src/verbenawell/waves/WavesState.h
@@ -10,7 +10,7 @@
 
 namespace verbenawell {
 
-/// A reboot that this daemon has ordered and that has not been verified.
+/// A reboot that this daemon has ordered, until its stop has ended.
 struct OrderedReboot
 {
   WaveId wave_;
@@ -18,6 +18,10 @@
   BootCount boots_;
   TimePoint orderedAt_;
   TimePoint lastOrderAt_;
+  /// The VM has come back.
+  bool verified_ = false;
+  /// The last record that was to end the stop.
+  RecordId ending_;
 };
 
 struct WavesState
--- a/tests/unit/WaveDrainTest.cpp
+++ b/tests/unit/WaveDrainTest.cpp
@@ -190,6 +190,26 @@
   EXPECT_TRUE(Reboots(Do(TimerDue{ WaveTick{} })));
 }
 
+// Guards against a second reboot of a VM that has come back: while the record
+// that ended its stop was on its way, the stop looked like one that had not
+// begun, and the second reboot cut new requests (fuzz_reducers seed 10 with a
+// killed and a paused daemon and a failed rack).
+TEST_F(WaveDrainTest, OrdersNoSecondRebootWhileTheEndOfTheStopIsOnItsWay)
+{
+  EXPECT_TRUE(Reboots(Read(ReserveStop{ WaveId{ "w1" }, kVm })));
+  Read(VmUp{ kVm, BootCount{ 1 } });
+  VmListing listing{ state_.fleet_.vms_.at(kVm).facts_ };
+  listing.live_ = true;
+  EXPECT_FALSE(Reboots(Do(VmListRead{ { listing } })));
+  for (int tick = 0; tick < 10; ++tick) {
+    now_ += std::chrono::milliseconds(250);
+    EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+  }
+  Read(FinishStop{ WaveId{ "w1" }, kVm, BootCount{ 1 } });
+  EXPECT_FALSE(Reboots(Do(TimerDue{ WaveTick{} })));
+  EXPECT_TRUE(state_.waves_.reboots_.empty());
+}
+
 // Guards against moves that nobody finishes: the pool had no owner when the
 // move became known, and the next owner did not ask whether the VM was idle
 // (fuzz_reducers seed 1 with two killed daemons and the log down).
