Wait for the first read in the test of a slow VM list

Cause: the client has two threads since it reads usage beside the list. The order to reboot could be answered before the first of the reads that the test counts had reached the server; seen once, 0 reads in place of 1, while two builds ran.

Change: the test starts the other five reads and the order once the first read is at the server. It still fails if one of them goes ahead of the order.

--- a/tests/unit/PlatformClientTest.cpp
+++ b/tests/unit/PlatformClientTest.cpp
@@ -27,6 +27,7 @@
   server.Get("/vms", [&](const httplib::Request&, httplib::Response&) {
     std::unique_lock lock{ mutex };
     ++reads;
+    changed.notify_all();
     changed.wait_for(lock, std::chrono::seconds(1), [&] { return ordered; });
   });
   server.Post("/reboot", [&](const httplib::Request&, httplib::Response&) {
@@ -40,11 +41,14 @@
   {
     Metrics metrics;
     PlatformClient client{ address, metrics, [](const Event&) {} };
-    for (int poll = 0; poll < 6; ++poll) {
+    client.Run(ReadVmList{});
+    std::unique_lock lock{ mutex };
+    ASSERT_TRUE(changed.wait_for(
+      lock, std::chrono::seconds(20), [&] { return reads == 1; }));
+    for (int poll = 0; poll < 5; ++poll) {
       client.Run(ReadVmList{});
     }
     client.Run(RebootVm{ VmId{ "w0" }, BootCount{} });
-    std::unique_lock lock{ mutex };
     EXPECT_TRUE(changed.wait_for(
       lock, std::chrono::seconds(20), [&] { return ordered; }));
     EXPECT_EQ(reads, 1);
