--- a/src/verbenawell/membership/MembershipLimits.h
+++ b/src/verbenawell/membership/MembershipLimits.h
@@ -44,9 +44,13 @@
 /// although neither has changed. In every message they were 5.8 KB a second.
 inline constexpr std::size_t kFullPingTicks = 4;
 
-/// Added to the time until which a daemon says that its requests run: less
-/// often news under a steady load, and room for clocks that differ.
-inline constexpr Duration kBusyMargin = std::chrono::seconds(5);
+/// A daemon that is cut off may begin requests for this time, unheard, until it
+/// has lost its majority.
+inline constexpr Duration kUnheardStarts = std::chrono::seconds(3);
+
+/// Added to the time until which a daemon says that its requests run, so that
+/// a steady load changes it each few seconds only.
+inline constexpr Duration kBusyMargin = std::chrono::seconds(6);
 
 inline constexpr std::size_t kIndirectHelpers = 3;
 /// Changes of other members that one message carries.
--- a/src/verbenawell/membership/MembershipReducer.cpp
+++ b/src/verbenawell/membership/MembershipReducer.cpp
@@ -159,13 +159,13 @@
     if (deadlines.empty()) {
       return;
     }
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-      deadlines.rbegin()->first - context_.now_);
-    const WallTime until = context_.wallNow_ + left;
-    if (membership_.self_.busyUntil_ < until + std::chrono::seconds(1)) {
-      membership_.self_.busyUntil_ =
-        until +
-        std::chrono::duration_cast<std::chrono::milliseconds>(kBusyMargin);
+    const auto after = [&](Duration aMargin) {
+      return context_.wallNow_ +
+             std::chrono::ceil<std::chrono::milliseconds>(
+               deadlines.rbegin()->first + aMargin - context_.now_);
+    };
+    if (membership_.self_.busyUntil_ < after(kUnheardStarts)) {
+      membership_.self_.busyUntil_ = after(kBusyMargin);
       PublishSelf();
     }
   }
