--- a/src/verbenawell/waves/WavesReducer.cpp
+++ b/src/verbenawell/waves/WavesReducer.cpp
@@ -289,7 +289,7 @@
     record.author_ = OperatorId{ context_.self_.Value() };
     record.preconditions_ = std::move(aPreconditions);
     record.change_ = std::move(aChange);
-    const RecordId id = record.id_;
+    RecordId id = record.id_;
     waves_.pending_.insert(id);
     effects_.emplace_back(
       Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
