Decide in one place whether the log is down

Cause: the writer of intents and the operators' reducer each counted failed reads of a stream against a constant of their own.

Change: IsFailing beside LogAnswers, with the one constant. No behaviour changes.

Conclusion: both refuse as log-down from the same number of failed reads.

--- a/src/verbenawell/log/LogState.cpp
+++ b/src/verbenawell/log/LogState.cpp
@@ -2,8 +2,17 @@
 
 #include "verbenawell/log/Streams.h"
 
+#include <cstdint>
+
 namespace verbenawell {
 
+namespace {
+
+// One failed read may be a lost connection.
+constexpr std::uint32_t kFailuresOfLogDown = 2;
+
+} // namespace
+
 bool
 LogAnswers(const LogState& aLog)
 {
@@ -12,4 +21,12 @@
          found->second.failures_ == 0;
 }
 
+bool
+IsFailing(const LogState& aLog, const StreamId& aStream)
+{
+  const auto found = aLog.streams_.find(aStream);
+  return found != aLog.streams_.end() &&
+         found->second.failures_ >= kFailuresOfLogDown;
+}
+
 } // namespace verbenawell
--- a/src/verbenawell/log/LogState.h
+++ b/src/verbenawell/log/LogState.h
@@ -106,4 +106,8 @@
 bool
 LogAnswers(const LogState& aLog);
 
+/// Tells whether reads of the stream keep failing.
+bool
+IsFailing(const LogState& aLog, const StreamId& aStream);
+
 } // namespace verbenawell
--- a/src/verbenawell/operators/OperatorsReducer.cpp
+++ b/src/verbenawell/operators/OperatorsReducer.cpp
@@ -10,7 +10,6 @@
 #include "verbenawell/operators/Subjects.h"
 #include "verbenawell/waves/WavesState.h"
 
-#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,8 +21,6 @@
 // The bound within which an accepted configuration is in force everywhere.
 constexpr Duration kSettleLimit = std::chrono::seconds(4);
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
-// One failed read may be a lost connection.
-constexpr std::uint32_t kFailuresOfLogDown = 2;
 
 class Reducer
 {
@@ -222,7 +219,9 @@
 
   void Change(const CommandReceived& aEvent, const FleetChange& aChange)
   {
-    if (IsLogDown()) {
+    // A record that waits for the log would take effect after the operator was
+    // told that its outcome is unknown.
+    if (IsFailing(views_.log_, FleetStream())) {
       Answer(aEvent.key_,
              Refusal("log-down: not done, the log does not answer; the "
                      "configuration stays as it is"));
@@ -254,16 +253,6 @@
       Raise{ AppendWanted{ FleetStream(), id, std::move(record) } });
   }
 
-  // A record that waits for the log would take effect after the operator was
-  // told that its outcome is unknown.
-  [[nodiscard]] bool IsLogDown() const
-  {
-    const auto& streams = views_.log_.streams_;
-    const auto found = streams.find(FleetStream());
-    return found != streams.end() &&
-           found->second.failures_ >= kFailuresOfLogDown;
-  }
-
   [[nodiscard]] Consequences Foresee(const FleetRecord& aRecord) const
   {
     return Assess(fleet_, aRecord, views_.waves_.rebootTime_);
--- a/src/verbenawell/requests/internal/IntentWriter.cpp
+++ b/src/verbenawell/requests/internal/IntentWriter.cpp
@@ -19,8 +19,6 @@
 constexpr Duration kCommitTimeout = std::chrono::seconds(1);
 constexpr Duration kLogDownRetryAfter = std::chrono::seconds(2);
 constexpr std::size_t kMaxBatch = 1000;
-// One failed read may be a lost connection.
-constexpr std::uint32_t kFailuresOfLogDown = 2;
 
 RecordId
 RecordName(const std::string& aKind,
@@ -110,10 +108,7 @@
 bool
 IntentWriter::IsLogDown(const PoolId& aId, const PoolIntents& aPool) const
 {
-  const auto stream = views_.log_.streams_.find(IntentStream(aId));
-  const bool failing = stream != views_.log_.streams_.end() &&
-                       stream->second.failures_ >= kFailuresOfLogDown;
-  return failing ||
+  return IsFailing(views_.log_, IntentStream(aId)) ||
          (aPool.inFlight_ &&
           context_.now_ - aPool.inFlight_->sentAt_ >= kCommitTimeout);
 }
