Write log lines as whole pieces

Change: a write takes whole lines of at most PIPE_BUF bytes, which a pipe takes as one piece or not at all.

--- a/src/verbenawell/adapters/LineLog.cpp
+++ b/src/verbenawell/adapters/LineLog.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <climits>
 #include <string_view>
 #include <utility>
 
@@ -56,7 +57,7 @@
     std::size_t done = 0;
     while (done < buffer_.size()) {
       const ssize_t count =
-        ::write(STDOUT_FILENO, buffer_.data() + done, buffer_.size() - done);
+        ::write(STDOUT_FILENO, buffer_.data() + done, NextWrite(done));
       if (count <= 0) {
         if (count < 0 && errno == EINTR) {
           continue;
@@ -71,6 +72,18 @@
   [[nodiscard]] std::uint64_t Dropped() const { return dropped_; }
 
 private:
+  // Whole lines up to `PIPE_BUF`, which a pipe takes as one piece or not at
+  // all: a reader that is behind then never sees a part of a line.
+  [[nodiscard]] std::size_t NextWrite(std::size_t aFrom) const
+  {
+    const std::size_t most =
+      std::min<std::size_t>(PIPE_BUF, buffer_.size() - aFrom);
+    const std::size_t lastEnd = buffer_.rfind('\n', aFrom + most - 1);
+    return lastEnd == std::string::npos || lastEnd < aFrom
+             ? most
+             : lastEnd + 1 - aFrom;
+  }
+
   std::string buffer_;
   std::uint64_t dropped_ = 0;
 };
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -17,6 +17,7 @@
 #include <string>
 
 #include <asio/io_context.hpp>
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -323,32 +324,93 @@
   EXPECT_THROW(jobs::DecodeJournalRecord("\xff\xff"), DecodeError);
 }
 
+/// Takes the place of standard output; its reader is the test.
+class OutputPipe
+{
+public:
+  OutputPipe()
+  {
+    EXPECT_EQ(::pipe(ends_.data()), 0);
+    std::fflush(stdout);
+    ::dup2(ends_[1], STDOUT_FILENO);
+  }
+
+  ~OutputPipe() { Restore(); }
+
+  OutputPipe(const OutputPipe&) = delete;
+  OutputPipe& operator=(const OutputPipe&) = delete;
+
+  void Restore()
+  {
+    if (saved_ >= 0) {
+      ::dup2(saved_, STDOUT_FILENO);
+      ::close(saved_);
+      ::close(ends_[0]);
+      ::close(ends_[1]);
+      saved_ = -1;
+    }
+  }
+
+  /// What the pipe holds.
+  std::string Read()
+  {
+    ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+    std::string text;
+    std::array<char, 4096> part{};
+    for (ssize_t count = 0;
+         (count = ::read(ends_[0], part.data(), part.size())) > 0;) {
+      text.append(part.data(), static_cast<std::size_t>(count));
+    }
+    return text;
+  }
+
+private:
+  std::array<int, 2> ends_{};
+  int saved_ = ::dup(STDOUT_FILENO);
+};
+
+void
+WriteLines(LineLog& aLog, int aCount)
+{
+  for (int line = 0; line < aCount; ++line) {
+    aLog.Write({ LogLevel::Info, "event", { { "name", "value" } } },
+               WallTime{});
+  }
+}
+
 // Guards against a daemon that stops when nobody reads its log.
 TEST(LineLog, DropsLinesWhenNobodyReads)
 {
-  std::array<int, 2> pipe{};
-  ASSERT_EQ(::pipe(pipe.data()), 0);
-  const int saved = ::dup(STDOUT_FILENO);
-  std::fflush(stdout);
-  ::dup2(pipe[1], STDOUT_FILENO);
+  OutputPipe output;
   std::uint64_t dropped = 0;
   {
     LineLog log{ "daemon" };
-    for (int line = 0; line < 20'000; ++line) {
-      log.Write({ LogLevel::Info, "event", { { "name", "value" } } },
-                WallTime{});
-      if (line % 100 == 0) {
-        log.Flush();
-      }
+    for (int round = 0; round < 200; ++round) {
+      WriteLines(log, 100);
+      log.Flush();
     }
     dropped = log.Dropped();
   }
-  ::dup2(saved, STDOUT_FILENO);
-  ::close(saved);
-  ::close(pipe[0]);
-  ::close(pipe[1]);
+  output.Restore();
   EXPECT_GT(dropped, 0U);
 }
 
+// Guards against lines that are cut where a pipe is full: the next reader took
+// up the line in its middle.
+TEST(LineLog, WritesWholeLinesIntoAPipeThatFills)
+{
+  OutputPipe output;
+  std::string text;
+  {
+    LineLog log{ "daemon" };
+    WriteLines(log, 2'000);
+    log.Flush();
+    text = output.Read();
+  }
+  output.Restore();
+  ASSERT_GT(text.size(), 10'000U);
+  EXPECT_EQ(text.back(), '\n');
+}
+
 } // namespace
 } // namespace verbenawell::platform
