Start tasks with the tickets of the advice service

Cause: a job of a queue with advice never started, since nobody asked for its tickets and each start was refused. Placement takes only workers with a ticket that outlasts the order. A refused ticket is dropped without avoiding its worker. Tickets are not asked for ahead of a step's turn.

--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -66,7 +66,10 @@
 void
 Fields(Archive& aArchive, T& aValue)
 {
-  aArchive(aValue.priority_, aValue.maxAttempts_, aValue.objective_);
+  aArchive(aValue.priority_,
+           aValue.maxAttempts_,
+           aValue.objective_,
+           aValue.needsTickets_);
 }
 
 template<typename Archive, OneOf<jobs::JobStored> T>
--- /dev/null
+++ b/src/verbenawell/jobs/advice/AdviceState.cpp
@@ -0,0 +1,40 @@
+#include "verbenawell/jobs/advice/AdviceState.h"
+
+namespace verbenawell::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// An order is stored, sent and read by the worker within this time.
+constexpr Duration kOrderTime = 250ms;
+
+} // namespace
+
+const HeldTicket*
+AdviceState::Find(const StepId& aStep,
+                  const WorkerId& aWorker,
+                  TimePoint aNow) const
+{
+  const auto step = steps_.find(aStep);
+  if (step == steps_.end()) {
+    return nullptr;
+  }
+  const auto ticket = step->second.allowed_.find(aWorker);
+  return ticket == step->second.allowed_.end() ||
+             aNow + kOrderTime >= ticket->second.validUntil_
+           ? nullptr
+           : &ticket->second;
+}
+
+bool
+AdviceState::IsOpen(const StepId& aStep,
+                    const WorkerId& aWorker,
+                    TimePoint aNow) const
+{
+  const auto step = steps_.find(aStep);
+  return step == steps_.end() || (!step->second.denied_.contains(aWorker) &&
+                                  Find(aStep, aWorker, aNow) == nullptr);
+}
+
+} // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -123,6 +123,13 @@
   Percent percent_;
 };
 
+/// Asks which of these workers may run a step.
+struct AskAdvice
+{
+  StepId step_;
+  std::vector<WorkerId> workers_;
+};
+
 /// Closes the connections to a worker that is gone.
 struct ForgetWorker
 {
@@ -203,6 +210,8 @@
                             StopTask,
                             PaceTask,
                             ForgetWorker,
+                            AskAdvice,
+
                             ReadVms,
                             StartUpkeep,
                             MoveVm,
--- a/src/verbenawell/jobs/core/Event.h
+++ b/src/verbenawell/jobs/core/Event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/jobs/advice/AdviceEvents.h"
 #include "verbenawell/jobs/callers/CallerEvents.h"
 #include "verbenawell/jobs/configuration/ConfigurationEvents.h"
 #include "verbenawell/jobs/core/TimerKey.h"
@@ -57,7 +58,10 @@
                            HoldRefused,
                            StartAnswered,
                            StopAnswered,
+                           AdviceGiven,
+                           AdviceFailed,
                            VmsRead,
+
                            VmsReadFailed,
                            UpkeepAnswered,
                            VmMoveAnswered,
@@ -84,6 +88,7 @@
                            WorkerEnded,
                            RoomChanged,
                            StartsDecided,
-                           StopDecided>;
+                           StopDecided,
+                           AdviceWanted>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/core/Reduce.cpp
+++ b/src/verbenawell/jobs/core/Reduce.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/jobs/core/Reduce.h"
 
+#include "verbenawell/jobs/advice/AdviceReducer.h"
 #include "verbenawell/jobs/callers/CallersReducer.h"
 #include "verbenawell/jobs/configuration/ConfigurationReducer.h"
 #include "verbenawell/jobs/core/State.h"
@@ -31,6 +32,7 @@
   // Tasks come before workers and placement, which look them up.
   ReduceTasks(aState.tasks_, views, aEvent, aContext, effects);
   ReduceWorkers(aState.workers_, views, aEvent, aContext, effects);
+  ReduceAdvice(aState.advice_, views, aEvent, aContext, effects);
   ReducePlacement(aState.placement_, views, aEvent, aContext, effects);
   ReducePacing(aState.pacing_, views, aEvent, aContext, effects);
   ReduceUpkeep(aState.upkeep_, views, aEvent, aContext, effects);
--- a/src/verbenawell/jobs/core/State.h
+++ b/src/verbenawell/jobs/core/State.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/jobs/advice/AdviceState.h"
 #include "verbenawell/jobs/callers/CallersState.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/core/Views.h"
@@ -23,6 +24,7 @@
   CallersState callers_;
   WorkersState workers_;
   TasksState tasks_;
+  AdviceState advice_;
   PlacementState placement_;
   PacingState pacing_;
   UpkeepState upkeep_;
@@ -30,8 +32,8 @@
 
   [[nodiscard]] Views View() const
   {
-    return { ownership_, journal_, configuration_, callers_,
-             workers_,   tasks_,   upkeep_,        pools_ };
+    return { ownership_, journal_, configuration_, callers_, workers_,
+             tasks_,     advice_,  upkeep_,        pools_ };
   }
 };
 
--- a/src/verbenawell/jobs/core/Views.h
+++ b/src/verbenawell/jobs/core/Views.h
@@ -8,6 +8,7 @@
 struct CallersState;
 struct WorkersState;
 struct TasksState;
+struct AdviceState;
 struct UpkeepState;
 struct PoolsState;
 
@@ -20,6 +21,7 @@
   const CallersState& callers_;
   const WorkersState& workers_;
   const TasksState& tasks_;
+  const AdviceState& advice_;
   const UpkeepState& upkeep_;
   const PoolsState& pools_;
 };
--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -54,6 +54,10 @@
       return "upkeeps_repeated";
     case Counter::VmsMoved:
       return "vms_moved";
+    case Counter::AdviceGiven:
+      return "advice_given";
+    case Counter::AdviceFailed:
+      return "advice_failed";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -36,6 +36,8 @@
   UpkeepsOrdered,
   UpkeepsRepeated,
   VmsMoved,
+  AdviceGiven,
+  AdviceFailed,
 };
 
 std::string_view
--- a/src/verbenawell/jobs/model/Configuration.h
+++ b/src/verbenawell/jobs/model/Configuration.h
@@ -3,12 +3,23 @@
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace verbenawell::jobs {
 
+/// How the service answers that decides where a queue's steps may run.
+struct AdviceTerms
+{
+  /// A call takes this long ..
+  Duration decision_{};
+  /// .. and this much more for each worker asked about.
+  Duration perWorker_{};
+  Duration ticketValidity_{};
+};
+
 /// Where callers' requests go, and how its jobs run.
 struct Queue
 {
@@ -23,6 +34,8 @@
   double stretch_ = 1.0;
   /// .. and this much more.
   Duration slack_{};
+  /// Its steps start only with a ticket.
+  std::optional<AdviceTerms> advice_;
 };
 
 /// A service and its pool of VMs.
--- a/src/verbenawell/jobs/model/Job.cpp
+++ b/src/verbenawell/jobs/model/Job.cpp
@@ -127,7 +127,7 @@
 }
 
 Duration
-LongestChain(const JobDefinition& aDefinition)
+LongestChain(const JobDefinition& aDefinition, Duration aPerStep)
 {
   std::vector<Duration> ends;
   for (const Step& step : aDefinition.steps_) {
@@ -135,7 +135,7 @@
     for (const StepIndex earlier : step.after_) {
       start = std::max(start, ends.at(earlier.Value()));
     }
-    ends.push_back(start + step.estimate_);
+    ends.push_back(start + step.estimate_ + aPerStep);
   }
   return ends.empty() ? Duration{} : *std::ranges::max_element(ends);
 }
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -77,6 +77,8 @@
   TaskCount maxAttempts_;
   /// How long after its acceptance the job has to end to be in time.
   Duration objective_{};
+  /// Its steps start only with a ticket of the advice service.
+  bool needsTickets_ = false;
 };
 
 struct Job
@@ -120,8 +122,8 @@
 std::vector<std::pair<TaskId, Placed>>
 PlacedTasks(const Job& aJob);
 
-/// The longest chain of declared run times.
+/// The longest chain of declared run times, with this much more for each step.
 Duration
-LongestChain(const JobDefinition& aDefinition);
+LongestChain(const JobDefinition& aDefinition, Duration aPerStep = {});
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/placement/PlacementEvents.h
+++ b/src/verbenawell/jobs/placement/PlacementEvents.h
@@ -17,6 +17,7 @@
   WorkerId worker_;
   /// What the task takes of the worker's capacity.
   Room room_;
+  bool isLongRunning_ = false;
   std::string ticket_;
 };
 
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -34,7 +34,7 @@
   {
   }
 
-  std::vector<StartDecision> Run()
+  void Run()
   {
     CollectRoom();
     for (const Job* job : OrderedJobs()) {
@@ -42,9 +42,11 @@
         Place(*job, room->second);
       }
     }
-    return std::move(starts_);
   }
 
+  std::vector<StartDecision> starts_;
+  std::vector<AdviceNeed> needs_;
+
 private:
   void CollectRoom()
   {
@@ -99,19 +101,25 @@
     const auto& tasks = aJob.occurrences_.at(aTask.occurrence_)
                           .steps_[aTask.step_.Value()]
                           .tasks_;
+    const Permission permission = PermissionOf(aJob, aTask);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       if (!std::holds_alternative<Waiting>(tasks[index].status_)) {
         continue;
       }
       aTask.index_ = TaskIndex{ index };
-      auto worker = aRoom.Take(aTask, step);
-      if (!worker) {
+      auto choice = aRoom.Take(aTask, step, permission);
+      if (!choice) {
         // All tasks of the step need the same room.
+        NoteNeed(aTask, step, permission, aRoom);
         return;
       }
       const RunNumber run{ tasks[index].lastRun_.Value() + 1 };
-      starts_.push_back(
-        { aTask, run, std::move(*worker), RoomOnWorker(step), {} });
+      starts_.push_back({ aTask,
+                          run,
+                          std::move(choice->worker_),
+                          RoomOnWorker(step),
+                          step.longRunning_,
+                          std::move(choice->ticket_) });
     }
   }
 
@@ -133,13 +141,41 @@
       members.push_back(aTask);
       run = std::max(run, tasks[index].lastRun_);
     }
-    if (auto workers = aRoom.TakeAll(members, step); workers) {
-      for (std::size_t index = 0; index < members.size(); ++index) {
-        starts_.push_back({ members[index],
-                            RunNumber{ run.Value() + 1 },
-                            std::move((*workers)[index]),
-                            RoomOnWorker(step),
-                            {} });
+    const Permission permission = PermissionOf(aJob, aTask);
+    auto choices = aRoom.TakeAll(members, step, permission);
+    if (!choices) {
+      NoteNeed(aTask, step, permission, aRoom);
+      return;
+    }
+    for (std::size_t index = 0; index < members.size(); ++index) {
+      Choice& choice = (*choices)[index];
+      starts_.push_back({ members[index],
+                          RunNumber{ run.Value() + 1 },
+                          std::move(choice.worker_),
+                          RoomOnWorker(step),
+                          step.longRunning_,
+                          std::move(choice.ticket_) });
+    }
+  }
+
+  [[nodiscard]] Permission PermissionOf(const Job& aJob,
+                                        const TaskId& aTask) const
+  {
+    if (!aJob.terms_.needsTickets_) {
+      return AnyWorker{};
+    }
+    return TicketHolders{ &views_.advice_, StepOf(aTask), now_ };
+  }
+
+  void NoteNeed(const TaskId& aTask,
+                const Step& aStep,
+                const Permission& aPermission,
+                const ServiceRoom& aRoom)
+  {
+    if (const auto* holders = std::get_if<TicketHolders>(&aPermission)) {
+      if (auto workers = aRoom.WithoutAdvice(aTask, aStep, *holders);
+          !workers.empty()) {
+        needs_.push_back({ holders->step_, std::move(workers) });
       }
     }
   }
@@ -147,7 +183,6 @@
   const Views& views_;
   TimePoint now_;
   std::map<ServiceId, ServiceRoom> rooms_;
-  std::vector<StartDecision> starts_;
 };
 
 class Reducer
@@ -177,8 +212,12 @@
     }
     state_.isPassSet_ = false;
     Pass pass{ views_, context_ };
-    if (auto starts = pass.Run(); !starts.empty()) {
-      effects_.push_back(Raise{ StartsDecided{ std::move(starts) } });
+    pass.Run();
+    if (!pass.starts_.empty()) {
+      effects_.push_back(Raise{ StartsDecided{ std::move(pass.starts_) } });
+    }
+    if (!pass.needs_.empty() || !views_.advice_.needs_.empty()) {
+      effects_.push_back(Raise{ AdviceWanted{ std::move(pass.needs_) } });
     }
     effects_.push_back(SetTimer{ PlacementPass{}, kIdlePass });
   }
--- a/src/verbenawell/jobs/placement/WorkerChoice.cpp
+++ b/src/verbenawell/jobs/placement/WorkerChoice.cpp
@@ -1,12 +1,18 @@
 #include "verbenawell/jobs/placement/WorkerChoice.h"
 
+#include "verbenawell/core/Overloaded.h"
+
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace verbenawell::jobs {
 
 namespace {
 
+// A call about this many workers is what the users' objective allows a step.
+constexpr std::size_t kMostAsked = 30;
+
 /// Part of a capacity that is in use.
 template<typename Quantity>
 double
@@ -19,6 +25,32 @@
                static_cast<double>(aCapacity.Value());
 }
 
+const HeldTicket*
+Find(const TicketHolders& aHolders, const WorkerId& aWorker)
+{
+  return aHolders.advice_->Find(aHolders.step_, aWorker, aHolders.now_);
+}
+
+bool
+IsPermitted(const Permission& aPermission, const WorkerId& aWorker)
+{
+  return std::visit(Overloaded{ [](const AnyWorker&) { return true; },
+                                [&](const TicketHolders& aHolders) {
+                                  return Find(aHolders, aWorker) != nullptr;
+                                } },
+                    aPermission);
+}
+
+std::string
+TicketOf(const Permission& aPermission, const WorkerId& aWorker)
+{
+  return std::visit(Overloaded{ [](const AnyWorker&) { return std::string{}; },
+                                [&](const TicketHolders& aHolders) {
+                                  return Find(aHolders, aWorker)->text_;
+                                } },
+                    aPermission);
+}
+
 std::uint32_t
 RunsOfStep(const Worker& aWorker, const TaskId& aFirst)
 {
@@ -38,7 +70,10 @@
 void
 ServiceRoom::Add(const Worker& aWorker)
 {
-  candidates_.push_back({ &aWorker, aWorker.Free(), {} });
+  const auto longRunning = std::ranges::count_if(
+    aWorker.runs_, [](const auto& aRun) { return aRun.second.isLongRunning_; });
+  candidates_.push_back(
+    { &aWorker, aWorker.Free(), static_cast<std::size_t>(longRunning), {} });
 }
 
 TaskId
@@ -87,85 +122,118 @@
                      const Room& aRoom)
 {
   aCandidate.free_ -= aRoom;
+  aCandidate.longRunning_ += aStep.longRunning_ ? 1 : 0;
+
   if (aStep.perWorker_ != TaskCount{}) {
     ++aCandidate.taken_[StepKey(aTask)];
   }
 }
 
-// The least loaded worker: a lost rack then hurts least, and serving tasks
-// have the fewest neighbours.
-std::optional<WorkerId>
+// The least loaded worker, so that a lost rack hurts least. Tasks that last
+// gather on few workers, since a VM that has one cannot change its pool.
+std::optional<Choice>
 ServiceRoom::TakeOnRack(const TaskId& aTask,
                         const Step& aStep,
+                        const Permission& aPermission,
                         const RackId& aRack)
 {
   const Room room = RoomOnWorker(aStep);
+  const auto preference = [&](const Candidate& aCandidate) {
+    return std::pair{ aStep.longRunning_ ? aCandidate.longRunning_ : 0,
+                      -LoadAfter(aCandidate, room) };
+  };
   Candidate* best = nullptr;
-  double bestLoad = 0;
+  std::pair<std::size_t, double> bestPreference;
   for (Candidate& candidate : candidates_) {
     if ((!aRack.IsEmpty() && candidate.worker_->entry_.rack_ != aRack) ||
-        !MayRun(candidate, aTask, aStep, room)) {
+        !MayRun(candidate, aTask, aStep, room) ||
+        !IsPermitted(aPermission, candidate.worker_->entry_.worker_)) {
       continue;
     }
-    const double load = LoadAfter(candidate, room);
-    if (best == nullptr || load < bestLoad) {
+    const auto preferred = preference(candidate);
+    if (best == nullptr || preferred > bestPreference) {
       best = &candidate;
-      bestLoad = load;
+      bestPreference = preferred;
     }
   }
   if (best == nullptr) {
     return std::nullopt;
   }
   Reserve(*best, aTask, aStep, room);
-  return best->worker_->entry_.worker_;
+  const WorkerId& worker = best->worker_->entry_.worker_;
+  return Choice{ worker, TicketOf(aPermission, worker) };
 }
 
-std::optional<WorkerId>
-ServiceRoom::Take(const TaskId& aTask, const Step& aStep)
+std::optional<Choice>
+ServiceRoom::Take(const TaskId& aTask,
+                  const Step& aStep,
+                  const Permission& aPermission)
 {
   if (!aStep.nearRack_.IsEmpty()) {
-    if (auto near = TakeOnRack(aTask, aStep, aStep.nearRack_); near) {
+    if (auto near = TakeOnRack(aTask, aStep, aPermission, aStep.nearRack_);
+        near) {
       return near;
     }
   }
-  return TakeOnRack(aTask, aStep, RackId{});
+  return TakeOnRack(aTask, aStep, aPermission, RackId{});
 }
 
-std::optional<std::vector<WorkerId>>
+std::optional<std::vector<Choice>>
 ServiceRoom::TakeAllOnRack(const std::vector<TaskId>& aTasks,
                            const Step& aStep,
+                           const Permission& aPermission,
                            const RackId& aRack)
 {
   const std::vector<Candidate> before = candidates_;
-  std::vector<WorkerId> workers;
+  std::vector<Choice> choices;
   for (const TaskId& task : aTasks) {
-    auto worker =
-      aRack.IsEmpty() ? Take(task, aStep) : TakeOnRack(task, aStep, aRack);
-    if (!worker) {
+    auto choice = aRack.IsEmpty() ? Take(task, aStep, aPermission)
+                                  : TakeOnRack(task, aStep, aPermission, aRack);
+    if (!choice) {
       candidates_ = before;
       return std::nullopt;
     }
-    workers.push_back(std::move(*worker));
+    choices.push_back(std::move(*choice));
   }
-  return workers;
+  return choices;
 }
 
-std::optional<std::vector<WorkerId>>
-ServiceRoom::TakeAll(const std::vector<TaskId>& aTasks, const Step& aStep)
+std::optional<std::vector<Choice>>
+ServiceRoom::TakeAll(const std::vector<TaskId>& aTasks,
+                     const Step& aStep,
+                     const Permission& aPermission)
 {
   if (!aStep.sameRack_) {
-    return TakeAllOnRack(aTasks, aStep, RackId{});
+    return TakeAllOnRack(aTasks, aStep, aPermission, RackId{});
   }
   std::set<RackId> racks;
   for (const Candidate& candidate : candidates_) {
     racks.insert(candidate.worker_->entry_.rack_);
   }
   for (const RackId& rack : racks) {
-    if (auto workers = TakeAllOnRack(aTasks, aStep, rack); workers) {
-      return workers;
+    if (auto choices = TakeAllOnRack(aTasks, aStep, aPermission, rack);
+        choices) {
+      return choices;
     }
   }
   return std::nullopt;
 }
 
+std::vector<WorkerId>
+ServiceRoom::WithoutAdvice(const TaskId& aTask,
+                           const Step& aStep,
+                           const TicketHolders& aHolders) const
+{
+  const Room room = RoomOnWorker(aStep);
+  std::vector<WorkerId> workers;
+  for (const Candidate& candidate : candidates_) {
+    const WorkerId& worker = candidate.worker_->entry_.worker_;
+    if (workers.size() < kMostAsked && MayRun(candidate, aTask, aStep, room) &&
+        aHolders.advice_->IsOpen(aHolders.step_, worker, aHolders.now_)) {
+      workers.push_back(worker);
+    }
+  }
+  return workers;
+}
+
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/placement/WorkerChoice.h
+++ b/src/verbenawell/jobs/placement/WorkerChoice.h
@@ -1,15 +1,41 @@
 #pragma once
 
+#include "verbenawell/jobs/advice/AdviceState.h"
 #include "verbenawell/jobs/model/Job.h"
+#include "verbenawell/jobs/model/StepId.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <variant>
 #include <vector>
 
 namespace verbenawell::jobs {
 
+/// Any worker may run the step.
+struct AnyWorker
+{};
+
+/// Only workers with a ticket may run the step.
+struct TicketHolders
+{
+  const AdviceState* advice_ = nullptr;
+  StepId step_;
+  TimePoint now_;
+};
+
+using Permission = std::variant<AnyWorker, TicketHolders>;
+
+/// A worker that was chosen for a task.
+struct Choice
+{
+  WorkerId worker_;
+  std::string ticket_;
+};
+
 /// The workers of one service during one pass, with the room that its
 /// decisions leave.
 class ServiceRoom
@@ -20,18 +46,28 @@
   [[nodiscard]] bool IsEmpty() const { return candidates_.empty(); }
 
   /// Takes room for a task; empty if no worker may run it now.
-  std::optional<WorkerId> Take(const TaskId& aTask, const Step& aStep);
+  std::optional<Choice> Take(const TaskId& aTask,
+                             const Step& aStep,
+                             const Permission& aPermission);
 
   /// Takes room for all these tasks or for none.
-  std::optional<std::vector<WorkerId>> TakeAll(
-    const std::vector<TaskId>& aTasks,
-    const Step& aStep);
+  std::optional<std::vector<Choice>> TakeAll(const std::vector<TaskId>& aTasks,
+                                             const Step& aStep,
+                                             const Permission& aPermission);
+
+  /// Workers with room for the step for which advice is missing.
+  [[nodiscard]] std::vector<WorkerId> WithoutAdvice(
+    const TaskId& aTask,
+    const Step& aStep,
+    const TicketHolders& aHolders) const;
 
 private:
   struct Candidate
   {
     const Worker* worker_ = nullptr;
     Room free_;
+    std::size_t longRunning_ = 0;
+
     /// Tasks of limited steps taken in this pass.
     std::map<TaskId, std::uint32_t> taken_;
   };
@@ -47,12 +83,14 @@
                       const Step& aStep,
                       const Room& aRoom);
 
-  std::optional<WorkerId> TakeOnRack(const TaskId& aTask,
-                                     const Step& aStep,
-                                     const RackId& aRack);
-  std::optional<std::vector<WorkerId>> TakeAllOnRack(
+  std::optional<Choice> TakeOnRack(const TaskId& aTask,
+                                   const Step& aStep,
+                                   const Permission& aPermission,
+                                   const RackId& aRack);
+  std::optional<std::vector<Choice>> TakeAllOnRack(
     const std::vector<TaskId>& aTasks,
     const Step& aStep,
+    const Permission& aPermission,
     const RackId& aRack);
 
   std::vector<Candidate> candidates_;
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kStoreRetryAfter = 2s;
 // A successor claims after 2.5 s without a renewal at the earliest.
 constexpr Duration kMostUnconfirmed = 1800ms;
+// The users' objective counts one call about this many workers for a step.
+constexpr int kAdvisedWorkers = 30;
 
 JobState
 StateOf(const Job& aJob)
@@ -62,11 +64,17 @@
   job.queue_ = aQueue.id_;
   job.service_ = aQueue.service_;
   job.definition_ = *aSubmit.definition_;
-  const auto chain = LongestChain(job.definition_);
+  const Duration chain =
+    LongestChain(job.definition_,
+                 aQueue.advice_ ? aQueue.advice_->decision_ +
+                                    kAdvisedWorkers * aQueue.advice_->perWorker_
+                                : Duration{});
+
   job.terms_ = { aQueue.priority_,
                  aQueue.maxAttempts_,
                  aQueue.slack_ + std::chrono::duration_cast<Duration>(
-                                   chain * aQueue.stretch_) };
+                                   chain * aQueue.stretch_),
+                 aQueue.advice_.has_value() };
   job.acceptedAt_ = aContext.now_;
   if (!job.definition_.schedule_) {
     AddOccurrence(job);
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -26,6 +26,7 @@
 {
   RunNumber run_;
   Room room_;
+  bool isLongRunning_ = false;
   RunPhase phase_ = RunPhase::Ordered;
   /// When the order was answered; a list asked for later must show the run.
   std::optional<TimePoint> answeredAt_;
--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -150,8 +150,10 @@
                              run->second.answeredAt_ = aContext.now_;
                              return;
                            }
-                           worker->second.avoidUntil_ =
-                             aContext.now_ + kAvoidAfterRefusal;
+                           if (aRefusal != StartRefusal::Ticket) {
+                             worker->second.avoidUntil_ =
+                               aContext.now_ + kAvoidAfterRefusal;
+                           }
                            if (run->second.mayArrive_ &&
                                aRefusal != StartRefusal::OtherLife) {
                              // A stop keeps an earlier copy of the order from
--- /dev/null
+++ b/tests/jobs/AdviceTest.cpp
@@ -0,0 +1,100 @@
+#include "Installation.h"
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStartUp = 3s;
+const std::string kJob = "0000000000000001";
+
+void
+ExpectKept(const Installation& aInstallation)
+{
+  for (const std::string& broken : aInstallation.oracle_.Broken()) {
+    ADD_FAILURE() << broken;
+  }
+}
+
+// Guards against a queue whose jobs never start since nobody asks for tickets.
+TEST(Advice, StartsTasksOnlyOnWorkersThatItAllows)
+{
+  Installation installation{ 31, { 3, 4, 2 } };
+  installation.RequireTickets();
+  installation.RunFor(kStartUp);
+  installation.Submit(kJob, MakeJob(3, 2, 500ms));
+  installation.RunFor(5s);
+  EXPECT_EQ(installation.StateOfJob(kJob), JobState::Completed);
+  EXPECT_EQ(installation.ticketRefusals_, 0);
+  ExpectKept(installation);
+}
+
+// Guards against tickets that are used after their time: tasks that wait for
+// room outlast them.
+TEST(Advice, AsksAgainWhenATicketHasRunOut)
+{
+  Installation installation{ 32, { 3, 4, 2 } };
+  installation.RequireTickets();
+  installation.RunFor(kStartUp);
+  // Two of the four workers may run them, four tasks each at a time.
+  installation.Submit(kJob, MakeJob(20, 1, 2s));
+  installation.RunFor(12s);
+  EXPECT_EQ(installation.StateOfJob(kJob), JobState::Completed);
+  EXPECT_EQ(installation.ticketRefusals_, 0);
+  ExpectKept(installation);
+}
+
+// Guards against starts without a ticket while the service refuses calls, and
+// against jobs that are forgotten then.
+TEST(Advice, WaitsForAServiceThatRefusesCalls)
+{
+  Installation installation{ 33, { 3, 4, 2 } };
+  installation.RequireTickets();
+  installation.RunFor(kStartUp);
+  installation.advice_.isOverloaded_ = true;
+  installation.Submit(kJob, MakeJob(3, 1, 500ms));
+  installation.RunFor(3s);
+  EXPECT_EQ(installation.oracle_.Starts(), 0U);
+  EXPECT_EQ(installation.ticketRefusals_, 0);
+  installation.advice_.isOverloaded_ = false;
+  installation.RunFor(3s);
+  EXPECT_EQ(installation.StateOfJob(kJob), JobState::Completed);
+  ExpectKept(installation);
+}
+
+// Guards against an owner that uses its predecessor's knowledge or none.
+TEST(Advice, IsAskedAgainByANewOwner)
+{
+  Installation installation{ 34, { 3, 4, 2 } };
+  installation.RequireTickets();
+  installation.RunFor(kStartUp);
+  installation.Submit(kJob, MakeJob(20, 1, 1s));
+  installation.RunFor(1s);
+  installation.Kill(installation.Owner());
+  installation.RunFor(20s);
+  EXPECT_EQ(installation.StateOfJob(kJob), JobState::Completed);
+  EXPECT_EQ(installation.ticketRefusals_, 0);
+  ExpectKept(installation);
+}
+
+// Guards against a step that may run nowhere and holds up the queue behind it.
+TEST(Advice, LetsOtherJobsPassAStepThatMayRunNowhere)
+{
+  Installation installation{ 35, { 3, 4, 2 } };
+  installation.RequireTickets();
+  installation.RunFor(kStartUp);
+  installation.advice_.deniesAll_ = true;
+  installation.Submit(kJob, MakeJob(1, 1, 100ms));
+  installation.RunFor(1s);
+  installation.advice_.deniesAll_ = false;
+  installation.Submit("0000000000000002", MakeJob(3, 1, 500ms));
+  installation.RunFor(4s);
+  EXPECT_EQ(installation.StateOfJob("0000000000000002"), JobState::Completed);
+  EXPECT_EQ(installation.StateOfJob(kJob), JobState::Queued);
+  ExpectKept(installation);
+}
+
+} // namespace
+} // namespace verbenawell::jobs
--- /dev/null
+++ b/tests/jobs/FakeAdvice.cpp
@@ -0,0 +1,58 @@
+#include "FakeAdvice.h"
+
+#include <algorithm>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kDecision = 20ms;
+constexpr Duration kPerWorker = 2ms;
+constexpr Duration kValidity = 1500ms;
+constexpr Duration kLatency = 2ms;
+
+} // namespace
+
+// The last digit of the VM's name, so that a VM keeps its answer for life.
+bool
+FakeAdvice::Allows(const WorkerId& aWorker)
+{
+  const std::string name = aWorker.Value().substr(0, aWorker.Value().find('-'));
+  return (name.back() - '0') % 2 == 0;
+}
+
+void
+FakeAdvice::Run(const AskAdvice& aAsk, const Reply& aReply)
+{
+  if (isOverloaded_) {
+    time_.After(kLatency, [aReply, step = aAsk.step_] {
+      aReply(AdviceFailed{ step, "status 429" });
+    });
+    return;
+  }
+  freeAt_ = std::max(freeAt_, time_.Now()) + kDecision +
+            kPerWorker * static_cast<int>(aAsk.workers_.size());
+  time_.After(freeAt_ - time_.Now(), [this, aAsk, aReply] {
+    AdviceGiven given{ aAsk.step_, aAsk.workers_, {}, kValidity };
+    for (const WorkerId& worker : aAsk.workers_) {
+      if (Allows(worker) && !deniesAll_) {
+        std::string ticket = "ticket-" + std::to_string(++lastTicket_);
+        tickets_[{ aAsk.step_, worker }] = { ticket, time_.Now() + kValidity };
+        given.allowed_.push_back({ worker, std::move(ticket) });
+      }
+    }
+    aReply(given);
+  });
+}
+
+bool
+FakeAdvice::Permits(const StartTask& aStart) const
+{
+  const auto found = tickets_.find({ StepOf(aStart.task_), aStart.worker_ });
+  return found != tickets_.end() && found->second.first == aStart.ticket_ &&
+         time_.Now() < found->second.second;
+}
+
+} // namespace verbenawell::jobs
--- a/tests/jobs/Installation.cpp
+++ b/tests/jobs/Installation.cpp
@@ -73,6 +73,7 @@
 Installation::Installation(std::uint64_t aSeed, Size aSize)
   : random_(aSeed)
   , store_(time_, random_)
+  , advice_(time_)
   , size_(aSize)
 {
   time_.RunFor(1s);
@@ -82,7 +83,8 @@
     vms_[index].id_ = VmId{ "vm" + std::to_string(index) };
     const bool isSpare =
       index + static_cast<std::size_t>(aSize.spare_) >= vms_.size();
-    vms_[index].pool_ = isSpare ? kSpare : kService;
+    const bool isOther = index < static_cast<std::size_t>(aSize.other_);
+    vms_[index].pool_ = isSpare ? kSpare : isOther ? kOtherService : kService;
     MakeWorker(vms_[index], index);
   }
   ListWorkers();
@@ -157,6 +159,30 @@
   store_.Put(configuration);
 }
 
+void
+Installation::AddService()
+{
+  Configuration configuration = OneQueue();
+  configuration.version_ = ConfigurationVersion{ 4 };
+  Queue other = configuration.queues_.front();
+  other.id_ = QueueId{ "other" };
+  other.pathPrefix_ = "/other/";
+  other.service_ = kOtherService;
+  configuration.queues_.push_back(other);
+  configuration.services_.push_back({ kOtherService, false, false });
+  store_.Put(configuration);
+}
+
+void
+Installation::RequireTickets()
+{
+  Configuration configuration = OneQueue();
+  configuration.version_ = ConfigurationVersion{ 3 };
+  configuration.queues_.front().advice_ = AdviceTerms{ 20ms, 2ms, 1500ms };
+  store_.Put(configuration);
+  requiresTickets_ = true;
+}
+
 void
 Installation::Kill(const std::string& aDaemon)
 {
@@ -236,6 +262,13 @@
   WorkerAt(aIndex).Revive();
 }
 
+void
+Installation::RemoveVm(std::size_t aIndex)
+{
+  vms_.at(aIndex).isRemoved_ = true;
+  KillWorker(aIndex);
+}
+
 void
 Installation::BeginWave(int aLimit)
 {
@@ -308,6 +341,20 @@
   }
 }
 
+void
+Installation::OrderStart(const std::string& aDaemon, const StartTask& aOrder)
+{
+  if (!requiresTickets_ || advice_.Permits(aOrder)) {
+    RunAtWorker(aDaemon, aOrder);
+    return;
+  }
+  ++ticketRefusals_;
+  time_.After(kNetwork, [reply = ReplyTo(aDaemon), aOrder] {
+    reply(StartAnswered{
+      aOrder.worker_, aOrder.task_, aOrder.run_, StartRefusal::Ticket });
+  });
+}
+
 void
 Installation::Execute(const std::string& aDaemon, const Effect& aEffect)
 {
@@ -323,10 +370,11 @@
       },
       [&](const ForwardRequest& aForward) { Forward(aDaemon, aForward); },
       [&](const HoldWorker& aOrder) { RunAtWorker(aDaemon, aOrder); },
-      [&](const StartTask& aOrder) { RunAtWorker(aDaemon, aOrder); },
+      [&](const StartTask& aOrder) { OrderStart(aDaemon, aOrder); },
       [&](const StopTask& aOrder) { RunAtWorker(aDaemon, aOrder); },
       [](const PaceTask&) {},
       [](const ForgetWorker&) {},
+      [&](const AskAdvice& aAsk) { advice_.Run(aAsk, ReplyTo(aDaemon)); },
       [&](const ReadVms&) { ListVms(aDaemon); },
       [&](const StartUpkeep& aOrder) { TakeDown(aDaemon, aOrder); },
       [&](const MoveVm& aOrder) { MoveToPool(aDaemon, aOrder); },
@@ -413,8 +461,10 @@
 {
   VmsRead read;
   for (const Vm& vm : vms_) {
-    read.vms_.push_back(
-      { vm.id_, vm.pool_, vm.state_, vm.worker_->Entry().worker_ });
+    if (!vm.isRemoved_) {
+      read.vms_.push_back(
+        { vm.id_, vm.pool_, vm.state_, vm.worker_->Entry().worker_ });
+    }
   }
   time_.After(kNetwork, [reply = ReplyTo(aDaemon), read] { reply(read); });
 }
@@ -510,16 +560,18 @@
 }
 
 void
-Installation::Submit(const std::string& aJob, JobDefinition aDefinition)
+Installation::Submit(const std::string& aJob,
+                     JobDefinition aDefinition,
+                     const std::string& aPath)
 {
   aDefinition.specification_ = "specification of " + aJob;
   definitions_[aJob] = aDefinition;
   oracle_.Submitted(JobId{ aJob }, aDefinition);
-  SubmitOnce(aJob);
+  SubmitOnce(aJob, aPath);
 }
 
 void
-Installation::SubmitOnce(const std::string& aJob)
+Installation::SubmitOnce(const std::string& aJob, const std::string& aPath)
 {
   const auto answered = std::make_shared<bool>(false);
   const std::string daemon = AnyDaemon();
@@ -538,12 +590,13 @@
         } else {
           oracle_.Unanswered(JobId{ aJob });
         }
-      });
+      },
+      aPath);
   }
-  time_.After(kDeadline, [this, aJob, answered] {
+  time_.After(kDeadline, [this, aJob, aPath, answered] {
     if (!*answered) {
       oracle_.Unanswered(JobId{ aJob });
-      SubmitOnce(aJob);
+      SubmitOnce(aJob, aPath);
     }
   });
 }
--- a/tests/jobs/Installation.h
+++ b/tests/jobs/Installation.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Random.h"
 #include "verbenawell/jobs/core/State.h"
 
+#include "FakeAdvice.h"
 #include "FakeStore.h"
 #include "FakeWorker.h"
 #include "JobOracle.h"
@@ -20,6 +21,7 @@
 
 inline const QueueId kQueue{ "queue" };
 inline const ServiceId kService{ "service" };
+inline const ServiceId kOtherService{ "other" };
 inline const ServiceId kSpare{ "spare" };
 
 /// Daemons with a store, workers and VMs, in virtual time and from one seed.
@@ -33,6 +35,8 @@
     int perRack_ = 2;
     /// Of the workers, those whose VMs are off.
     int spare_ = 0;
+    /// Of the workers, those of the other service.
+    int other_ = 0;
   };
 
   Installation(std::uint64_t aSeed, Size aSize);
@@ -40,7 +44,9 @@
   void RunFor(Duration aTime) { time_.RunFor(aTime); }
 
   /// Hands a job in at a daemon chosen by chance, again until it is answered.
-  void Submit(const std::string& aJob, JobDefinition aDefinition);
+  void Submit(const std::string& aJob,
+              JobDefinition aDefinition,
+              const std::string& aPath = "/queue/");
   void Cancel(const std::string& aJob);
   /// Asks every running daemon; the answers go to the oracle.
   void AskForAll();
@@ -50,6 +56,10 @@
 
   /// Puts a further queue, `/more/`, into the configuration.
   void AddQueue();
+  /// Puts the other service and its queue, `/other/`, into the configuration.
+  void AddService();
+  /// From now on the queue's jobs start only with tickets.
+  void RequireTickets();
   void Kill(const std::string& aDaemon);
   void Start(const std::string& aDaemon);
   void Stop(const std::string& aDaemon);
@@ -64,6 +74,8 @@
   /// A dead worker leaves the list after a while, a reborn one comes back.
   void KillWorker(std::size_t aIndex);
   void ReviveWorker(std::size_t aIndex);
+  /// Takes a VM out of the list for good.
+  void RemoveVm(std::size_t aIndex);
   void BeginWave(int aLimit);
 
   [[nodiscard]] JobState StateOfJob(const std::string& aJob);
@@ -73,6 +85,9 @@
   Random random_;
   JobOracle oracle_;
   FakeStore store_;
+  FakeAdvice advice_;
+  /// Starts that a worker turned away for their ticket.
+  int ticketRefusals_ = 0;
   std::set<VmId> begun_;
   /// Prints what the daemons log.
   bool isTraced_ = false;
@@ -95,6 +110,7 @@
     std::unique_ptr<FakeWorker> worker_;
     VmState state_ = VmState::Up;
     int lives_ = 1;
+    bool isRemoved_ = false;
   };
 
   using AnswerHandler = std::function<void(const CallerAnswer&)>;
@@ -106,7 +122,7 @@
            CallerAction aAction,
            AnswerHandler aHandler,
            const std::string& aPath = "/queue/");
-  void SubmitOnce(const std::string& aJob);
+  void SubmitOnce(const std::string& aJob, const std::string& aPath);
   void CancelOnce(const std::string& aJob);
   std::string AnyDaemon();
   void Deliver(const std::string& aDaemon, std::uint64_t aLife, Event aEvent);
@@ -117,6 +133,7 @@
   FakeWorker* Find(const WorkerId& aWorker);
   template<typename Order>
   void RunAtWorker(const std::string& aDaemon, const Order& aOrder);
+  void OrderStart(const std::string& aDaemon, const StartTask& aOrder);
   void Forward(const std::string& aDaemon, const ForwardRequest& aForward);
   void ListVms(const std::string& aDaemon);
   void MoveToPool(const std::string& aDaemon, const MoveVm& aOrder);
@@ -130,6 +147,8 @@
   std::map<RequestKey, AnswerHandler> asked_;
   RequestKey lastKey_;
   std::optional<Wave> wave_;
+  bool requiresTickets_ = false;
+
   Size size_;
 };
 
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -378,6 +378,24 @@
   }
 }
 
+// Guards against a queue whose jobs never get a ticket.
+TEST(WireJobs, ReadsTheAdviceOfAQueue)
+{
+  const auto configuration = DecodeConfiguration(R"({"version":3,"services":[],
+    "routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
+      "advice":{"decisionMs":40,"perItemMs":1.5,"validityMs":3000}}]})");
+  ASSERT_TRUE(configuration.queues_.at(0).advice_);
+  EXPECT_EQ(configuration.queues_.at(0).advice_->decision_, 40ms);
+  EXPECT_EQ(configuration.queues_.at(0).advice_->perWorker_, 1500us);
+  const auto given =
+    DecodeAdvice(R"({"allowed":[["i-1","c81e"]],"validityMs":3000})");
+  ASSERT_EQ(given.allowed_.size(), 1U);
+  EXPECT_EQ(given.allowed_[0].worker_, jobs::WorkerId{ "i-1" });
+  EXPECT_EQ(given.allowed_[0].text_, "c81e");
+  EXPECT_EQ(given.validity_, 3s);
+  EXPECT_ANY_THROW(DecodeAdvice(R"({"allowed":[["i-1"]],"validityMs":1})"));
+}
+
 // Guards against a daemon that stops when nobody reads its log.
 TEST(LineLog, DropsLinesWhenNobodyReads)
 {
