Lend idle VMs to the pool whose turn it is

Cause: a queue in its turn asks for twice its pool. Standby VMs were called once a second's work waited, 2.4 s into a burst of 8 s, and the idle VMs of the other pools could not be moved, since tasks that last were spread over all of them. The list of workers is read each 150 ms while VMs move. Idle VMs that leave the list are forgotten. Each of the four tests fails without its part.

--- a/src/verbenawell/jobs/pools/PoolDemand.cpp
+++ b/src/verbenawell/jobs/pools/PoolDemand.cpp
@@ -13,9 +13,12 @@
 
 using namespace std::chrono_literals;
 
-// Work that ends within this time without help waits no longer than a VM
+// Work that ends within this time without help waits little longer than a VM
 // takes to move.
-constexpr Duration kHorizon = 1s;
+constexpr Duration kHorizon = 2s;
+// A burst grows for some two seconds, as long as a VM takes to come; the last
+// second's arrivals are well below those that it will meet.
+constexpr std::uint64_t kGrowthPercent = 200;
 
 struct PoolSize
 {
@@ -48,10 +51,27 @@
   return false;
 }
 
+/// The VMs that the limits on tasks of one VM ask for.
+std::uint32_t
+SpreadOf(const JobDefinition& aDefinition)
+{
+  std::uint32_t most = 0;
+  for (const Step& step : aDefinition.steps_) {
+    if (step.longRunning_ && step.perWorker_ > TaskCount{}) {
+      most = std::max(most,
+                      (step.count_.Value() + step.perWorker_.Value() - 1) /
+                        step.perWorker_.Value());
+    }
+  }
+  return most;
+}
+
 } // namespace
 
 std::map<ServiceId, PoolDemand>
-DemandOf(const Views& aViews, const Context& aContext)
+DemandOf(const Views& aViews,
+         const std::map<ServiceId, ArrivalRate>& aArrivals,
+         const Context& aContext)
 {
   std::map<ServiceId, PoolSize> sizes;
   for (const auto& [id, worker] : aViews.workers_.workers_) {
@@ -63,8 +83,12 @@
   }
   std::map<ServiceId, std::uint64_t> work;
   std::set<ServiceId> lacking;
+  std::map<ServiceId, std::uint32_t> spread;
   for (const auto& [id, job] : aViews.tasks_.jobs_) {
     if (job.outcome_ == JobOutcome::Open && job.IsLongRunning()) {
+      std::uint32_t& most = spread[job.service_];
+      most = std::max(most, SpreadOf(job.definition_));
+
       if (LacksAVm(job, aViews.workers_)) {
         lacking.insert(job.service_);
       }
@@ -78,10 +102,16 @@
     const std::uint64_t cpuOfOne =
       std::max<std::uint64_t>(1, size.cpu_ / size.working_);
     const auto horizon = static_cast<std::uint64_t>(kHorizon.count());
-    demand[service] = {
-      size.working_,
-      static_cast<std::uint32_t>(work[service] / horizon / cpuOfOne) + 1
-    };
+    const auto arrivals = aArrivals.find(service);
+    const std::uint64_t arriving =
+      arrivals == aArrivals.end()
+        ? 0
+        : arrivals->second.CpuAt(aContext.now_) * kGrowthPercent / 100;
+    const std::uint64_t cpu = std::max(work[service] / horizon, arriving);
+    demand[service] = { size.working_,
+                        static_cast<std::uint32_t>(cpu / cpuOfOne) + 1,
+                        static_cast<std::uint32_t>(arriving / cpuOfOne) + 1,
+                        spread[service] + 1 };
     if (lacking.contains(service)) {
       demand[service].wanted_ =
         std::max(demand[service].wanted_, size.working_ + 1);
--- a/src/verbenawell/jobs/pools/PoolDemand.h
+++ b/src/verbenawell/jobs/pools/PoolDemand.h
@@ -4,6 +4,7 @@
 #include "verbenawell/core/Units.h"
 #include "verbenawell/jobs/core/Views.h"
 #include "verbenawell/jobs/model/Ids.h"
+#include "verbenawell/jobs/pools/ArrivalRate.h"
 
 #include <map>
 
@@ -14,13 +15,20 @@
 {
   /// VMs whose workers take tasks.
   std::uint32_t working_ = 0;
-  /// VMs that would end the waiting work within the horizon.
+  /// VMs for the waiting work and for what keeps arriving.
   std::uint32_t wanted_ = 0;
+  /// Those of them that the arrivals alone ask for.
+  std::uint32_t wantedByArrivals_ = 0;
+  /// VMs over which the tasks that last have to spread, and one to replace a
+  /// lost one of them.
+  std::uint32_t least_ = 1;
 };
 
 /// Answers queues that take turns to ask for several times their mean: the
-/// work of jobs that still earn something decides how many VMs a pool wants.
+/// waiting work and the rate of arrivals decide how many VMs a pool wants.
 std::map<ServiceId, PoolDemand>
-DemandOf(const Views& aViews, const Context& aContext);
+DemandOf(const Views& aViews,
+         const std::map<ServiceId, ArrivalRate>& aArrivals,
+         const Context& aContext);
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/pools/PoolsReducer.cpp
+++ b/src/verbenawell/jobs/pools/PoolsReducer.cpp
@@ -1,10 +1,12 @@
 #include "verbenawell/jobs/pools/PoolsReducer.h"
 
 #include "verbenawell/core/Overloaded.h"
-#include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
+#include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/pools/PoolDemand.h"
 #include "verbenawell/jobs/pools/PoolsState.h"
+#include "verbenawell/jobs/pools/internal/MovePlan.h"
+#include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/upkeep/UpkeepState.h"
 #include "verbenawell/jobs/upkeep/VmOrders.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -20,17 +22,10 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kTick = 250ms;
-// A pool gives VMs away only if it wants less than this share of what it has.
-constexpr std::uint32_t kCalmDivisor = 2;
-// A guest that was idle for this long is not needed where it is.
-constexpr Duration kIdleBeforeMove = 500ms;
-// Being off saves more than the move there costs after about a second; the
-// rest keeps VMs in pools whose turn comes soon.
-constexpr Duration kIdleBeforeStandby = 3s;
+// Short tasks end within it; a VM with longer ones is not waited for.
+constexpr Duration kMostDrainTime = 3s;
 // A moved VM whose worker has not come by then counts as lost.
 constexpr Duration kMostMoveTime = 6s;
-// Spares the service that carries the moves out.
-constexpr std::size_t kMostMovesPerTick = 8;
 
 class Reducer
 {
@@ -55,6 +50,14 @@
     effects_.push_back(SetTimer{ PoolsTick{}, kTick });
   }
 
+  void On(const SubmissionSaved& aSaved)
+  {
+    const Job* job = views_.tasks_.Find(aSaved.job_);
+    if (job != nullptr && !job->IsLongRunning()) {
+      state_.arrivals_[job->service_].Add(context_.now_, Remaining(*job).cpu_);
+    }
+  }
+
   void On(const VmMoveAnswered& aAnswer)
   {
     const auto move = state_.moves_.find(aAnswer.vm_);
@@ -89,8 +92,8 @@
       return;
     }
     RepeatOrders();
-    MoveToDemand();
-    MoveToStandby();
+    OrderDrained();
+    MoveVms();
   }
 
   template<typename Other>
@@ -137,7 +140,7 @@
              ? worker->isKnown_ && worker->isListed_ &&
                  !worker->entry_.draining_ && worker->runs_.empty() &&
                  !IsSilent(*worker, context_.now_)
-             : IsStandby(aVm.pool_);
+             : IsStandby(views_, aVm.pool_);
   }
 
   [[nodiscard]] bool IsInWave(const VmId& aVm) const
@@ -149,17 +152,13 @@
     });
   }
 
-  [[nodiscard]] bool IsStandby(const ServiceId& aPool) const
-  {
-    const auto& configuration = views_.configuration_.configuration_;
-    const Service* service =
-      configuration ? configuration->Find(aPool) : nullptr;
-    return service != nullptr && service->standby_;
-  }
-
   void NoteIdle()
   {
+    std::erase_if(state_.idleSince_, [&](const auto& aVm) {
+      return !views_.upkeep_.vms_.contains(aVm.first);
+    });
     for (const auto& [id, vm] : views_.upkeep_.vms_) {
+      state_.homes_.try_emplace(id, vm.pool_);
       if (IsIdle(vm)) {
         state_.idleSince_.try_emplace(id, context_.now_);
       } else {
@@ -168,114 +167,67 @@
     }
   }
 
-  void RepeatOrders()
+  // A VM that was chosen while it worked is ordered once its tasks have ended;
+  // one whose tasks outlast the need stays.
+  void OrderDrained()
   {
-    for (auto& [id, move] : state_.moves_) {
-      if (move.isUnanswered_) {
-        move.isUnanswered_ = false;
-        Send(id, move.to_);
+    for (auto move = state_.moves_.begin(); move != state_.moves_.end();) {
+      const auto current = move++;
+      if (!current->second.isDraining_) {
+        continue;
       }
-    }
-  }
-
-  [[nodiscard]] std::uint32_t Incoming(const ServiceId& aPool) const
-  {
-    return static_cast<std::uint32_t>(
-      std::ranges::count_if(state_.moves_, [&](const auto& aMove) {
-        return aMove.second.to_ == aPool;
-      }));
-  }
-
-  void MoveToDemand()
-  {
-    auto demand = DemandOf(views_, context_);
-    std::size_t moved = 0;
-    for (auto& [service, pool] : demand) {
-      std::uint32_t has = pool.working_ + Incoming(service);
-      while (has < pool.wanted_ && moved < kMostMovesPerTick) {
-        const auto vm = TakeIdle(service, demand);
-        if (!vm) {
-          return;
-        }
-        Move(*vm, service);
-        ++has;
-        ++moved;
+      const Worker* worker = views_.workers_.Find(current->second.worker_);
+      if (worker == nullptr ||
+          context_.now_ - current->second.orderedAt_ > kMostDrainTime) {
+        GiveUp(current);
+      } else if (worker->runs_.empty()) {
+        current->second.isDraining_ = false;
+        current->second.orderedAt_ = context_.now_;
+        Send(current->first, current->second.to_);
       }
     }
   }
 
-  /// A VM that its pool does not need: one that is off before one of a pool.
-  std::optional<VmId> TakeIdle(const ServiceId& aFor,
-                               std::map<ServiceId, PoolDemand>& aDemand)
+  void RepeatOrders()
   {
-    std::optional<VmId> other;
-    for (const auto& [id, since] : state_.idleSince_) {
-      const ListedVm& vm = views_.upkeep_.vms_.at(id);
-      if (vm.pool_ == aFor || state_.moves_.contains(id) ||
-          state_.refused_.contains({ id, aFor })) {
-        continue;
-      }
-      if (IsStandby(vm.pool_)) {
-        return id;
-      }
-      if (context_.now_ - since >= kIdleBeforeMove && !other &&
-          state_.guests_.contains(id) && IsCalm(aDemand[vm.pool_])) {
-        other = id;
+    for (auto& [id, move] : state_.moves_) {
+      if (move.isUnanswered_) {
+        move.isUnanswered_ = false;
+        Send(id, move.to_);
       }
     }
-    if (other) {
-      --aDemand[views_.upkeep_.vms_.at(*other).pool_].working_;
-    }
-    return other;
   }
 
-  [[nodiscard]] static bool IsCalm(const PoolDemand& aPool)
+  void MoveVms()
   {
-    return aPool.working_ > 1 && aPool.wanted_ * kCalmDivisor < aPool.working_;
-  }
-
-  void MoveToStandby()
-  {
-    const auto& configuration = views_.configuration_.configuration_;
-    const auto standby =
-      std::ranges::find_if(configuration->services_, &Service::standby_);
-    if (standby == configuration->services_.end()) {
-      return;
-    }
-    auto demand = DemandOf(views_, context_);
-    std::vector<VmId> idle;
-    for (const auto& [id, since] : state_.idleSince_) {
-      const ListedVm& vm = views_.upkeep_.vms_.at(id);
-      if (!IsStandby(vm.pool_) && !state_.moves_.contains(id) &&
-          context_.now_ - since >= kIdleBeforeStandby &&
-          state_.guests_.contains(id) &&
-          !state_.refused_.contains({ id, standby->id_ }) &&
-          IsCalm(demand[vm.pool_])) {
-        --demand[vm.pool_].working_;
-        idle.push_back(id);
-      }
-    }
-    for (const VmId& vm : idle) {
-      Move(vm, standby->id_);
+    for (const PlannedMove& move :
+         PlanMoves(state_,
+                   views_,
+                   DemandOf(views_, state_.arrivals_, context_),
+                   context_)) {
+      Begin(move);
     }
   }
 
-  void Move(const VmId& aVm, const ServiceId& aTo)
+  void Begin(const PlannedMove& aPlanned)
   {
-    const ListedVm& vm = views_.upkeep_.vms_.at(aVm);
-    if (IsStandby(vm.pool_)) {
-      state_.guests_.insert(aVm);
-    }
-    state_.moves_[aVm] = { aTo, vm.worker_, context_.now_, false, false };
+    const ListedVm& vm = views_.upkeep_.vms_.at(aPlanned.vm_);
+    VmMove& move = state_.moves_[vm.vm_];
+    move = { aPlanned.to_, vm.worker_, context_.now_ };
+    move.isDraining_ = aPlanned.drainsFirst_;
     state_.draining_.insert(vm.worker_);
-    state_.idleSince_.erase(aVm);
+    state_.idleSince_.erase(vm.vm_);
     effects_.push_back(Count{ Counter::VmsMoved });
-    effects_.push_back(LogLine{ LogLevel::Info,
-                                "vm_move",
-                                { { "vm", aVm.Value() },
-                                  { "from", vm.pool_.Value() },
-                                  { "to", aTo.Value() } } });
-    Send(aVm, aTo);
+    effects_.push_back(
+      LogLine{ LogLevel::Info,
+               "vm_move",
+               { { "vm", vm.vm_.Value() },
+                 { "from", vm.pool_.Value() },
+                 { "to", aPlanned.to_.Value() },
+                 { "drains", aPlanned.drainsFirst_ ? "yes" : "no" } } });
+    if (!move.isDraining_) {
+      Send(vm.vm_, move.to_);
+    }
   }
 
   void Send(const VmId& aVm, const ServiceId& aTo)
--- a/src/verbenawell/jobs/pools/PoolsState.h
+++ b/src/verbenawell/jobs/pools/PoolsState.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
+#include "verbenawell/jobs/pools/ArrivalRate.h"
 
 #include <map>
 #include <set>
@@ -16,6 +17,8 @@
   /// The worker that ends with the move.
   WorkerId worker_;
   TimePoint orderedAt_;
+  /// The order waits for the VM's tasks to end.
+  bool isDraining_ = false;
   bool isAccepted_ = false;
   /// The last order had no answer.
   bool isUnanswered_ = false;
@@ -29,8 +32,10 @@
   std::set<WorkerId> draining_;
   /// Since when a VM has nothing to do.
   std::map<VmId, TimePoint> idleSince_;
-  /// VMs that came from standby; the others stay in their pools.
-  std::set<VmId> guests_;
+  /// The pool in which a VM was first seen; elsewhere it is a visitor.
+  std::map<VmId, ServiceId> homes_;
+  /// Accepted work that ends by itself.
+  std::map<ServiceId, ArrivalRate> arrivals_;
   /// Pools that a VM cannot join.
   std::set<std::pair<VmId, ServiceId>> refused_;
   bool isActive_ = false;
--- /dev/null
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -0,0 +1,229 @@
+#include "verbenawell/jobs/pools/internal/MovePlan.h"
+
+#include "verbenawell/jobs/configuration/ConfigurationState.h"
+#include "verbenawell/jobs/pools/PoolsState.h"
+#include "verbenawell/jobs/upkeep/UpkeepState.h"
+#include "verbenawell/jobs/workers/WorkersState.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A pool gives VMs away only if it wants less than this share of what it has.
+constexpr std::uint32_t kCalmDivisor = 2;
+// A VM that was idle for this long is not needed where it is.
+constexpr Duration kIdleBeforeMove = 500ms;
+// Being off saves more than the move there costs after about a second; the
+// rest keeps VMs in pools whose work comes in groups.
+constexpr Duration kIdleBeforeReturn = 3s;
+// A pool lends no more than the rest of its VMs, in percent, so that its own
+// next burst finds room until they are back.
+constexpr std::uint32_t kKeptPercent = 70;
+// Spares the service that carries the moves out.
+constexpr std::size_t kMostMoves = 12;
+
+bool
+IsCalm(std::uint32_t aWanted, std::uint32_t aWorking)
+{
+  return aWorking > 1 && aWanted * kCalmDivisor < aWorking;
+}
+
+class Plan
+{
+public:
+  Plan(const PoolsState& aState,
+       const Views& aViews,
+       const std::map<ServiceId, PoolDemand>& aDemand,
+       const Context& aContext)
+    : state_(aState)
+    , views_(aViews)
+    , demand_(aDemand)
+    , now_(aContext.now_)
+  {
+  }
+
+  std::vector<PlannedMove> Make()
+  {
+    for (const ServiceId& service : ByArrivals()) {
+      Serve(service);
+    }
+    SendVisitorsHome();
+    return std::move(moves_);
+  }
+
+private:
+  /// A pool in a burst is served before one with a backlog.
+  [[nodiscard]] std::vector<ServiceId> ByArrivals() const
+  {
+    std::vector<ServiceId> services;
+    for (const auto& [service, pool] : demand_) {
+      services.push_back(service);
+    }
+    std::ranges::stable_sort(
+      services, std::greater{}, [&](const ServiceId& aService) {
+        const PoolDemand& pool = demand_.at(aService);
+        return static_cast<double>(pool.wantedByArrivals_) /
+               std::max(1U, pool.working_);
+      });
+    return services;
+  }
+
+  void Serve(const ServiceId& aService)
+  {
+    const PoolDemand& pool = demand_.at(aService);
+    std::uint32_t has = pool.working_ + Incoming(aService);
+    while (has < pool.wanted_ && moves_.size() < kMostMoves) {
+      auto move = TakeIdle(aService);
+      if (!move && has < pool.wantedByArrivals_) {
+        move = TakeBusy(aService);
+      }
+      if (!move) {
+        return;
+      }
+      Add(std::move(*move));
+      ++has;
+    }
+  }
+
+  void Add(PlannedMove aMove)
+  {
+    taken_.insert(aMove.vm_);
+    const ServiceId& from = views_.upkeep_.vms_.at(aMove.vm_).pool_;
+    if (const auto pool = demand_.find(from); pool != demand_.end()) {
+      --pool->second.working_;
+    }
+    moves_.push_back(std::move(aMove));
+  }
+
+  [[nodiscard]] std::uint32_t Incoming(const ServiceId& aPool) const
+  {
+    return static_cast<std::uint32_t>(
+      std::ranges::count_if(state_.moves_, [&](const auto& aMove) {
+        return aMove.second.to_ == aPool;
+      }));
+  }
+
+  [[nodiscard]] bool MayMove(const ListedVm& aVm, const ServiceId& aTo) const
+  {
+    return aVm.pool_ != aTo && !state_.moves_.contains(aVm.vm_) &&
+           !taken_.contains(aVm.vm_) &&
+           !state_.refused_.contains({ aVm.vm_, aTo });
+  }
+
+  [[nodiscard]] bool IsVisitor(const ListedVm& aVm) const
+  {
+    const auto home = state_.homes_.find(aVm.vm_);
+    return home != state_.homes_.end() && home->second != aVm.pool_;
+  }
+
+  [[nodiscard]] bool MayLend(const ServiceId& aPool) const
+  {
+    const auto homes = std::ranges::count_if(
+      state_.homes_, [&](const auto& aHome) { return aHome.second == aPool; });
+    const PoolDemand& pool = demand_.at(aPool);
+    return pool.working_ > pool.least_ &&
+           pool.working_ * 100 >
+             static_cast<std::uint64_t>(homes) * kKeptPercent;
+  }
+
+  /// One that is off first, then a visitor, then one of the pool's own.
+  [[nodiscard]] std::optional<PlannedMove> TakeIdle(const ServiceId& aFor) const
+  {
+    std::optional<PlannedMove> visitor;
+    std::optional<PlannedMove> lent;
+    for (const auto& [id, since] : state_.idleSince_) {
+      const ListedVm& vm = views_.upkeep_.vms_.at(id);
+      if (!MayMove(vm, aFor)) {
+        continue;
+      }
+      if (IsStandby(views_, vm.pool_)) {
+        return PlannedMove{ id, aFor, false };
+      }
+      const auto pool = demand_.find(vm.pool_);
+      if (pool == demand_.end() || now_ - since < kIdleBeforeMove ||
+          !IsCalm(pool->second.wanted_, pool->second.working_)) {
+        continue;
+      }
+      if (!visitor && IsVisitor(vm)) {
+        visitor = PlannedMove{ id, aFor, false };
+      } else if (!lent && MayLend(vm.pool_)) {
+        lent = PlannedMove{ id, aFor, false };
+      }
+    }
+    return visitor ? visitor : lent;
+  }
+
+  /// A visitor of a pool whose burst is over, though it works on the rest.
+  [[nodiscard]] std::optional<PlannedMove> TakeBusy(const ServiceId& aFor) const
+  {
+    for (const auto& [id, vm] : views_.upkeep_.vms_) {
+      if (!MayMove(vm, aFor) || !IsVisitor(vm) || vm.state_ != VmState::Up) {
+        continue;
+      }
+      const auto pool = demand_.find(vm.pool_);
+      const Worker* worker = views_.workers_.Find(vm.worker_);
+      if (pool == demand_.end() || worker == nullptr ||
+          !TakesStarts(*worker, now_) ||
+          !IsCalm(pool->second.wantedByArrivals_, pool->second.working_) ||
+          std::ranges::any_of(worker->runs_, [](const auto& aRun) {
+            return aRun.second.isLongRunning_;
+          })) {
+        continue;
+      }
+      return PlannedMove{ id, aFor, true };
+    }
+    return std::nullopt;
+  }
+
+  void SendVisitorsHome()
+  {
+    for (const auto& [id, since] : state_.idleSince_) {
+      const ListedVm& vm = views_.upkeep_.vms_.at(id);
+      const auto pool = demand_.find(vm.pool_);
+      if (pool == demand_.end() || !IsVisitor(vm) ||
+          now_ - since < kIdleBeforeReturn ||
+          !IsCalm(pool->second.wanted_, pool->second.working_)) {
+        continue;
+      }
+      if (const ServiceId& home = state_.homes_.at(id);
+          MayMove(vm, home) && moves_.size() < kMostMoves) {
+        Add({ id, home, false });
+      }
+    }
+  }
+
+  const PoolsState& state_;
+  const Views& views_;
+  std::map<ServiceId, PoolDemand> demand_;
+  TimePoint now_;
+  std::set<VmId> taken_;
+  std::vector<PlannedMove> moves_;
+};
+
+} // namespace
+
+std::vector<PlannedMove>
+PlanMoves(const PoolsState& aState,
+          const Views& aViews,
+          const std::map<ServiceId, PoolDemand>& aDemand,
+          const Context& aContext)
+{
+  return Plan{ aState, aViews, aDemand, aContext }.Make();
+}
+
+bool
+IsStandby(const Views& aViews, const ServiceId& aPool)
+{
+  const auto& configuration = aViews.configuration_.configuration_;
+  const Service* service = configuration ? configuration->Find(aPool) : nullptr;
+  return service != nullptr && service->standby_;
+}
+
+} // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
+#include "verbenawell/jobs/pools/PoolsState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 #include "verbenawell/jobs/workers/internal/WorkerAnswers.h"
@@ -19,6 +20,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kListPoll = 500ms;
+// A VM that moves is waited for, and its new worker is known from the list.
+constexpr Duration kListPollDuringMoves = 150ms;
 constexpr Duration kLeaseTick = 200ms;
 // How long a worker waits for an end before it answers a hold.
 constexpr Duration kHoldWait = 1s;
@@ -74,7 +77,9 @@
   {
     if (state_.isActive_) {
       ApplyList(state_, aRead, context_, effects_);
-      effects_.push_back(SetTimer{ WorkerListPoll{}, kListPoll });
+      effects_.push_back(SetTimer{
+        WorkerListPoll{},
+        views_.pools_.moves_.empty() ? kListPoll : kListPollDuringMoves });
     }
   }
 
@@ -261,7 +266,10 @@
         }
         Assignment run;
         run.run_ = placed.run_;
-        run.room_ = RoomOnWorker(job.definition_.steps_[task.step_.Value()]);
+        const Step& step = job.definition_.steps_[task.step_.Value()];
+        run.room_ = RoomOnWorker(step);
+        run.isLongRunning_ = step.longRunning_;
+
         run.phase_ = RunPhase::Running;
         run.isStored_ = true;
         run.answeredAt_ = state_.takenAt_;
@@ -344,6 +352,8 @@
     run = Assignment{};
     run.run_ = aStart.run_;
     run.room_ = aStart.room_;
+    run.isLongRunning_ = aStart.isLongRunning_;
+
     run.ticket_ = aStart.ticket_;
     worker.used_ += run.room_;
     effects_.push_back(Count{ Counter::TasksStarted });
--- /dev/null
+++ b/tests/jobs/PoolsTest.cpp
@@ -0,0 +1,116 @@
+#include "Installation.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A new owner orders no VMs for its first 3 s.
+constexpr Duration kStartUp = 6s;
+
+void
+ExpectKept(const Installation& aInstallation)
+{
+  for (const std::string& broken : aInstallation.oracle_.Broken()) {
+    ADD_FAILURE() << broken;
+  }
+}
+
+// Guards against an owner that ends when an idle VM leaves the list: it looked
+// the VM up to move it.
+TEST(Pools, ForgetAnIdleVmThatLeavesTheList)
+{
+  Installation installation{ 41, { 3, 4, 2, 2 } };
+  installation.RunFor(kStartUp);
+  installation.RemoveVm(3);
+  installation.RunFor(3s);
+  for (int job = 10; job < 30; ++job) {
+    installation.Submit("00000000000000" + std::to_string(job),
+                        MakeJob(8, 1, 1s));
+  }
+  installation.RunFor(20s);
+  EXPECT_FALSE(installation.Owner().empty());
+  ExpectKept(installation);
+}
+
+// Guards against VMs that come only when jobs have waited for long: the first
+// second of a burst of two seconds' growth calls them.
+TEST(Pools, CallStandbyVmsWhileABurstStillFits)
+{
+  Installation installation{ 42, { 3, 6, 2, 4 } };
+  installation.RunFor(kStartUp);
+  // Two workers hold eight tasks at a time; ten tasks arrive a second.
+  for (int job = 10; job < 15; ++job) {
+    installation.Submit("00000000000000" + std::to_string(job),
+                        MakeJob(2, 1, 600ms));
+    installation.RunFor(200ms);
+  }
+  const auto& moves = installation.StateOf(installation.Owner()).pools_.moves_;
+  EXPECT_FALSE(moves.empty());
+  ExpectKept(installation);
+}
+
+/// Which pool the VMs belong to, by the owner's list.
+std::size_t
+VmsIn(Installation& aInstallation, const ServiceId& aPool)
+{
+  const auto& vms = aInstallation.StateOf(aInstallation.Owner()).upkeep_.vms_;
+  return static_cast<std::size_t>(std::ranges::count_if(
+    vms, [&](const auto& aVm) { return aVm.second.pool_ == aPool; }));
+}
+
+void
+SubmitBurst(Installation& aInstallation,
+            int aFirst,
+            std::uint32_t aTasks,
+            const std::string& aPath)
+{
+  for (int job = aFirst; job < aFirst + 20; ++job) {
+    aInstallation.Submit(
+      "00000000000000" + std::to_string(job), MakeJob(aTasks, 1, 1s), aPath);
+    aInstallation.RunFor(100ms);
+  }
+}
+
+// Guards against VMs that stay with a queue whose burst is over while the next
+// queue's burst waits: they finished the backlog first.
+TEST(Pools, RecallVisitorsFromAPoolWhoseBurstIsOver)
+{
+  Installation installation{ 43, { 3, 8, 2, 4, 2 } };
+  installation.AddService();
+  installation.RunFor(kStartUp);
+  SubmitBurst(installation, 10, 40, "/queue/");
+  installation.RunFor(2s);
+  ASSERT_EQ(VmsIn(installation, kSpare), 0U);
+  SubmitBurst(installation, 40, 4, "/other/");
+  installation.RunFor(3s);
+  EXPECT_GT(VmsIn(installation, kOtherService), 2U);
+  installation.RunFor(20s);
+  ExpectKept(installation);
+}
+
+// Guards against a pool that lends the VMs over which its tasks that last have
+// to spread: one of them then had nowhere to run.
+TEST(Pools, KeepTheVmsThatTasksThatLastSpreadOver)
+{
+  Installation installation{ 44, { 3, 8, 2, 0, 4 } };
+  installation.AddService();
+  installation.RunFor(kStartUp);
+  JobDefinition lasting = MakeJob(3, 1, 1s);
+  lasting.steps_[0].longRunning_ = true;
+  lasting.steps_[0].perWorker_ = TaskCount{ 1 };
+  installation.Submit("0000000000000001", lasting, "/other/");
+  installation.RunFor(2s);
+  SubmitBurst(installation, 10, 4, "/queue/");
+  installation.RunFor(2s);
+  EXPECT_EQ(VmsIn(installation, kOtherService), 4U);
+  installation.RunFor(10s);
+  ExpectKept(installation);
+}
+
+} // namespace
+} // namespace verbenawell::jobs
