Give workers that fail or stand still single tasks

Cause: a worker that fails all it starts is always the least loaded one, so it drew most tasks; tasks on a worker that stands still were waited for. Change: the module health keeps a record of each worker: the progress of its runs against their declared times, and its failed ends, both decaying. A task that failed goes to another worker.

--- a/src/verbenawell/jobs/core/Reduce.cpp
+++ b/src/verbenawell/jobs/core/Reduce.cpp
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/callers/CallersReducer.h"
 #include "verbenawell/jobs/configuration/ConfigurationReducer.h"
 #include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/health/HealthReducer.h"
 #include "verbenawell/jobs/journal/JournalReducer.h"
 #include "verbenawell/jobs/ownership/OwnershipReducer.h"
 #include "verbenawell/jobs/pacing/PacingReducer.h"
@@ -32,6 +33,7 @@
   // Tasks come before workers and placement, which look them up.
   ReduceTasks(aState.tasks_, views, aEvent, aContext, effects);
   ReduceWorkers(aState.workers_, views, aEvent, aContext, effects);
+  ReduceHealth(aState.health_, views, aEvent, aContext, effects);
   ReduceAdvice(aState.advice_, views, aEvent, aContext, effects);
   ReducePlacement(aState.placement_, views, aEvent, aContext, effects);
   ReducePacing(aState.pacing_, views, aEvent, aContext, effects);
--- a/src/verbenawell/jobs/core/State.h
+++ b/src/verbenawell/jobs/core/State.h
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/callers/CallersState.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/core/Views.h"
+#include "verbenawell/jobs/health/HealthState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/pacing/PacingState.h"
@@ -25,6 +26,7 @@
   WorkersState workers_;
   TasksState tasks_;
   AdviceState advice_;
+  HealthState health_;
   PlacementState placement_;
   PacingState pacing_;
   UpkeepState upkeep_;
@@ -33,7 +35,7 @@
   [[nodiscard]] Views View() const
   {
     return { ownership_, journal_, configuration_, callers_, workers_,
-             tasks_,     advice_,  upkeep_,        pools_ };
+             tasks_,     advice_,  health_,        upkeep_,  pools_ };
   }
 };
 
--- a/src/verbenawell/jobs/core/Views.h
+++ b/src/verbenawell/jobs/core/Views.h
@@ -9,6 +9,7 @@
 struct WorkersState;
 struct TasksState;
 struct AdviceState;
+struct HealthState;
 struct UpkeepState;
 struct PoolsState;
 
@@ -22,6 +23,7 @@
   const WorkersState& workers_;
   const TasksState& tasks_;
   const AdviceState& advice_;
+  const HealthState& health_;
   const UpkeepState& upkeep_;
   const PoolsState& pools_;
 };
--- /dev/null
+++ b/src/verbenawell/jobs/health/HealthState.cpp
@@ -0,0 +1,27 @@
+#include "verbenawell/jobs/health/HealthState.h"
+
+#include <chrono>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+// A worker that fails all it starts gets one task a second.
+constexpr Duration kTrialGap = std::chrono::seconds(1);
+
+} // namespace
+
+Trust
+HealthState::TrustIn(const WorkerId& aWorker, TimePoint aNow) const
+{
+  if (!suspects_.contains(aWorker)) {
+    return Trust::Full;
+  }
+  const auto record = records_.find(aWorker);
+  return record == records_.end() ||
+             aNow - record->second.UpdatedAt() >= kTrialGap
+           ? Trust::Trial
+           : Trust::None;
+}
+
+} // namespace verbenawell::jobs
--- /dev/null
+++ b/src/verbenawell/jobs/health/HealthState.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "verbenawell/jobs/health/WorkerRecord.h"
+#include "verbenawell/jobs/model/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace verbenawell::jobs {
+
+enum class Trust : std::uint8_t
+{
+  Full,
+  /// One task shows whether it is sound again.
+  Trial,
+  None,
+};
+
+/// What outcomes tell of the workers. Empty on daemons that do not own.
+struct HealthState
+{
+  std::map<WorkerId, WorkerRecord> records_;
+  /// Workers that fail or are far slower than the others of their service;
+  /// they get single tasks until these go well.
+  std::set<WorkerId> suspects_;
+
+  [[nodiscard]] Trust TrustIn(const WorkerId& aWorker, TimePoint aNow) const;
+};
+
+} // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -37,6 +37,8 @@
   /// Highest run number that may have been used.
   RunNumber lastRun_;
   TaskCount failures_;
+  /// Where the last run failed; not stored.
+  WorkerId failedOn_;
   std::string checkpoint_;
   /// Share of its start-up or work that the worker last reported.
   Percent percent_;
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/jobs/placement/PlacementReducer.h"
 
+#include "verbenawell/jobs/health/HealthState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/placement/PlacementState.h"
@@ -51,9 +52,13 @@
   void CollectRoom()
   {
     for (const auto& [id, worker] : views_.workers_.workers_) {
-      if (TakesStarts(worker, now_) && !views_.upkeep_.draining_.contains(id) &&
+      const Trust trust = views_.health_.TrustIn(id, now_);
+      const bool isTried =
+        trust == Trust::Full || (trust == Trust::Trial && worker.runs_.empty());
+      if (isTried && TakesStarts(worker, now_) &&
+          !views_.upkeep_.draining_.contains(id) &&
           !views_.pools_.draining_.contains(id)) {
-        rooms_[worker.entry_.service_].Add(worker);
+        rooms_[worker.entry_.service_].Add(worker, trust);
       }
     }
   }
@@ -107,7 +112,7 @@
         continue;
       }
       aTask.index_ = TaskIndex{ index };
-      auto choice = aRoom.Take(aTask, step, permission);
+      auto choice = aRoom.Take(aTask, step, permission, tasks[index]);
       if (!choice) {
         // All tasks of the step need the same room.
         NoteNeed(aTask, step, permission, aRoom);
--- a/src/verbenawell/jobs/placement/WorkerChoice.cpp
+++ b/src/verbenawell/jobs/placement/WorkerChoice.cpp
@@ -68,12 +68,15 @@
 } // namespace
 
 void
-ServiceRoom::Add(const Worker& aWorker)
+ServiceRoom::Add(const Worker& aWorker, Trust aTrust)
 {
   const auto longRunning = std::ranges::count_if(
     aWorker.runs_, [](const auto& aRun) { return aRun.second.isLongRunning_; });
-  candidates_.push_back(
-    { &aWorker, aWorker.Free(), static_cast<std::size_t>(longRunning), {} });
+  candidates_.push_back({ &aWorker,
+                          aWorker.Free(),
+                          static_cast<std::size_t>(longRunning),
+                          aTrust == Trust::Trial,
+                          {} });
 }
 
 TaskId
@@ -103,6 +106,21 @@
          aStep.perWorker_.Value();
 }
 
+// A worker on trial may fail what it gets, so it gets no task that has failed
+// before, none that others wait for and none that lasts.
+bool
+ServiceRoom::IsWorthATry(const Candidate& aCandidate,
+                         const Step& aStep,
+                         const Task& aHistory)
+{
+  if (aCandidate.isOnTrial_) {
+    return aHistory.failures_ == TaskCount{} && !aStep.gang_ &&
+           !aStep.longRunning_;
+  }
+  return aHistory.failedOn_.IsEmpty() ||
+         aHistory.failedOn_ != aCandidate.worker_->entry_.worker_;
+}
+
 double
 ServiceRoom::LoadAfter(const Candidate& aCandidate, const Room& aRoom)
 {
@@ -121,7 +139,9 @@
                      const Step& aStep,
                      const Room& aRoom)
 {
+  aCandidate.free_ = aCandidate.isOnTrial_ ? Room{} : aCandidate.free_;
   aCandidate.free_ -= aRoom;
+
   aCandidate.longRunning_ += aStep.longRunning_ ? 1 : 0;
 
   if (aStep.perWorker_ != TaskCount{}) {
@@ -135,7 +155,8 @@
 ServiceRoom::TakeOnRack(const TaskId& aTask,
                         const Step& aStep,
                         const Permission& aPermission,
-                        const RackId& aRack)
+                        const RackId& aRack,
+                        const Task& aHistory)
 {
   const Room room = RoomOnWorker(aStep);
   const auto preference = [&](const Candidate& aCandidate) {
@@ -147,6 +168,7 @@
   for (Candidate& candidate : candidates_) {
     if ((!aRack.IsEmpty() && candidate.worker_->entry_.rack_ != aRack) ||
         !MayRun(candidate, aTask, aStep, room) ||
+        !IsWorthATry(candidate, aStep, aHistory) ||
         !IsPermitted(aPermission, candidate.worker_->entry_.worker_)) {
       continue;
     }
@@ -167,15 +189,17 @@
 std::optional<Choice>
 ServiceRoom::Take(const TaskId& aTask,
                   const Step& aStep,
-                  const Permission& aPermission)
+                  const Permission& aPermission,
+                  const Task& aHistory)
 {
   if (!aStep.nearRack_.IsEmpty()) {
-    if (auto near = TakeOnRack(aTask, aStep, aPermission, aStep.nearRack_);
+    if (auto near =
+          TakeOnRack(aTask, aStep, aPermission, aStep.nearRack_, aHistory);
         near) {
       return near;
     }
   }
-  return TakeOnRack(aTask, aStep, aPermission, RackId{});
+  return TakeOnRack(aTask, aStep, aPermission, RackId{}, aHistory);
 }
 
 std::optional<std::vector<Choice>>
@@ -187,8 +211,9 @@
   const std::vector<Candidate> before = candidates_;
   std::vector<Choice> choices;
   for (const TaskId& task : aTasks) {
-    auto choice = aRack.IsEmpty() ? Take(task, aStep, aPermission)
-                                  : TakeOnRack(task, aStep, aPermission, aRack);
+    auto choice = aRack.IsEmpty()
+                    ? Take(task, aStep, aPermission, Task{})
+                    : TakeOnRack(task, aStep, aPermission, aRack, Task{});
     if (!choice) {
       candidates_ = before;
       return std::nullopt;
--- a/src/verbenawell/jobs/placement/WorkerChoice.h
+++ b/src/verbenawell/jobs/placement/WorkerChoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/jobs/advice/AdviceState.h"
+#include "verbenawell/jobs/health/HealthState.h"
 #include "verbenawell/jobs/model/Job.h"
 #include "verbenawell/jobs/model/StepId.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -41,14 +42,15 @@
 class ServiceRoom
 {
 public:
-  void Add(const Worker& aWorker);
+  void Add(const Worker& aWorker, Trust aTrust);
 
   [[nodiscard]] bool IsEmpty() const { return candidates_.empty(); }
 
   /// Takes room for a task; empty if no worker may run it now.
   std::optional<Choice> Take(const TaskId& aTask,
                              const Step& aStep,
-                             const Permission& aPermission);
+                             const Permission& aPermission,
+                             const Task& aHistory);
 
   /// Takes room for all these tasks or for none.
   std::optional<std::vector<Choice>> TakeAll(const std::vector<TaskId>& aTasks,
@@ -67,6 +69,7 @@
     const Worker* worker_ = nullptr;
     Room free_;
     std::size_t longRunning_ = 0;
+    bool isOnTrial_ = false;
 
     /// Tasks of limited steps taken in this pass.
     std::map<TaskId, std::uint32_t> taken_;
@@ -77,6 +80,9 @@
                      const TaskId& aTask,
                      const Step& aStep,
                      const Room& aRoom);
+  static bool IsWorthATry(const Candidate& aCandidate,
+                          const Step& aStep,
+                          const Task& aHistory);
   static double LoadAfter(const Candidate& aCandidate, const Room& aRoom);
   static void Reserve(Candidate& aCandidate,
                       const TaskId& aTask,
@@ -86,7 +92,8 @@
   std::optional<Choice> TakeOnRack(const TaskId& aTask,
                                    const Step& aStep,
                                    const Permission& aPermission,
-                                   const RackId& aRack);
+                                   const RackId& aRack,
+                                   const Task& aHistory);
   std::optional<std::vector<Choice>> TakeAllOnRack(
     const std::vector<TaskId>& aTasks,
     const Step& aStep,
--- a/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
+++ b/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
@@ -86,6 +86,8 @@
     }
     if (aEnd.kind_ == EndKind::Failed) {
       ++aTask.failures_;
+      aTask.failedOn_ = ended_.worker_;
+
       changed_.insert(aJob.id_);
     }
     Rerun(aJob, aTask, aEnd);
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -105,11 +105,12 @@
                   aTiming,
                   time_.Now());
   PresentRun& run = runs_[aStart.task_];
-  run = { aStart.run_, room, false, ++lastSerial_ };
+  run = { aStart.run_, room, false, ++lastSerial_, time_.Now(), {} };
   if (step != nullptr && !step->longRunning_) {
     const bool fails =
       random_.Below(100) < static_cast<std::uint64_t>(faults_.failures_);
-    time_.After(step->estimate_,
+    run.time_ = step->estimate_ * faults_.slowness_;
+    time_.After(run.time_,
                 [this, task = aStart.task_, serial = run.serial_, fails] {
                   const auto found = runs_.find(task);
                   if (found != runs_.end() && found->second.serial_ == serial) {
@@ -225,12 +226,22 @@
   lists.clock_ = Clock();
   lists.sentAt_ = aSentAt;
   for (const auto& [task, run] : runs_) {
-    lists.running_.push_back({ task, run.run_, {}, Percent{ 100 }, 0 });
+    lists.running_.push_back({ task, run.run_, {}, Progress(run), 0 });
   }
   lists.ended_ = ended_;
   time_.After(kLatency, [aReply, lists = std::move(lists)] { aReply(lists); });
 }
 
+Percent
+FakeWorker::Progress(const PresentRun& aRun) const
+{
+  if (aRun.time_ == Duration{}) {
+    return Percent{ 100 };
+  }
+  return Percent{ static_cast<std::uint32_t>(
+    100 * (time_.Now() - aRun.startedAt_) / aRun.time_) };
+}
+
 void
 FakeWorker::Acknowledge(EndNumber aThrough)
 {
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -24,6 +24,8 @@
   int lateOrders_ = 0;
   /// Of a hundred runs, those that fail.
   int failures_ = 0;
+  /// Runs that start take this many times as long.
+  int slowness_ = 1;
 };
 
 /// How long the tasks of a job run, and how much room they take.
@@ -63,6 +65,9 @@
     Room room_;
     bool isStopping_ = false;
     std::uint64_t serial_ = 0;
+    TimePoint startedAt_;
+    /// Zero for a run that lasts.
+    Duration time_{};
   };
 
   void Delayed(std::function<void()> aOrder);
@@ -79,6 +84,7 @@
                   Duration aWait,
                   EndNumber aSeen);
   [[nodiscard]] WorkerTime Clock() const;
+  [[nodiscard]] Percent Progress(const PresentRun& aRun) const;
 
   VirtualTime& time_;
   Random& random_;
