--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -140,6 +140,20 @@
   aArchive(aValue.wave_, aValue.begun_);
 }
 
+template<typename Archive, OneOf<jobs::StoredHome> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.vm_, aValue.pool_);
+}
+
+template<typename Archive, OneOf<jobs::HomesStored> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.homes_);
+}
+
 template<typename Archive, OneOf<jobs::OwnerRecord> T>
 void
 Fields(Archive& aArchive, T& aValue)
--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -53,6 +53,9 @@
       [&](const WorkersStored&) {
         return Records{ { "workers", Value(aRecord) } };
       },
+      [&](const HomesStored&) {
+        return Records{ { "homes", Value(aRecord) } };
+      },
       [&](const WaveStored& aStored) {
         return Records{ { "wave/" + std::to_string(aStored.wave_.Value()),
                           Value(aRecord) } };
--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace verbenawell::jobs {
@@ -15,8 +16,10 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kTick = 50ms;
-// An answer sent this long before the deadline still reaches the caller.
+// An answer sent this long before the deadline still reaches the caller; of a
+// short time it takes a part only, since most answers need some 20 ms.
 constexpr Duration kAnswerMargin = 100ms;
+constexpr int kMarginDivisor = 4;
 // A take-over after a silent owner takes about this long.
 constexpr Duration kRetryAfterNoOwner = 2s;
 // A submission that no owner has seen by then is refused, so that its caller
@@ -39,6 +42,12 @@
     aAction);
 }
 
+Duration
+MarginOf(Duration aTimeLeft)
+{
+  return std::min(kAnswerMargin, aTimeLeft / kMarginDivisor);
+}
+
 class Reducer
 {
 public:
@@ -65,14 +74,15 @@
   void On(const CallerRequested& aRequest)
   {
     effects_.push_back(Count{ Counter::RequestsReceived });
-    auto& open = state_.open_
-                   .insert_or_assign(
-                     aRequest.key_,
-                     OpenRequest{ aRequest.request_,
-                                  now_,
-                                  now_ + aRequest.timeLeft_ - kAnswerMargin,
-                                  aRequest.forwarded_ })
-                   .first->second;
+    auto& open =
+      state_.open_
+        .insert_or_assign(
+          aRequest.key_,
+          OpenRequest{ aRequest.request_,
+                       now_,
+                       now_ + aRequest.timeLeft_ - MarginOf(aRequest.timeLeft_),
+                       aRequest.forwarded_ })
+        .first->second;
     Route(aRequest.key_, open);
     if (!state_.isTicking_ && !state_.open_.empty()) {
       state_.isTicking_ = true;
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -79,11 +79,24 @@
   std::vector<VmId> begun_;
 };
 
+struct StoredHome
+{
+  VmId vm_;
+  ServiceId pool_;
+};
+
+/// The pools that VMs belong to, wherever they are now.
+struct HomesStored
+{
+  std::vector<StoredHome> homes_;
+};
+
 using JournalRecord = std::variant<JobStored,
                                    ProgressStored,
                                    OutcomeStored,
                                    JobForgotten,
                                    WorkersStored,
-                                   WaveStored>;
+                                   WaveStored,
+                                   HomesStored>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/journal/JournalReducer.cpp
+++ b/src/verbenawell/jobs/journal/JournalReducer.cpp
@@ -77,7 +77,10 @@
   void On(const JournalAppendFailed& aFailed)
   {
     if (IsInFlight(aFailed.sequence_)) {
-      DropUnsentSubmissions();
+      // A single lost answer is made good by the next try.
+      if (state_.IsAway(now_)) {
+        DropUnsentSubmissions();
+      }
       effects_.push_back(Count{ Counter::StoreCallsFailed });
       effects_.push_back(SetTimer{ JournalRetry{}, kRetry });
     }
--- a/src/verbenawell/jobs/pools/PoolsReducer.cpp
+++ b/src/verbenawell/jobs/pools/PoolsReducer.cpp
@@ -12,7 +12,6 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
-#include <optional>
 #include <vector>
 
 namespace verbenawell::jobs {
@@ -44,9 +43,16 @@
   void On(const OwnershipTaken&) { state_ = {}; }
   void On(const OwnershipLost&) { state_ = {}; }
 
-  void On(const JournalLoaded&)
+  void On(const JournalLoaded& aLoaded)
   {
     state_.isActive_ = true;
+    for (const JournalRecord& record : aLoaded.records_) {
+      if (const auto* stored = std::get_if<HomesStored>(&record)) {
+        for (const StoredHome& home : stored->homes_) {
+          state_.homes_.emplace(home.vm_, home.pool_);
+        }
+      }
+    }
     effects_.push_back(SetTimer{ PoolsTick{}, kTick });
   }
 
@@ -157,8 +163,8 @@
     std::erase_if(state_.idleSince_, [&](const auto& aVm) {
       return !views_.upkeep_.vms_.contains(aVm.first);
     });
+    NoteHomes();
     for (const auto& [id, vm] : views_.upkeep_.vms_) {
-      state_.homes_.try_emplace(id, vm.pool_);
       if (IsIdle(vm)) {
         state_.idleSince_.try_emplace(id, context_.now_);
       } else {
@@ -167,6 +173,24 @@
     }
   }
 
+  // A successor that took visitors for the pool's own would never return them.
+  void NoteHomes()
+  {
+    bool hasNew = false;
+    for (const auto& [id, vm] : views_.upkeep_.vms_) {
+      hasNew = state_.homes_.try_emplace(id, vm.pool_).second || hasNew;
+    }
+    if (!hasNew) {
+      return;
+    }
+    HomesStored stored;
+    for (const auto& [vm, pool] : state_.homes_) {
+      stored.homes_.push_back({ vm, pool });
+    }
+    effects_.push_back(
+      Raise{ SaveWanted{ { std::move(stored) }, StartsSaved{} } });
+  }
+
   // A VM that was chosen while it worked is ordered once its tasks have ended;
   // one whose tasks outlast the need stays.
   void OrderDrained()
--- a/tests/jobs/PoolsTest.cpp
+++ b/tests/jobs/PoolsTest.cpp
@@ -112,5 +112,20 @@
   ExpectKept(installation);
 }
 
+// Guards against a new owner that takes lent VMs for the pool's own.
+TEST(Pools, KnowTheHomesOfVmsAfterATakeOver)
+{
+  Installation installation{ 45, { 3, 8, 2, 4, 2 } };
+  installation.AddService();
+  installation.RunFor(kStartUp);
+  SubmitBurst(installation, 10, 16, "/queue/");
+  installation.RunFor(1s);
+  ASSERT_EQ(VmsIn(installation, kSpare), 0U);
+  installation.Kill(installation.Owner());
+  installation.RunFor(40s);
+  EXPECT_EQ(VmsIn(installation, kSpare), 4U);
+  ExpectKept(installation);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
