--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -12,10 +12,10 @@
 
 using namespace std::chrono_literals;
 
-// A job earns until three times its objective. The backlog counts running tasks
-// in full and no VM that is still to come, so it overstates the wait: refusing
-// from three objectives on left room unused.
-constexpr int kMostObjectives = 5;
+// A job earns until three times its objective. A pool in a burst borrows up to
+// three times its own VMs and the backlog counts running tasks in full, so ten
+// objectives of the present backlog are some three of the later one.
+constexpr int kMostObjectives = 10;
 constexpr Duration kLeastRetryAfter = 1s;
 constexpr Duration kMostRetryAfter = 30s;
 
