Send open requests to the next owner

Cause: a request that was forwarded to an owner that froze or lost power stayed with it until its deadline and ended as unknown, though another daemon owned meanwhile. Seen in a test of the explanation of such an outcome: d1 answered 504 for a job while it had been the owner for 0.8 s. Change: a change of owner makes forwarded requests wait for the new one. Each of the calls is idempotent by the job's id.

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -131,7 +131,17 @@
     }
   }
 
-  void On(const OwnerChanged&) { RouteWaiting(); }
+  // An owner that was replaced may never answer, and calls may be repeated.
+  void On(const OwnerChanged&)
+  {
+    for (auto& [key, open] : state_.open_) {
+      if (open.stage_ == RequestStage::Forwarded) {
+        open.stage_ = RequestStage::Waiting;
+      }
+    }
+    RouteWaiting();
+  }
+
   void On(const JournalLoaded&) { RouteWaiting(); }
   void On(const ConfigurationChanged&) { RouteWaiting(); }
 
--- a/tests/jobs/JobManagerTest.cpp
+++ b/tests/jobs/JobManagerTest.cpp
@@ -419,5 +419,28 @@
   }
 }
 
+// Guards against requests that wait for an owner that was replaced: they ended
+// as unknown though the next owner could have answered them.
+TEST(JobManager, SendsOpenRequestsToTheNextOwner)
+{
+  Installation installation{ 24, {} };
+  installation.RunFor(kStartUp);
+  const std::string owner = installation.Owner();
+  installation.Submit("0000000000000001", MakeJob(2, 1, 20s));
+  installation.RunFor(1s);
+  installation.Freeze(owner, 10s);
+  installation.RunFor(1s);
+  for (const std::string& daemon : installation.Running()) {
+    if (daemon != owner) {
+      const auto answer =
+        installation.AskOnce(daemon, ReadJob{ JobId{ "0000000000000001" } });
+      ASSERT_TRUE(answer);
+      EXPECT_TRUE(std::holds_alternative<JobShown>(*answer));
+      break;
+    }
+  }
+  ExpectKept(installation);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
