Explain what became of a job from the logs

Cause: OPERATIONS.md shows three searches by hand over the logs of several daemons. The joining is a pure part of the product, apart from the reading of lines. Figures: tests make each of the three failures in virtual time and check the named cause; a fourth reads lines that are cut or foreign.

--- /dev/null
+++ b/src/verbenawell/jobs/explain/Explain.cpp
@@ -0,0 +1,140 @@
+#include "verbenawell/jobs/explain/Explain.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A take-over after a silent owner takes some 3 s, on either side of the
+// answer that it kept from coming.
+constexpr auto kNearTakeOver = 5s;
+
+bool
+Concerns(const LoggedEvent& aEvent, const JobId& aJob)
+{
+  return aEvent.Field("job") == aJob.Value() ||
+         aEvent.Field("task").starts_with(aJob.Value() + ".");
+}
+
+class Search
+{
+public:
+  Search(const std::vector<LoggedEvent>& aLog,
+         const std::vector<LoggedEvent>& aEvents)
+    : log_(aLog)
+    , events_(aEvents)
+  {
+  }
+
+  [[nodiscard]] std::string Cause() const
+  {
+    if (events_.empty()) {
+      return "no line names the job: it reached no daemon, or its lines were "
+             "dropped";
+    }
+    const LoggedEvent* ended = Last("job_ended");
+    const LoggedEvent* failed = Last("request_failed");
+    if (const std::string losses = Losses(); !losses.empty()) {
+      return (ended == nullptr ? "not ended: " : "late: ") + losses;
+    }
+    if (ended != nullptr && ended->Field("outcome") == "failed") {
+      return "failed: a task failed as often as its queue allows";
+    }
+    if (Last("job_accepted") == nullptr && failed != nullptr) {
+      return FailedRequest(*failed);
+    }
+    if (ended != nullptr) {
+      return ended->Field("outcome") + " after " + ended->Field("age_ms") +
+             " ms";
+    }
+    return "accepted and not ended";
+  }
+
+private:
+  [[nodiscard]] const LoggedEvent* Last(const std::string& aEvent) const
+  {
+    const auto found =
+      std::find_if(events_.rbegin(), events_.rend(), [&](const auto& aLine) {
+        return aLine.event_ == aEvent;
+      });
+    return found == events_.rend() ? nullptr : &*found;
+  }
+
+  [[nodiscard]] std::string Losses() const
+  {
+    const LoggedEvent* lost = Last("run_lost");
+    if (lost == nullptr) {
+      return {};
+    }
+    const auto count =
+      std::ranges::count(events_, "run_lost", &LoggedEvent::event_);
+    return std::to_string(count) + " runs were lost, the last on worker " +
+           lost->Field("worker") + " (" + lost->Field("reason") + ")";
+  }
+
+  [[nodiscard]] std::string FailedRequest(const LoggedEvent& aFailed) const
+  {
+    const std::string reason = aFailed.Field("reason");
+    if (reason == "overload") {
+      return "refused: the work ahead of it was too much for its pool";
+    }
+    if (reason == "store_away") {
+      return "refused: the owner could not store it";
+    }
+    if (reason == "no_owner") {
+      return "refused: no owner was known, last renewal " +
+             aFailed.Field("renewal_age_ms") + " ms before" + TakeOver(aFailed);
+    }
+    if (reason == "no_configuration") {
+      return "refused: the daemon had no configuration yet";
+    }
+    return "unknown: " + reason + ", " + aFailed.Field("unanswered") +
+           " attempts without an answer" + TakeOver(aFailed);
+  }
+
+  /// The change of owner near a request, which tells a lost owner from a slow
+  /// store.
+  [[nodiscard]] std::string TakeOver(const LoggedEvent& aFailed) const
+  {
+    const auto taken = std::ranges::find_if(log_, [&](const auto& aLine) {
+      return aLine.event_ == "ownership_taken" &&
+             std::chrono::abs(aLine.time_ - aFailed.time_) <= kNearTakeOver;
+    });
+    return taken == log_.end()
+             ? std::string{ "; the owner did not change" }
+             : "; " + taken->daemon_ + " took over from a lost owner, epoch " +
+                 taken->Field("epoch");
+  }
+
+  const std::vector<LoggedEvent>& log_;
+  const std::vector<LoggedEvent>& events_;
+};
+
+} // namespace
+
+std::string
+LoggedEvent::Field(const std::string& aName) const
+{
+  const auto found = fields_.find(aName);
+  return found == fields_.end() ? std::string{} : found->second;
+}
+
+Explanation
+Explain(const JobId& aJob, std::vector<LoggedEvent> aLog)
+{
+  std::ranges::stable_sort(aLog, {}, &LoggedEvent::time_);
+  Explanation explanation;
+  std::ranges::copy_if(
+    aLog,
+    std::back_inserter(explanation.events_),
+    [&](const LoggedEvent& aEvent) { return Concerns(aEvent, aJob); });
+  explanation.cause_ = Search{ aLog, explanation.events_ }.Cause();
+  return explanation;
+}
+
+} // namespace verbenawell::jobs
--- a/src/verbenawell/tool/main.cpp
+++ b/src/verbenawell/tool/main.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/codec/OperatorCodec.h"
 #include "verbenawell/settings/LoadSettings.h"
+#include "verbenawell/tool/ExplainJob.h"
 #include "verbenawell/tool/OperatorClient.h"
 #include "verbenawell/tool/PrintTable.h"
 #include "verbenawell/tool/Shell.h"
@@ -20,6 +21,9 @@
 DEFINE_string(name, "", "your name, kept with each change");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(confirm, "", "code of the consequences that you accept");
+DEFINE_string(explain,
+              "",
+              "print what the log lines on standard input tell of this job");
 DEFINE_string(watch, "", "print the progress of this wave until it ends");
 
 namespace {
@@ -99,6 +103,10 @@
 int
 Run(const std::string& aText)
 {
+  if (!FLAGS_explain.empty()) {
+    return ExplainJob(FLAGS_explain, std::cin, std::cout) ? EXIT_SUCCESS
+                                                          : kExitFailed;
+  }
   const OperatorClientOptions options{ FLAGS_server,
                                        LoadToken(FLAGS_token_file),
                                        FLAGS_name };
--- /dev/null
+++ b/tests/jobs/ExplainTest.cpp
@@ -0,0 +1,87 @@
+#include "verbenawell/tool/ExplainJob.h"
+
+#include "Installation.h"
+
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStartUp = 3s;
+const std::string kJob = "0000000000000001";
+
+// Guards against a refusal whose log lines do not lead to the flood.
+TEST(Explain, NamesTheFloodThatAJobWasRefusedIn)
+{
+  Installation installation{ 61, { 3, 2, 2 } };
+  installation.RunFor(kStartUp);
+  for (int job = 10; job < 60; ++job) {
+    installation.Submit("00000000000000" + std::to_string(job),
+                        MakeJob(20, 1, 2s));
+  }
+  installation.RunFor(500ms);
+  installation.Submit(kJob, MakeJob(4, 1, 2s));
+  installation.RunFor(500ms);
+  EXPECT_EQ(Explain(JobId{ kJob }, installation.log_).cause_,
+            "refused: the work ahead of it was too much for its pool");
+}
+
+// Guards against a late job whose log lines do not lead to the lost worker.
+TEST(Explain, NamesTheWorkerWhoseRunsWereLost)
+{
+  Installation installation{ 62, { 3, 4, 2 } };
+  installation.RunFor(kStartUp);
+  installation.Submit(kJob, MakeJob(8, 1, 2s));
+  installation.RunFor(1s);
+  const std::string worker = installation.WorkerAt(0).Entry().worker_.Value();
+  installation.KillWorker(0);
+  installation.RunFor(25s);
+  const std::string cause = Explain(JobId{ kJob }, installation.log_).cause_;
+  EXPECT_EQ(cause.substr(0, 6), "late: ") << cause;
+  EXPECT_NE(cause.find(worker), std::string::npos) << cause;
+}
+
+// Guards against an unknown outcome whose log lines do not lead to the lost
+// owner.
+TEST(Explain, NamesTheTakeOverThatLeftAnOutcomeUnknown)
+{
+  Installation installation{ 63, { 3, 4, 2 } };
+  installation.RunFor(kStartUp);
+  const std::string owner = installation.Owner();
+  installation.Freeze(owner, 10s);
+  for (const std::string& daemon : installation.Running()) {
+    if (daemon != owner) {
+      installation.SubmitAt(daemon, kJob, MakeJob(2, 1, 500ms), 2s);
+      break;
+    }
+  }
+  installation.RunFor(4s);
+  const std::string cause = Explain(JobId{ kJob }, installation.log_).cause_;
+  EXPECT_EQ(cause.substr(0, 9), "unknown: ") << cause;
+  EXPECT_NE(cause.find("took over from a lost owner"), std::string::npos)
+    << cause;
+}
+
+// Guards against lines of other programs, and lines that were cut, which end
+// the reading.
+TEST(Explain, SkipsLinesThatAreNoLogLines)
+{
+  std::istringstream log(
+    "started\n"
+    "{\"time_ms\":1,\"daemon\":\"d\",\"event\":\"job_acc\n"
+    " 3.2 d {\"time_ms\":2,\"daemon\":\"d\",\"event\":\"job_ended\","
+    "\"job\":\"0000000000000001\",\"outcome\":\"completed\",\"age_ms\":\"7\"}"
+    "\n");
+  std::ostringstream output;
+  EXPECT_TRUE(ExplainJob(kJob, log, output));
+  EXPECT_NE(output.str().find("cause: completed after 7 ms"),
+            std::string::npos);
+  EXPECT_NE(output.str().find("no log lines: 2"), std::string::npos);
+}
+
+} // namespace
+} // namespace verbenawell::jobs
--- a/tests/jobs/Installation.cpp
+++ b/tests/jobs/Installation.cpp
@@ -391,7 +391,7 @@
       },
       [](const Count&) {},
       [](const Observe&) {},
-      [&](const LogLine& aLine) { Trace(aDaemon, aLine); },
+      [&](const LogLine& aLine) { Log(aDaemon, aLine); },
       [](const SetReady&) {},
       [&](const Exit&) { Kill(aDaemon); },
       [](const Raise&) {},
@@ -408,8 +408,13 @@
 }
 
 void
-Installation::Trace(const std::string& aDaemon, const LogLine& aLine) const
+Installation::Log(const std::string& aDaemon, const LogLine& aLine)
 {
+  LoggedEvent event{ WallAt(time_.Now()), aDaemon, aLine.event_, {} };
+  for (const auto& [name, value] : aLine.fields_) {
+    event.fields_.emplace(name, value);
+  }
+  log_.push_back(std::move(event));
   if (!isTraced_) {
     return;
   }
@@ -549,14 +554,15 @@
 Installation::Ask(const std::string& aDaemon,
                   CallerAction aAction,
                   AnswerHandler aHandler,
-                  const std::string& aPath)
+                  const std::string& aPath,
+                  Duration aTimeLeft)
 {
   const RequestKey key = ++lastKey_;
   asked_[key] = std::move(aHandler);
   Deliver(aDaemon,
           daemons_.at(aDaemon).life_,
           CallerRequested{
-            key, { kHost, aPath, std::move(aAction) }, kDeadline, false });
+            key, { kHost, aPath, std::move(aAction) }, aTimeLeft, false });
 }
 
 void
@@ -570,6 +576,25 @@
   SubmitOnce(aJob, aPath);
 }
 
+void
+Installation::SubmitAt(const std::string& aDaemon,
+                       const std::string& aJob,
+                       JobDefinition aDefinition,
+                       Duration aTimeLeft)
+{
+  aDefinition.specification_ = "specification of " + aJob;
+  definitions_[aJob] = aDefinition;
+  oracle_.Submitted(JobId{ aJob }, aDefinition);
+  oracle_.Unanswered(JobId{ aJob });
+  Ask(
+    aDaemon,
+    SubmitJob{ JobId{ aJob },
+               std::make_shared<const JobDefinition>(aDefinition) },
+    [](const CallerAnswer&) {},
+    kPath,
+    aTimeLeft);
+}
+
 void
 Installation::SubmitOnce(const std::string& aJob, const std::string& aPath)
 {
--- a/tests/jobs/Installation.h
+++ b/tests/jobs/Installation.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Random.h"
 #include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/explain/Explain.h"
 
 #include "FakeAdvice.h"
 #include "FakeStore.h"
@@ -47,6 +48,11 @@
   void Submit(const std::string& aJob,
               JobDefinition aDefinition,
               const std::string& aPath = "/queue/");
+  /// Hands a job in once, at this daemon.
+  void SubmitAt(const std::string& aDaemon,
+                const std::string& aJob,
+                JobDefinition aDefinition,
+                Duration aTimeLeft);
   void Cancel(const std::string& aJob);
   /// Asks every running daemon; the answers go to the oracle.
   void AskForAll();
@@ -89,6 +95,8 @@
   /// Starts that a worker turned away for their ticket.
   int ticketRefusals_ = 0;
   std::set<VmId> begun_;
+  /// What the daemons have logged.
+  std::vector<LoggedEvent> log_;
   /// Prints what the daemons log.
   bool isTraced_ = false;
 
@@ -121,14 +129,15 @@
   void Ask(const std::string& aDaemon,
            CallerAction aAction,
            AnswerHandler aHandler,
-           const std::string& aPath = "/queue/");
+           const std::string& aPath = "/queue/",
+           Duration aTimeLeft = std::chrono::seconds(3));
   void SubmitOnce(const std::string& aJob, const std::string& aPath);
   void CancelOnce(const std::string& aJob);
   std::string AnyDaemon();
   void Deliver(const std::string& aDaemon, std::uint64_t aLife, Event aEvent);
   void Apply(const std::string& aDaemon, const Event& aEvent);
   void Execute(const std::string& aDaemon, const Effect& aEffect);
-  void Trace(const std::string& aDaemon, const LogLine& aLine) const;
+  void Log(const std::string& aDaemon, const LogLine& aLine);
   FakeStore::Reply ReplyTo(const std::string& aDaemon);
   FakeWorker* Find(const WorkerId& aWorker);
   template<typename Order>
