Notice lost holds and orders sooner

Cause: where workers leave a tenth of the orders unanswered, a lost hold was noticed after 2 s, in which its worker took no starts and its ends stayed unseen, and was repeated after 0.3 s more.

--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -29,7 +29,7 @@
 constexpr Duration kHoldGap = 80ms;
 // An idle worker is asked rarely: only its clock and its life matter.
 constexpr Duration kIdleHold = 2s;
-constexpr Duration kHoldRetry = 300ms;
+constexpr Duration kHoldRetry = 100ms;
 // A hold goes out at the latest after this long without stored ends.
 constexpr Duration kUnsavedHold = 1s;
 
--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -13,7 +13,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kOrderRetry = 100ms;
+constexpr Duration kOrderRetry = 30ms;
 // A worker that refused an order is left alone for this long.
 constexpr Duration kAvoidAfterRefusal = 1s;
 
