--- a/src/verbenawell/jobs/pools/internal/MovePlan.cpp
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <utility>
@@ -129,7 +130,7 @@
       state_.homes_, [&](const auto& aHome) { return aHome.second == aPool; });
     const PoolDemand& pool = demand_.at(aPool);
     return pool.working_ > pool.least_ &&
-           pool.working_ * 100 >
+           std::uint64_t{ pool.working_ } * 100 >
              static_cast<std::uint64_t>(homes) * kKeptPercent;
   }
 
