Let a task run again where it failed if no other worker fits

Cause: found while reading the diff: a task that failed never returned to the same worker, so it waited for ever where only that one has room, the label or a place under the limit of tasks on one worker. Change: the worker of the last failure is taken if no other one fits.

--- a/src/verbenawell/jobs/placement/WorkerChoice.cpp
+++ b/src/verbenawell/jobs/placement/WorkerChoice.cpp
@@ -199,7 +199,14 @@
       return near;
     }
   }
-  return TakeOnRack(aTask, aStep, aPermission, RackId{}, aHistory);
+  if (auto choice = TakeOnRack(aTask, aStep, aPermission, RackId{}, aHistory);
+      choice || aHistory.failedOn_.IsEmpty()) {
+    return choice;
+  }
+  // The worker where it failed is better than none.
+  Task forgiving = aHistory;
+  forgiving.failedOn_ = WorkerId{};
+  return TakeOnRack(aTask, aStep, aPermission, RackId{}, forgiving);
 }
 
 std::optional<std::vector<Choice>>
--- a/tests/jobs/HealthTest.cpp
+++ b/tests/jobs/HealthTest.cpp
@@ -121,5 +121,21 @@
   ExpectKept(installation);
 }
 
+// Guards against a task that waits for ever since it failed on the only worker
+// that has room for it.
+TEST(Health, RunsATaskAgainWhereItFailedIfNoOtherWorkerFits)
+{
+  Installation installation{ 56, { 3, 1, 2 } };
+  installation.RunFor(kStartUp);
+  installation.WorkerAt(0).faults_.failures_ = 100;
+  installation.Submit(Name(10), MakeJob(1, 1, 500ms));
+  installation.RunFor(300ms);
+  // The run that has begun fails yet.
+  installation.WorkerAt(0).faults_.failures_ = 0;
+  installation.RunFor(5s);
+  EXPECT_EQ(CountIn(installation, 10, 10, JobOutcome::Completed), 1);
+  ExpectKept(installation);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
