Leave a submission with the owner that has it

Cause: found while reading the diff: a submission that was sent to the next owner as well could be answered by the refusal of the old one, though the next one had accepted it. Change: a change of owner moves on reads, cancels and counts only.

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -131,11 +131,15 @@
     }
   }
 
-  // An owner that was replaced may never answer, and calls may be repeated.
+  // An owner that was replaced may never answer, and calls may be repeated. A
+  // submission stays with it: its refusal could pass the next owner's
+  // acceptance on the way, and the caller would be told that the job never
+  // runs.
   void On(const OwnerChanged&)
   {
     for (auto& [key, open] : state_.open_) {
-      if (open.stage_ == RequestStage::Forwarded) {
+      if (open.stage_ == RequestStage::Forwarded &&
+          !std::holds_alternative<SubmitJob>(open.request_.action_)) {
         open.stage_ = RequestStage::Waiting;
       }
     }
--- a/tests/jobs/JobManagerTest.cpp
+++ b/tests/jobs/JobManagerTest.cpp
@@ -442,5 +442,26 @@
   ExpectKept(installation);
 }
 
+// Guards against a submission with two owners at once: the refusal of the one
+// could pass the acceptance of the other, and a refused job would run.
+TEST(JobManager, LeavesASubmissionWithTheOwnerThatHasIt)
+{
+  Installation installation{ 25, {} };
+  installation.RunFor(kStartUp);
+  const std::string owner = installation.Owner();
+  installation.Freeze(owner, 10s);
+  for (const std::string& daemon : installation.Running()) {
+    if (daemon != owner) {
+      const auto definition =
+        std::make_shared<const JobDefinition>(MakeJob(2, 1, 1s));
+      const auto answer = installation.AskOnce(
+        daemon, SubmitJob{ JobId{ "0000000000000001" }, definition });
+      ASSERT_TRUE(answer);
+      EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(*answer));
+      break;
+    }
+  }
+}
+
 } // namespace
 } // namespace verbenawell::jobs
