--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -57,7 +57,7 @@
     case Counter::AdviceGiven:
       return "advice_given";
     case Counter::AdviceFailed:
-            return "advice_failed";
+      return "advice_failed";
     case Counter::WorkersSuspected:
       return "workers_suspected";
     case Counter::WorkersCleared:
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -37,7 +37,7 @@
   UpkeepsRepeated,
   VmsMoved,
   AdviceGiven,
-    AdviceFailed,
+  AdviceFailed,
   WorkersSuspected,
   WorkersCleared,
   SlowRunsStopped,
