Share the event loop of the two reducers

Cause: the loop that applies raised events stood twice, in core/Reduce.cpp and jobs/core/Reduce.cpp. Change: core/EventLoop.h holds it; each reducer says which effects are events.

--- a/src/verbenawell/core/Reduce.cpp
+++ b/src/verbenawell/core/Reduce.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/core/Reduce.h"
 
+#include "verbenawell/core/EventLoop.h"
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/core/State.h"
 #include "verbenawell/fleet/FleetReducer.h"
@@ -9,7 +10,7 @@
 #include "verbenawell/requests/RequestsReducer.h"
 #include "verbenawell/waves/WavesReducer.h"
 
-#include <deque>
+#include <optional>
 #include <utility>
 
 namespace verbenawell {
@@ -36,24 +37,19 @@
 Effects
 Reduce(State& aState, const Event& aEvent, const Context& aContext)
 {
-  Effects result;
-  std::deque<Event> pending{ aEvent };
-  while (!pending.empty()) {
-    const Event event = std::move(pending.front());
-    pending.pop_front();
-    for (Effect& effect : ReduceModules(aState, event, aContext)) {
-      if (auto* raise = std::get_if<Raise>(&effect)) {
-        pending.push_back(std::move(raise->event_));
-      } else if (auto* send = std::get_if<SendPeer>(&effect);
-                 send != nullptr && send->to_ == aContext.self_) {
-        pending.emplace_back(
-          PeerMessageReceived{ aContext.self_, std::move(send->message_) });
-      } else {
-        result.push_back(std::move(effect));
+  return ReduceAll<Effect>(
+    aEvent,
+    [&](const Event& aNext) { return ReduceModules(aState, aNext, aContext); },
+    [&](Effect& aEffect) -> std::optional<Event> {
+      if (auto* raise = std::get_if<Raise>(&aEffect)) {
+        return std::move(raise->event_);
       }
-    }
-  }
-  return result;
+      if (auto* send = std::get_if<SendPeer>(&aEffect);
+          send != nullptr && send->to_ == aContext.self_) {
+        return PeerMessageReceived{ aContext.self_, std::move(send->message_) };
+      }
+      return std::nullopt;
+    });
 }
 
 } // namespace verbenawell
--- a/src/verbenawell/jobs/core/Reduce.cpp
+++ b/src/verbenawell/jobs/core/Reduce.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/jobs/core/Reduce.h"
 
+#include "verbenawell/core/EventLoop.h"
 #include "verbenawell/jobs/advice/AdviceReducer.h"
 #include "verbenawell/jobs/callers/CallersReducer.h"
 #include "verbenawell/jobs/configuration/ConfigurationReducer.h"
@@ -14,7 +15,7 @@
 #include "verbenawell/jobs/upkeep/UpkeepReducer.h"
 #include "verbenawell/jobs/workers/WorkersReducer.h"
 
-#include <deque>
+#include <optional>
 #include <utility>
 
 namespace verbenawell::jobs {
@@ -47,20 +48,14 @@
 Effects
 Reduce(State& aState, const Event& aEvent, const Context& aContext)
 {
-  Effects result;
-  std::deque<Event> pending{ aEvent };
-  while (!pending.empty()) {
-    const Event event = std::move(pending.front());
-    pending.pop_front();
-    for (Effect& effect : ReduceModules(aState, event, aContext)) {
-      if (auto* raise = std::get_if<Raise>(&effect)) {
-        pending.push_back(std::move(raise->event_));
-      } else {
-        result.push_back(std::move(effect));
-      }
-    }
-  }
-  return result;
+  return ReduceAll<Effect>(
+    aEvent,
+    [&](const Event& aNext) { return ReduceModules(aState, aNext, aContext); },
+    [](Effect& aEffect) -> std::optional<Event> {
+      auto* raise = std::get_if<Raise>(&aEffect);
+      return raise == nullptr ? std::optional<Event>{}
+                              : std::optional{ std::move(raise->event_) };
+    });
 }
 
 } // namespace verbenawell::jobs
