Keep the sums of worker records per service

Change: each service's sums are kept with each record; records go with their workers; all counters start at zero. The tests share ExpectKept.

--- a/src/verbenawell/jobs/health/HealthReducer.cpp
+++ b/src/verbenawell/jobs/health/HealthReducer.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace verbenawell::jobs {
 
@@ -26,20 +27,29 @@
 constexpr double kMostFailedElsewhere = 0.3;
 // A run that no list shows any more and that has no end was lost.
 constexpr Duration kKeepRuns = 5s;
-
 // A stopped task waits for its worker's answer and for a place.
 constexpr double kRestartSeconds = 1.0;
 // A restart has to win this factor, since the estimates are rough.
 constexpr double kLeastGain = 1.5;
-constexpr double kWhole = 100;
+constexpr Percent kWholeTask{ 100 };
 
+/// The means over the other workers of a service.
 struct Others
 {
   Speed speed_;
   double failedShare_ = 0;
-  int workers_ = 0;
+  bool isEmpty_ = true;
 };
 
+void
+Add(ServiceRecord& aService, const WorkerRecord& aRecord, double aSign)
+{
+  const Speed& speed = aRecord.RecentSpeed();
+  aService.speed_.declaredSeconds_ += aSign * speed.declaredSeconds_;
+  aService.speed_.takenSeconds_ += aSign * speed.takenSeconds_;
+  aService.failedShares_ += aSign * aRecord.FailedShare();
+}
+
 class Reducer
 {
 public:
@@ -59,45 +69,43 @@
 
   void On(const RunsSeen& aSeen)
   {
-    WorkerRecord& record = state_.records_[aSeen.worker_];
-    for (const ListedRun& run : aSeen.running_) {
-      if (const Step* step = TimedStep(run.task_); step != nullptr) {
-        record.AddProgress(
-          run.task_, run.run_, run.percent_, step->estimate_, now_);
+    Update(aSeen.worker_, [&](WorkerRecord& aRecord) {
+      for (const ListedRun& run : aSeen.running_) {
+        if (const Step* step = TimedStep(run.task_); step != nullptr) {
+          aRecord.AddProgress(
+            run.task_, run.run_, run.percent_, step->estimate_, now_);
+        }
       }
-    }
-    record.KeepRunsSince(now_ - kKeepRuns);
-    Judge(aSeen.worker_, record);
+      aRecord.KeepRunsSince(now_ - kKeepRuns);
+    });
     if (state_.suspects_.contains(aSeen.worker_)) {
-      RestartSlow(aSeen.worker_, record);
+      RestartSlow(aSeen.worker_, state_.records_.at(aSeen.worker_));
     }
   }
 
   void On(const RunsEnded& aEnded)
   {
-    WorkerRecord& record = state_.records_[aEnded.worker_];
-    for (const ListedEnd& end : aEnded.ended_) {
-      if (const auto seen = record.Runs().find(end.task_);
-          end.kind_ == EndKind::Done && seen != record.Runs().end()) {
-        if (const Step* step = TimedStep(end.task_); step != nullptr) {
-          record.AddProgress(end.task_,
-                             end.run_,
-                             Percent{ static_cast<std::uint32_t>(kWhole) },
-                             step->estimate_,
-                             now_);
-        }
-      }
-      if (end.kind_ == EndKind::Done || end.kind_ == EndKind::Failed) {
-        record.AddEnd(end.task_, end.kind_ == EndKind::Failed, now_);
+    Update(aEnded.worker_, [&](WorkerRecord& aRecord) {
+      for (const ListedEnd& end : aEnded.ended_) {
+        AddEnd(aRecord, end);
       }
-    }
-    Judge(aEnded.worker_, record);
+    });
   }
 
-  void On(const WorkerEnded& aEnded)
+  void On(const WorkerEnded& aEnded) { Forget(aEnded.worker_); }
+
+  // A worker may leave the list without an order that ended it.
+  void On(const WorkersRead&)
   {
-    state_.records_.erase(aEnded.worker_);
-    state_.suspects_.erase(aEnded.worker_);
+    std::vector<WorkerId> gone;
+    for (const auto& [id, record] : state_.records_) {
+      if (views_.workers_.Find(id) == nullptr) {
+        gone.push_back(id);
+      }
+    }
+    for (const WorkerId& id : gone) {
+      Forget(id);
+    }
   }
 
   template<typename Other>
@@ -106,6 +114,19 @@
   }
 
 private:
+  void AddEnd(WorkerRecord& aRecord, const ListedEnd& aEnd) const
+  {
+    const bool wasSeen = aRecord.Runs().contains(aEnd.task_);
+    if (const Step* step = TimedStep(aEnd.task_);
+        aEnd.kind_ == EndKind::Done && wasSeen && step != nullptr) {
+      aRecord.AddProgress(
+        aEnd.task_, aEnd.run_, kWholeTask, step->estimate_, now_);
+    }
+    if (aEnd.kind_ == EndKind::Done || aEnd.kind_ == EndKind::Failed) {
+      aRecord.AddEnd(aEnd.task_, aEnd.kind_ == EndKind::Failed, now_);
+    }
+  }
+
   /// The step of a task whose progress shows the speed of its worker.
   [[nodiscard]] const Step* TimedStep(const TaskId& aTask) const
   {
@@ -120,44 +141,73 @@
              : &step;
   }
 
-  [[nodiscard]] Others OthersOf(const WorkerId& aWorker) const
+  /// Changes the record of a worker and keeps its service's sums.
+  template<typename Change>
+  void Update(const WorkerId& aWorker, Change aChange)
   {
-    Others others;
     const Worker* worker = views_.workers_.Find(aWorker);
     if (worker == nullptr) {
-      return others;
+      return;
     }
-    for (const auto& [id, record] : state_.records_) {
-      const Worker* other = views_.workers_.Find(id);
-      if (id == aWorker || other == nullptr ||
-          other->entry_.service_ != worker->entry_.service_) {
-        continue;
-      }
-      others.speed_.declaredSeconds_ += record.RecentSpeed().declaredSeconds_;
-      others.speed_.takenSeconds_ += record.RecentSpeed().takenSeconds_;
-      others.failedShare_ += record.FailedShare();
-      ++others.workers_;
+    if (const auto known = state_.records_.find(aWorker);
+        known != state_.records_.end() &&
+        known->second.service_ != worker->entry_.service_) {
+      Forget(aWorker);
+    }
+    ServiceRecord& service = state_.services_[worker->entry_.service_];
+    const auto [entry, isNew] = state_.records_.try_emplace(aWorker);
+    WorkerRecord& record = entry->second;
+    record.service_ = worker->entry_.service_;
+    service.workers_ += isNew ? 1 : 0;
+    Add(service, record, -1);
+    aChange(record);
+    Add(service, record, 1);
+    Judge(aWorker, record, OthersOf(record));
+  }
+
+  void Forget(const WorkerId& aWorker)
+  {
+    const auto found = state_.records_.find(aWorker);
+    if (found == state_.records_.end()) {
+      return;
     }
-    if (others.workers_ > 0) {
-      others.failedShare_ /= others.workers_;
+    ServiceRecord& service = state_.services_[found->second.service_];
+    Add(service, found->second, -1);
+    --service.workers_;
+    // Sums of no records are zero but for rounding.
+    if (service.workers_ == 0) {
+      state_.services_.erase(found->second.service_);
     }
-    return others;
+    state_.records_.erase(found);
+    state_.suspects_.erase(aWorker);
   }
 
-  void Judge(const WorkerId& aWorker, const WorkerRecord& aRecord)
+  [[nodiscard]] Others OthersOf(const WorkerRecord& aRecord) const
   {
-    const Others others = OthersOf(aWorker);
+    ServiceRecord others = state_.services_.at(aRecord.service_);
+    Add(others, aRecord, -1);
+    --others.workers_;
     if (others.workers_ == 0) {
+      return {};
+    }
+    return { others.speed_, others.failedShares_ / others.workers_, false };
+  }
+
+  void Judge(const WorkerId& aWorker,
+             const WorkerRecord& aRecord,
+             const Others& aOthers)
+  {
+    if (aOthers.isEmpty_) {
       return;
     }
     const bool wasSuspect = state_.suspects_.contains(aWorker);
     const bool isFailing = aRecord.FailedShare() > kFailingShare &&
-                           others.failedShare_ < kMostFailedElsewhere;
+                           aOthers.failedShare_ < kMostFailedElsewhere;
     const bool isMeasured =
       aRecord.RecentSpeed().takenSeconds_ >= kLeastSeconds &&
-      others.speed_.takenSeconds_ >= kLeastSeconds;
+      aOthers.speed_.takenSeconds_ >= kLeastSeconds;
     const double ratio =
-      isMeasured ? aRecord.RecentSpeed().Ratio() / others.speed_.Ratio() : 1;
+      isMeasured ? aRecord.RecentSpeed().Ratio() / aOthers.speed_.Ratio() : 1;
     const bool isSlow = ratio < (wasSuspect ? kSoundShare : kSlowShare);
     if ((isFailing || isSlow) == wasSuspect) {
       return;
@@ -195,7 +245,7 @@
   {
     const Worker* worker = views_.workers_.Find(aWorker);
     const double here = aRecord.RecentSpeed().Ratio();
-    const double elsewhere = OthersOf(aWorker).speed_.Ratio();
+    const double elsewhere = OthersOf(aRecord).speed_.Ratio();
     if (worker == nullptr || elsewhere <= 0 || here >= kSlowShare * elsewhere) {
       return;
     }
@@ -209,7 +259,8 @@
       }
       const double declared =
         std::chrono::duration<double>(step->estimate_).count();
-      const double left = 1 - seen.percent_.Value() / kWhole;
+      const double left =
+        1 - static_cast<double>(seen.percent_.Value()) / kWholeTask.Value();
       const double again =
         kRestartSeconds +
         declared * (step->checkpointing_ ? left : 1) / elsewhere;
--- a/src/verbenawell/jobs/health/HealthState.h
+++ b/src/verbenawell/jobs/health/HealthState.h
@@ -17,10 +17,20 @@
   None,
 };
 
+/// The records of one service's workers added up, so that judging a worker
+/// costs the same however many there are.
+struct ServiceRecord
+{
+  Speed speed_;
+  double failedShares_ = 0;
+  std::uint32_t workers_ = 0;
+};
+
 /// What outcomes tell of the workers. Empty on daemons that do not own.
 struct HealthState
 {
   std::map<WorkerId, WorkerRecord> records_;
+  std::map<ServiceId, ServiceRecord> services_;
   /// Workers that fail or are far slower than the others of their service;
   /// they get single tasks until these go well.
   std::set<WorkerId> suspects_;
--- a/src/verbenawell/jobs/health/WorkerRecord.h
+++ b/src/verbenawell/jobs/health/WorkerRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/TaskId.h"
@@ -34,6 +35,9 @@
 class WorkerRecord
 {
 public:
+  /// The service whose sums hold this record.
+  ServiceId service_;
+
   /// Notes the progress of a run, where a step's tasks take `aDeclared`.
   void AddProgress(const TaskId& aTask,
                    RunNumber aRun,
--- a/src/verbenawell/jobs/metrics/JobMetrics.cpp
+++ b/src/verbenawell/jobs/metrics/JobMetrics.cpp
@@ -62,7 +62,7 @@
 // "not counted".
 JobMetrics::JobMetrics()
 {
-  AddZeros(counters_, Counter::VmsMoved);
+  AddZeros(counters_, Counter::SlowRunsStopped);
   AddZeros(counters_, RejectReason::Overload);
   AddZeros(counters_, StartRefusal::OtherLife);
   AddZeros(counters_, EndKind::Alone);
--- a/tests/jobs/AdviceTest.cpp
+++ b/tests/jobs/AdviceTest.cpp
@@ -1,4 +1,4 @@
-#include "Installation.h"
+#include "ExpectKept.h"
 
 #include <gtest/gtest.h>
 
@@ -7,17 +7,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kStartUp = 3s;
 const std::string kJob = "0000000000000001";
 
-void
-ExpectKept(const Installation& aInstallation)
-{
-  for (const std::string& broken : aInstallation.oracle_.Broken()) {
-    ADD_FAILURE() << broken;
-  }
-}
-
 // Guards against a queue whose jobs never start since nobody asks for tickets.
 TEST(Advice, StartsTasksOnlyOnWorkersThatItAllows)
 {
--- a/tests/jobs/HealthTest.cpp
+++ b/tests/jobs/HealthTest.cpp
@@ -1,4 +1,4 @@
-#include "Installation.h"
+#include "ExpectKept.h"
 
 #include <algorithm>
 
@@ -9,16 +9,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kStartUp = 3s;
-
-void
-ExpectKept(const Installation& aInstallation)
-{
-  for (const std::string& broken : aInstallation.oracle_.Broken()) {
-    ADD_FAILURE() << broken;
-  }
-}
-
 std::string
 Name(int aJob)
 {
@@ -137,5 +127,20 @@
   ExpectKept(installation);
 }
 
+// Guards against records of workers that are gone: they gathered, and counted
+// among the others of their service.
+TEST(Health, ForgetsAWorkerThatLeavesTheList)
+{
+  Installation installation{ 57, { 3, 3, 2 } };
+  installation.RunFor(kStartUp);
+  SubmitJobs(installation, 10, 19);
+  const auto& health = installation.StateOf(installation.Owner()).health_;
+  ASSERT_EQ(health.records_.size(), 3U);
+  installation.KillWorker(0);
+  installation.RunFor(20s);
+  EXPECT_EQ(health.records_.size(), 2U);
+  EXPECT_EQ(health.services_.at(kService).workers_, 2U);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
--- a/tests/jobs/JobManagerTest.cpp
+++ b/tests/jobs/JobManagerTest.cpp
@@ -1,4 +1,4 @@
-#include "Installation.h"
+#include "ExpectKept.h"
 
 #include <gtest/gtest.h>
 
@@ -7,16 +7,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kStartUp = 3s;
-
-void
-ExpectKept(const Installation& aInstallation)
-{
-  for (const std::string& broken : aInstallation.oracle_.Broken()) {
-    ADD_FAILURE() << broken;
-  }
-}
-
 JobDefinition
 LongRunning(std::uint32_t aTasks, std::uint32_t aBudget)
 {
--- a/tests/jobs/PoolsTest.cpp
+++ b/tests/jobs/PoolsTest.cpp
@@ -1,4 +1,4 @@
-#include "Installation.h"
+#include "ExpectKept.h"
 
 #include <algorithm>
 
@@ -10,22 +10,14 @@
 using namespace std::chrono_literals;
 
 // A new owner orders no VMs for its first 3 s.
-constexpr Duration kStartUp = 6s;
-
-void
-ExpectKept(const Installation& aInstallation)
-{
-  for (const std::string& broken : aInstallation.oracle_.Broken()) {
-    ADD_FAILURE() << broken;
-  }
-}
+constexpr Duration kFirstOrders = 6s;
 
 // Guards against an owner that ends when an idle VM leaves the list: it looked
 // the VM up to move it.
 TEST(Pools, ForgetAnIdleVmThatLeavesTheList)
 {
   Installation installation{ 41, { 3, 4, 2, 2 } };
-  installation.RunFor(kStartUp);
+  installation.RunFor(kFirstOrders);
   installation.RemoveVm(3);
   installation.RunFor(3s);
   for (int job = 10; job < 30; ++job) {
@@ -42,7 +34,7 @@
 TEST(Pools, CallStandbyVmsWhileABurstStillFits)
 {
   Installation installation{ 42, { 3, 6, 2, 4 } };
-  installation.RunFor(kStartUp);
+  installation.RunFor(kFirstOrders);
   // Two workers hold eight tasks at a time; ten tasks arrive a second.
   for (int job = 10; job < 15; ++job) {
     installation.Submit("00000000000000" + std::to_string(job),
@@ -82,7 +74,7 @@
 {
   Installation installation{ 43, { 3, 8, 2, 4, 2 } };
   installation.AddService();
-  installation.RunFor(kStartUp);
+  installation.RunFor(kFirstOrders);
   SubmitBurst(installation, 10, 40, "/queue/");
   installation.RunFor(2s);
   ASSERT_EQ(VmsIn(installation, kSpare), 0U);
@@ -99,7 +91,7 @@
 {
   Installation installation{ 44, { 3, 8, 2, 0, 4 } };
   installation.AddService();
-  installation.RunFor(kStartUp);
+  installation.RunFor(kFirstOrders);
   JobDefinition lasting = MakeJob(3, 1, 1s);
   lasting.steps_[0].longRunning_ = true;
   lasting.steps_[0].perWorker_ = TaskCount{ 1 };
@@ -117,7 +109,7 @@
 {
   Installation installation{ 45, { 3, 8, 2, 4, 2 } };
   installation.AddService();
-  installation.RunFor(kStartUp);
+  installation.RunFor(kFirstOrders);
   SubmitBurst(installation, 10, 16, "/queue/");
   installation.RunFor(1s);
   ASSERT_EQ(VmsIn(installation, kSpare), 0U);
