--- a/src/verbenawell/jobs/explain/Explain.cpp
+++ b/src/verbenawell/jobs/explain/Explain.cpp
@@ -40,7 +40,7 @@
     const LoggedEvent* ended = Last("job_ended");
     const LoggedEvent* failed = Last("request_failed");
     if (const std::string losses = Losses(); !losses.empty()) {
-      return (ended == nullptr ? "not ended: " : "late: ") + losses;
+      return (ended == nullptr ? "not ended: " : "delayed: ") + losses;
     }
     if (ended != nullptr && ended->Field("outcome") == "failed") {
       return "failed: a task failed as often as its queue allows";
