Log and count what becomes of stop orders

Cause: in the incident of runs that outlive cancelled jobs the log ends with task_stop. Whether the order had an answer, was repeated or was carried out, and whether the worker was silent, left no trace, so four hypotheses could not be told apart.

Change: lines for the end of a stopped run (task_stopped), for a run that a list shows 2 s after its stop (task_stop_overdue, once a run, with the orders sent and whether one was answered), and for the first hold without and with an answer (worker_silent, worker_answering); counters for stops unanswered, repeated and overdue. No decision changes.

--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -32,6 +32,12 @@
       return "starts_repeated";
     case Counter::StopsOrdered:
       return "stops_ordered";
+    case Counter::StopsUnanswered:
+      return "stops_unanswered";
+    case Counter::StopsRepeated:
+      return "stops_repeated";
+    case Counter::StopsOverdue:
+      return "stops_overdue";
     case Counter::Paces:
       return "paces";
     case Counter::HoldsSent:
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -25,6 +25,10 @@
   RunsUnknown,
   StartsRepeated,
   StopsOrdered,
+  StopsUnanswered,
+  StopsRepeated,
+  /// A list showed a run for longer after its stop than a stop takes.
+  StopsOverdue,
   Paces,
   HoldsSent,
   HoldsFailed,
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -191,6 +191,7 @@
     }
     run.phase_ = RunPhase::Stopping;
     run.answeredAt_.reset();
+    run.stop_.orderedAt_ = context_.now_;
     effects_.push_back(Count{ Counter::StopsOrdered });
     effects_.push_back(LogLine{ LogLevel::Info,
                                 "task_stop",
@@ -295,8 +296,11 @@
   {
     if (const auto found = state_.workers_.find(aWorker);
         found != state_.workers_.end()) {
-      found->second.isHolding_ = false;
-      found->second.isSilent_ = true;
+      Worker& worker = found->second;
+      worker.isHolding_ = false;
+      if (!std::exchange(worker.isSilent_, true)) {
+        LogWorker("worker_silent", worker, effects_);
+      }
       effects_.push_back(SetTimer{ WorkerHold{ aWorker }, kHoldRetry });
     }
   }
@@ -396,6 +400,7 @@
   void SendStop(const Worker& aWorker, const TaskId& aTask, Assignment& aRun)
   {
     aRun.isSending_ = true;
+    ++aRun.stop_.sent_;
     effects_.push_back(StopTask{ aWorker.entry_.worker_,
                                  aWorker.entry_.address_,
                                  aTask,
@@ -425,6 +430,7 @@
         effects_.push_back(Count{ Counter::StartsRepeated });
         SendStart(found->second, task, run);
       } else if (run.phase_ == RunPhase::Stopping) {
+        effects_.push_back(Count{ Counter::StopsRepeated });
         SendStop(found->second, task, run);
       }
     }
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -21,6 +21,16 @@
   Stopping,
 };
 
+/// What became of the order that stops a run; for the log.
+struct StopRecord
+{
+  TimePoint orderedAt_;
+  std::uint32_t sent_ = 0;
+  bool isAnswered_ = false;
+  /// A list has shown the run for longer than a stop takes.
+  bool isOverdue_ = false;
+};
+
 /// A run that takes room on a worker.
 struct Assignment
 {
@@ -40,6 +50,7 @@
   bool mayArrive_ = false;
   /// Not ordered by any owner that is known, nor is its room.
   bool isStranger_ = false;
+  StopRecord stop_;
 };
 
 /// A worker that the platform lists or that may hold a lease.
--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kOrderRetry = 30ms;
 // A worker that refused an order is left alone for this long.
 constexpr Duration kAvoidAfterRefusal = 1s;
+// A stop takes less than a second at a worker.
+constexpr Duration kStopOverdue = 2s;
 
 bool
 IsListed(const WorkerLists& aLists, const TaskId& aTask, RunNumber aRun)
@@ -44,8 +46,68 @@
   }
 }
 
+std::string
+Milliseconds(Duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
+// The end of a run whose stop was ordered.
+void
+LogStopped(const Worker& aWorker,
+           const Assignment& aRun,
+           const ListedEnd& aEnd,
+           TimePoint aNow,
+           Effects& aEffects)
+{
+  aEffects.push_back(
+    LogLine{ LogLevel::Info,
+             "task_stopped",
+             { { "task", ToString(aEnd.task_) },
+               { "run", std::to_string(aEnd.run_.Value()) },
+               { "worker", aWorker.entry_.worker_.Value() },
+               { "kind", std::string(ToString(aEnd.kind_)) },
+               { "after_ms", Milliseconds(aNow - aRun.stop_.orderedAt_) } } });
+}
+
+// Tells a stop that was lost from one that the worker has not carried out.
 void
-TakeEnds(Worker& aWorker, const WorkerLists& aLists, Effects& aEffects)
+LogOverdueStops(Worker& aWorker,
+                const WorkerLists& aLists,
+                TimePoint aNow,
+                Effects& aEffects)
+{
+  for (const ListedRun& listed : aLists.running_) {
+    const auto found = aWorker.runs_.find(listed.task_);
+    if (found == aWorker.runs_.end() || found->second.run_ != listed.run_) {
+      continue;
+    }
+    Assignment& run = found->second;
+    if (run.phase_ != RunPhase::Stopping ||
+        aNow - run.stop_.orderedAt_ < kStopOverdue ||
+        std::exchange(run.stop_.isOverdue_, true)) {
+      continue;
+    }
+    aEffects.push_back(Count{ Counter::StopsOverdue });
+    aEffects.push_back(
+      LogLine{ LogLevel::Warning,
+               "task_stop_overdue",
+               { { "task", ToString(listed.task_) },
+                 { "run", std::to_string(listed.run_.Value()) },
+                 { "worker", aWorker.entry_.worker_.Value() },
+                 { "sent", std::to_string(run.stop_.sent_) },
+                 { "answered", run.stop_.isAnswered_ ? "yes" : "no" },
+                 { "on_its_way", run.isSending_ ? "yes" : "no" },
+                 { "after_ms", Milliseconds(aNow - run.stop_.orderedAt_) } } });
+  }
+}
+
+void
+TakeEnds(Worker& aWorker,
+         const WorkerLists& aLists,
+         TimePoint aNow,
+         Effects& aEffects)
 {
   RunsEnded ended{ aLists.worker_, aWorker.born_, aWorker.seen_, {} };
   for (const ListedEnd& end : aLists.ended_) {
@@ -56,6 +118,9 @@
     ended.ended_.push_back(end);
     if (const auto found = aWorker.runs_.find(end.task_);
         found != aWorker.runs_.end() && found->second.run_ <= end.run_) {
+      if (found->second.phase_ == RunPhase::Stopping) {
+        LogStopped(aWorker, found->second, end, aNow, aEffects);
+      }
       aWorker.used_ -= found->second.room_;
       aWorker.runs_.erase(found);
     }
@@ -114,11 +179,14 @@
   if (!std::exchange(worker.isKnown_, true)) {
     aEffects.push_back(Raise{ RoomChanged{} });
   }
-  worker.isSilent_ = false;
+  if (std::exchange(worker.isSilent_, false)) {
+    LogWorker("worker_answering", worker, aEffects);
+  }
   ConfirmRuns(worker, aLists);
+  LogOverdueStops(worker, aLists, aContext.now_, aEffects);
   LoseMissing(worker, aLists, aEffects);
   aEffects.push_back(Raise{ RunsSeen{ aLists.worker_, aLists.running_ } });
-  TakeEnds(worker, aLists, aEffects);
+  TakeEnds(worker, aLists, aContext.now_, aEffects);
 }
 
 void
@@ -195,7 +263,9 @@
   run->second.isSending_ = false;
   if (aAnswer.answered_) {
     run->second.answeredAt_ = aContext.now_;
+    run->second.stop_.isAnswered_ = true;
   } else {
+    aEffects.push_back(Count{ Counter::StopsUnanswered });
     aEffects.push_back(SetTimer{ OrderRetry{ aAnswer.worker_ }, kOrderRetry });
   }
 }
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -14,18 +14,6 @@
 // Entries that lapsed while the store was away come back within 2 s.
 constexpr Duration kKeepUnlisted = 3s;
 
-void
-LogWorker(const char* aEvent, const Worker& aWorker, Effects& aEffects)
-{
-  aEffects.push_back(
-    LogLine{ LogLevel::Info,
-             aEvent,
-             { { "worker", aWorker.entry_.worker_.Value() },
-               { "service", aWorker.entry_.service_.Value() },
-               { "born", std::to_string(aWorker.born_.Value()) },
-               { "runs", std::to_string(aWorker.runs_.size()) } } });
-}
-
 void
 Insert(WorkersState& aState,
        const WorkerEntry& aEntry,
@@ -87,6 +75,18 @@
 
 } // namespace
 
+void
+LogWorker(const char* aEvent, const Worker& aWorker, Effects& aEffects)
+{
+  aEffects.push_back(
+    LogLine{ LogLevel::Info,
+             aEvent,
+             { { "worker", aWorker.entry_.worker_.Value() },
+               { "service", aWorker.entry_.service_.Value() },
+               { "born", std::to_string(aWorker.born_.Value()) },
+               { "runs", std::to_string(aWorker.runs_.size()) } } });
+}
+
 void
 ApplyList(WorkersState& aState,
           const WorkersRead& aRead,
--- a/src/verbenawell/jobs/workers/internal/WorkerList.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.h
@@ -15,6 +15,10 @@
           const Context& aContext,
           Effects& aEffects);
 
+/// Logs what has become known of a worker.
+void
+LogWorker(const char* aEvent, const Worker& aWorker, Effects& aEffects);
+
 /// A worker has a new life, which knows nothing of the old one.
 void
 StartNewLife(Worker& aWorker,
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -167,12 +167,13 @@
 void
 FakeWorker::Run(const StopTask& aStop, const Reply& aReply)
 {
+  const bool arrives = isAlive_ && !faults_.isCutOff_ && !faults_.losesStops_;
   const bool answers =
-    isAlive_ && !faults_.isCutOff_ &&
+    arrives &&
     random_.Below(100) >= static_cast<std::uint64_t>(faults_.lateOrders_);
   if (answers) {
     CarryOut(aStop);
-  } else if (isAlive_ && !faults_.isCutOff_) {
+  } else if (arrives) {
     Delayed([this, aStop] { CarryOut(aStop); });
   }
   time_.After(answers ? kLatency : kCallLimit, [aReply, aStop, answers] {
--- /dev/null
+++ b/tests/jobs/StopOrdersTest.cpp
@@ -0,0 +1,63 @@
+#include "ExpectKept.h"
+
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kJob = "0000000000000001";
+
+/// One worker with one task that runs until its job is cancelled.
+class StopOrders : public testing::Test
+{
+protected:
+  StopOrders()
+  {
+    JobDefinition job = MakeJob(1, 1, 1s);
+    job.steps_[0].longRunning_ = true;
+    installation_.RunFor(kStartUp);
+    installation_.Submit(kJob, job);
+    installation_.RunFor(2s);
+  }
+
+  [[nodiscard]] bool IsRunning()
+  {
+    return !installation_.WorkerAt(0).Running().empty();
+  }
+
+  [[nodiscard]] std::vector<LoggedEvent> LinesOf(const std::string& aEvent)
+  {
+    std::vector<LoggedEvent> lines;
+    std::ranges::copy_if(
+      installation_.log_, std::back_inserter(lines), [&](const auto& aLine) {
+        return aLine.event_ == aEvent;
+      });
+    return lines;
+  }
+
+  Installation installation_{ 61, { 3, 1, 1 } };
+};
+
+// Guards against a log that cannot tell a lost stop from one that the worker
+// has not carried out.
+TEST_F(StopOrders, AreReportedOnceWhereTheirRunIsListedTooLong)
+{
+  ASSERT_TRUE(IsRunning());
+  installation_.WorkerAt(0).faults_.losesStops_ = true;
+  installation_.Cancel(kJob);
+  installation_.RunFor(6s);
+  const auto overdue = LinesOf("task_stop_overdue");
+  ASSERT_EQ(overdue.size(), 1U);
+  EXPECT_EQ(overdue.front().Field("task"), kJob + ".0.0.0");
+  EXPECT_EQ(overdue.front().Field("answered"), "no");
+  EXPECT_TRUE(LinesOf("task_stopped").empty());
+}
+
+} // namespace
+} // namespace verbenawell::jobs
