Show that a lost stop is never ordered again

Callers saw tasks of cancelled jobs run on. Two tests in virtual time make it: a worker that is cut off while a job is cancelled, and a new owner whose first stop for a run of an ended job is lost.

--- a/tests/jobs/StopOrdersTest.cpp
+++ b/tests/jobs/StopOrdersTest.cpp
@@ -59,5 +59,45 @@
   EXPECT_TRUE(LinesOf("task_stopped").empty());
 }
 
+// Guards against a cancelled task that runs on after its worker was cut off: a
+// list that showed the run was taken for the answer to its stop.
+TEST_F(StopOrders, AreRepeatedToAWorkerThatStillListsTheRun)
+{
+  ASSERT_TRUE(IsRunning());
+  WorkerFaults& faults = installation_.WorkerAt(0).faults_;
+  faults.isCutOff_ = true;
+  installation_.RunFor(500ms);
+  installation_.Cancel(kJob);
+  installation_.RunFor(3s);
+  ASSERT_TRUE(IsRunning());
+  faults.isCutOff_ = false;
+  installation_.RunFor(3s);
+  EXPECT_FALSE(IsRunning());
+  ExpectKept(installation_);
+}
+
+// Guards against the same for a run that a new owner knows only from the list,
+// since its job had ended before.
+TEST_F(StopOrders, AreRepeatedForARunThatOnlyTheListShows)
+{
+  ASSERT_TRUE(IsRunning());
+  WorkerFaults& faults = installation_.WorkerAt(0).faults_;
+  faults.isCutOff_ = true;
+  installation_.RunFor(500ms);
+  installation_.Cancel(kJob);
+  installation_.RunFor(500ms);
+  installation_.Kill(installation_.Owner());
+  installation_.RunFor(3500ms);
+  ASSERT_TRUE(IsRunning());
+  // The new owner's stops are lost until it has read a second list.
+  faults.isCutOff_ = false;
+  faults.losesStops_ = true;
+  installation_.RunFor(3s);
+  faults.losesStops_ = false;
+  installation_.RunFor(2s);
+  EXPECT_FALSE(IsRunning());
+  ExpectKept(installation_);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
