Take a stop for settled only by its own answer

Cause: a run kept one moment, answeredAt_, for its start and for its stop. A list that showed the run set it, also while a stop was under way. Where the stop was lost, as in a cut of the worker, the first list after the cut so counted as the stop's answer; the stop was never ordered again, and the holds extended the lease of the run for good. The same holds for stops for maintenance, of slow runs, and of runs that only a list shows.

Change: the phase of a run is a variant, and each order's evidence lives in its own phase: Starting, Present (shown by an answer or a list) and Stopping (answered by the worker, or not). A list moves a run from Starting to Present and leaves Stopping as it is, so that the order is repeated until it is answered.

--- a/src/verbenawell/jobs/health/HealthReducer.cpp
+++ b/src/verbenawell/jobs/health/HealthReducer.cpp
@@ -254,7 +254,7 @@
       const auto run = worker->runs_.find(task);
       if (step == nullptr || run == worker->runs_.end() ||
           run->second.run_ != seen.run_ ||
-          run->second.phase_ != RunPhase::Running) {
+          !run->second.IsPresent()) {
         continue;
       }
       const double declared =
--- a/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
+++ b/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
@@ -284,7 +284,7 @@
         continue;
       }
       isDrained = false;
-      if (run.phase_ == RunPhase::Running && stopped_.insert(task).second &&
+      if (run.IsPresent() && stopped_.insert(task).second &&
           MayDisrupt(*job, task, views_.workers_, now_) &&
           !HasStoppedSibling(task)) {
         siblings_.insert(StepOf(task));
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -165,12 +165,13 @@
         continue;
       }
       const auto run = worker->second.runs_.find(start.task_);
-      if (run == worker->second.runs_.end() || run->second.run_ != start.run_ ||
-          run->second.phase_ != RunPhase::Ordered) {
+      if (run == worker->second.runs_.end() || run->second.run_ != start.run_) {
         continue;
       }
-      run->second.isStored_ = true;
-      SendStart(worker->second, start.task_, run->second);
+      if (auto* starting = std::get_if<Starting>(&run->second.phase_)) {
+        run->second.isStored_ = true;
+        SendStart(worker->second, start.task_, run->second, *starting);
+      }
     }
   }
 
@@ -186,12 +187,12 @@
     if (isStranger) {
       run.run_ = aStop.run_;
       run.isStranger_ = true;
-    } else if (run.run_ != aStop.run_ || run.phase_ == RunPhase::Stopping) {
+    } else if (run.run_ != aStop.run_ ||
+               std::holds_alternative<Stopping>(run.phase_)) {
       return;
     }
-    run.phase_ = RunPhase::Stopping;
-    run.answeredAt_.reset();
-    run.stop_.orderedAt_ = context_.now_;
+    auto& stopping = run.phase_.emplace<Stopping>();
+    stopping.orderedAt_ = context_.now_;
     effects_.push_back(Count{ Counter::StopsOrdered });
     effects_.push_back(LogLine{ LogLevel::Info,
                                 "task_stop",
@@ -199,7 +200,7 @@
                                   { "run", std::to_string(aStop.run_.Value()) },
                                   { "worker", aStop.worker_.Value() },
                                   { "reason", aStop.reason_ } } });
-    SendStop(found->second, aStop.task_, run);
+    SendStop(found->second, aStop.task_, run.run_, stopping);
   }
 
   void On(const StartAnswered& aAnswer)
@@ -270,10 +271,8 @@
         const Step& step = job.definition_.steps_[task.step_.Value()];
         run.room_ = RoomOnWorker(step);
         run.isLongRunning_ = step.longRunning_;
-
-        run.phase_ = RunPhase::Running;
+        run.phase_ = Present{ state_.takenAt_ };
         run.isStored_ = true;
-        run.answeredAt_ = state_.takenAt_;
         worker->second.used_ += run.room_;
         worker->second.runs_.emplace(task, std::move(run));
       }
@@ -373,7 +372,10 @@
     }
   }
 
-  void SendStart(Worker& aWorker, const TaskId& aTask, Assignment& aRun)
+  void SendStart(Worker& aWorker,
+                 const TaskId& aTask,
+                 Assignment& aRun,
+                 Starting& aStarting)
   {
     const Job* job = views_.tasks_.Find(aTask.job_);
     const Task* task = job == nullptr ? nullptr : job->Find(aTask);
@@ -382,8 +384,8 @@
         SetTimer{ OrderRetry{ aWorker.entry_.worker_ }, kHoldRetry });
       return;
     }
-    aRun.isSending_ = true;
-    aRun.sentAt_ = context_.now_;
+    aStarting.isSending_ = true;
+    aRun.startSentAt_ = context_.now_;
     const WorkerTime leaseEnd = LeaseEnd(aWorker);
     aWorker.lease_.Extend(leaseEnd);
     effects_.push_back(StartTask{ aWorker.entry_.worker_,
@@ -397,14 +399,17 @@
                                   aRun.ticket_ });
   }
 
-  void SendStop(const Worker& aWorker, const TaskId& aTask, Assignment& aRun)
+  void SendStop(const Worker& aWorker,
+                const TaskId& aTask,
+                RunNumber aRun,
+                Stopping& aStopping)
   {
-    aRun.isSending_ = true;
-    ++aRun.stop_.sent_;
+    aStopping.isSending_ = true;
+    ++aStopping.sent_;
     effects_.push_back(StopTask{ aWorker.entry_.worker_,
                                  aWorker.entry_.address_,
                                  aTask,
-                                 aRun.run_,
+                                 aRun,
                                  state_.epoch_ });
   }
 
@@ -423,15 +428,15 @@
       return;
     }
     for (auto& [task, run] : found->second.runs_) {
-      if (run.answeredAt_ || run.isSending_) {
-        continue;
-      }
-      if (run.phase_ == RunPhase::Ordered && run.isStored_) {
+      if (auto* starting = std::get_if<Starting>(&run.phase_);
+          starting != nullptr && run.isStored_ && !starting->isSending_) {
         effects_.push_back(Count{ Counter::StartsRepeated });
-        SendStart(found->second, task, run);
-      } else if (run.phase_ == RunPhase::Stopping) {
+        SendStart(found->second, task, run, *starting);
+      } else if (auto* stopping = std::get_if<Stopping>(&run.phase_);
+                 stopping != nullptr && !stopping->answeredAt_ &&
+                 !stopping->isSending_) {
         effects_.push_back(Count{ Counter::StopsRepeated });
-        SendStop(found->second, task, run);
+        SendStop(found->second, task, run.run_, *stopping);
       }
     }
   }
@@ -442,8 +447,9 @@
   {
     std::vector<TaskId> lapsed;
     for (const auto& [task, run] : aWorker.runs_) {
-      const bool isSettled = run.answeredAt_ || !run.isStored_;
-      if (isSettled || context_.now_ >= LapseOf(run.sentAt_, kLongestLease)) {
+      const bool isSettled = run.SettledAt() || !run.isStored_;
+      if (isSettled ||
+          context_.now_ >= LapseOf(run.startSentAt_, kLongestLease)) {
         lapsed.push_back(task);
       }
     }
--- a/src/verbenawell/jobs/workers/WorkersState.cpp
+++ b/src/verbenawell/jobs/workers/WorkersState.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 
+#include "verbenawell/core/Overloaded.h"
+
 #include <algorithm>
 
 namespace verbenawell::jobs {
@@ -16,6 +18,18 @@
 
 } // namespace
 
+std::optional<TimePoint>
+Assignment::SettledAt() const
+{
+  using Moment = std::optional<TimePoint>;
+  return std::visit(
+    Overloaded{
+      [](const Starting&) { return Moment{}; },
+      [](const Present& aPresent) { return Moment{ aPresent.shownAt_ }; },
+      [](const Stopping& aStop) { return aStop.answeredAt_; } },
+    phase_);
+}
+
 bool
 Worker::HasStranger() const
 {
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -9,48 +9,61 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 
 namespace verbenawell::jobs {
 
-enum class RunPhase : std::uint8_t
+/// The start is to be ordered or has no answer yet.
+struct Starting
 {
-  /// The start has no answer yet.
-  Ordered,
-  Running,
-  /// A stop was ordered; its room stays taken until the end is listed.
-  Stopping,
+  /// The order is on its way; it must not be sent a second time.
+  bool isSending_ = false;
+  /// An earlier order had no answer and may still be carried out.
+  bool mayArrive_ = false;
 };
 
-/// What became of the order that stops a run; for the log.
-struct StopRecord
+/// The worker has answered the start, or a list has shown the run.
+struct Present
+{
+  TimePoint shownAt_;
+};
+
+/// A stop is ordered; the room stays taken until the end is listed.
+struct Stopping
 {
   TimePoint orderedAt_;
   std::uint32_t sent_ = 0;
-  bool isAnswered_ = false;
+  bool isSending_ = false;
+  /// Empty until the worker has answered the stop itself.
+  std::optional<TimePoint> answeredAt_;
   /// A list has shown the run for longer than a stop takes.
   bool isOverdue_ = false;
 };
 
+using RunPhase = std::variant<Starting, Present, Stopping>;
+
 /// A run that takes room on a worker.
 struct Assignment
 {
   RunNumber run_;
   Room room_;
   bool isLongRunning_ = false;
-  RunPhase phase_ = RunPhase::Ordered;
-  /// When the order was answered; a list asked for later must show the run.
-  std::optional<TimePoint> answeredAt_;
+  RunPhase phase_;
   std::string ticket_;
   /// The journal names the run, so that it may be ordered.
   bool isStored_ = false;
-  TimePoint sentAt_;
-  /// The order is on its way; it must not be sent a second time.
-  bool isSending_ = false;
-  /// A start had no answer and may still arrive.
-  bool mayArrive_ = false;
+  /// When the start was last sent.
+  TimePoint startSentAt_;
   /// Not ordered by any owner that is known, nor is its room.
   bool isStranger_ = false;
-  StopRecord stop_;
+
+  [[nodiscard]] bool IsPresent() const
+  {
+    return std::holds_alternative<Present>(phase_);
+  }
+
+  /// From when on a list shows the run or its end, if that is known.
+  [[nodiscard]] std::optional<TimePoint> SettledAt() const;
 };
 
 /// A worker that the platform lists or that may hold a lease.
--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -36,7 +36,8 @@
 {
   std::vector<TaskId> missing;
   for (const auto& [task, run] : aWorker.runs_) {
-    if (run.answeredAt_ && *run.answeredAt_ < aLists.sentAt_ &&
+    if (const auto settledAt = run.SettledAt();
+        settledAt && *settledAt < aLists.sentAt_ &&
         !IsListed(aLists, task, run.run_)) {
       missing.push_back(task);
     }
@@ -56,7 +57,7 @@
 // The end of a run whose stop was ordered.
 void
 LogStopped(const Worker& aWorker,
-           const Assignment& aRun,
+           const Stopping& aStopping,
            const ListedEnd& aEnd,
            TimePoint aNow,
            Effects& aEffects)
@@ -68,7 +69,7 @@
                { "run", std::to_string(aEnd.run_.Value()) },
                { "worker", aWorker.entry_.worker_.Value() },
                { "kind", std::string(ToString(aEnd.kind_)) },
-               { "after_ms", Milliseconds(aNow - aRun.stop_.orderedAt_) } } });
+               { "after_ms", Milliseconds(aNow - aStopping.orderedAt_) } } });
 }
 
 // Tells a stop that was lost from one that the worker has not carried out.
@@ -83,10 +84,9 @@
     if (found == aWorker.runs_.end() || found->second.run_ != listed.run_) {
       continue;
     }
-    Assignment& run = found->second;
-    if (run.phase_ != RunPhase::Stopping ||
-        aNow - run.stop_.orderedAt_ < kStopOverdue ||
-        std::exchange(run.stop_.isOverdue_, true)) {
+    auto* stopping = std::get_if<Stopping>(&found->second.phase_);
+    if (stopping == nullptr || aNow - stopping->orderedAt_ < kStopOverdue ||
+        std::exchange(stopping->isOverdue_, true)) {
       continue;
     }
     aEffects.push_back(Count{ Counter::StopsOverdue });
@@ -96,10 +96,10 @@
                { { "task", ToString(listed.task_) },
                  { "run", std::to_string(listed.run_.Value()) },
                  { "worker", aWorker.entry_.worker_.Value() },
-                 { "sent", std::to_string(run.stop_.sent_) },
-                 { "answered", run.stop_.isAnswered_ ? "yes" : "no" },
-                 { "on_its_way", run.isSending_ ? "yes" : "no" },
-                 { "after_ms", Milliseconds(aNow - run.stop_.orderedAt_) } } });
+                 { "sent", std::to_string(stopping->sent_) },
+                 { "answered", stopping->answeredAt_ ? "yes" : "no" },
+                 { "on_its_way", stopping->isSending_ ? "yes" : "no" },
+                 { "after_ms", Milliseconds(aNow - stopping->orderedAt_) } } });
   }
 }
 
@@ -118,8 +118,8 @@
     ended.ended_.push_back(end);
     if (const auto found = aWorker.runs_.find(end.task_);
         found != aWorker.runs_.end() && found->second.run_ <= end.run_) {
-      if (found->second.phase_ == RunPhase::Stopping) {
-        LogStopped(aWorker, found->second, end, aNow, aEffects);
+      if (const auto* stopping = std::get_if<Stopping>(&found->second.phase_)) {
+        LogStopped(aWorker, *stopping, end, aNow, aEffects);
       }
       aWorker.used_ -= found->second.room_;
       aWorker.runs_.erase(found);
@@ -132,6 +132,8 @@
   }
 }
 
+// A list tells that a start was carried out. Of a stop it tells nothing: the
+// run may be listed because the stop was lost.
 void
 ConfirmRuns(Worker& aWorker, const WorkerLists& aLists)
 {
@@ -140,16 +142,51 @@
     if (found == aWorker.runs_.end() || found->second.run_ != listed.run_) {
       continue;
     }
-    Assignment& run = found->second;
-    if (run.phase_ == RunPhase::Ordered) {
-      run.phase_ = RunPhase::Running;
-    }
-    if (!run.answeredAt_) {
-      run.answeredAt_ = aLists.sentAt_;
+    if (std::holds_alternative<Starting>(found->second.phase_)) {
+      found->second.phase_ = Present{ aLists.sentAt_ };
     }
   }
 }
 
+// The run of an order that the worker has turned away.
+void
+RefuseStart(Worker& aWorker,
+            const StartAnswered& aAnswer,
+            StartRefusal aRefusal,
+            Assignment& aRun,
+            const Context& aContext,
+            Effects& aEffects)
+{
+  if (aRefusal == StartRefusal::Old) {
+    // The run was there before; its end is listed.
+    aRun.phase_ = Present{ aContext.now_ };
+    return;
+  }
+  if (aRefusal != StartRefusal::Ticket) {
+    aWorker.avoidUntil_ = aContext.now_ + kAvoidAfterRefusal;
+  }
+  if (std::get<Starting>(aRun.phase_).mayArrive_ &&
+      aRefusal != StartRefusal::OtherLife) {
+    // A stop keeps an earlier copy of the order from being carried out.
+    aEffects.push_back(Raise{ StopDecided{ aAnswer.worker_,
+                                           aAnswer.task_,
+                                           aAnswer.run_,
+                                           "refused after a lost answer" } });
+    return;
+  }
+  LoseRun(
+    aWorker, aAnswer.task_, std::string(ToString(aRefusal)).c_str(), aEffects);
+}
+
+Assignment*
+FindRun(Worker& aWorker, const TaskId& aTask, RunNumber aRun)
+{
+  const auto found = aWorker.runs_.find(aTask);
+  return found == aWorker.runs_.end() || found->second.run_ != aRun
+           ? nullptr
+           : &found->second;
+}
+
 } // namespace
 
 void
@@ -199,50 +236,25 @@
   if (worker == aState.workers_.end()) {
     return;
   }
-  const auto run = worker->second.runs_.find(aAnswer.task_);
-  if (run == worker->second.runs_.end() || run->second.run_ != aAnswer.run_) {
-    return;
-  }
-  if (run->second.phase_ == RunPhase::Stopping) {
+  Assignment* run = FindRun(worker->second, aAnswer.task_, aAnswer.run_);
+  auto* starting =
+    run == nullptr ? nullptr : std::get_if<Starting>(&run->phase_);
+  if (starting == nullptr) {
     return;
   }
-  run->second.isSending_ = false;
-  std::visit(Overloaded{ [&](StartAccepted) {
-                          run->second.answeredAt_ = aContext.now_;
-                          run->second.phase_ = RunPhase::Running;
-                        },
-                         [&](StartRefusal aRefusal) {
-                           aEffects.push_back(Count{ aRefusal });
-                           if (aRefusal == StartRefusal::Old) {
-                             // The run was there before; its end is listed.
-                             run->second.answeredAt_ = aContext.now_;
-                             return;
-                           }
-                           if (aRefusal != StartRefusal::Ticket) {
-                             worker->second.avoidUntil_ =
-                               aContext.now_ + kAvoidAfterRefusal;
-                           }
-                           if (run->second.mayArrive_ &&
-                               aRefusal != StartRefusal::OtherLife) {
-                             // A stop keeps an earlier copy of the order from
-                             // being carried out.
-                             aEffects.push_back(Raise{
-                               StopDecided{ aAnswer.worker_,
-                                            aAnswer.task_,
-                                            aAnswer.run_,
-                                            "refused after a lost answer" } });
-                             return;
-                           }
-                           LoseRun(worker->second,
-                                   aAnswer.task_,
-                                   std::string(ToString(aRefusal)).c_str(),
-                                   aEffects);
-                         },
-                         [&](OrderUnanswered) {
-                           run->second.mayArrive_ = true;
-                           aEffects.push_back(SetTimer{
-                             OrderRetry{ aAnswer.worker_ }, kOrderRetry });
-                         } },
+  starting->isSending_ = false;
+  std::visit(Overloaded{
+               [&](StartAccepted) { run->phase_ = Present{ aContext.now_ }; },
+               [&](StartRefusal aRefusal) {
+                 aEffects.push_back(Count{ aRefusal });
+                 RefuseStart(
+                   worker->second, aAnswer, aRefusal, *run, aContext, aEffects);
+               },
+               [&](OrderUnanswered) {
+                 starting->mayArrive_ = true;
+                 aEffects.push_back(
+                   SetTimer{ OrderRetry{ aAnswer.worker_ }, kOrderRetry });
+               } },
              aAnswer.result_);
 }
 
@@ -256,14 +268,15 @@
   if (worker == aState.workers_.end()) {
     return;
   }
-  const auto run = worker->second.runs_.find(aAnswer.task_);
-  if (run == worker->second.runs_.end() || run->second.run_ != aAnswer.run_) {
+  Assignment* run = FindRun(worker->second, aAnswer.task_, aAnswer.run_);
+  auto* stopping =
+    run == nullptr ? nullptr : std::get_if<Stopping>(&run->phase_);
+  if (stopping == nullptr) {
     return;
   }
-  run->second.isSending_ = false;
+  stopping->isSending_ = false;
   if (aAnswer.answered_) {
-    run->second.answeredAt_ = aContext.now_;
-    run->second.stop_.isAnswered_ = true;
+    stopping->answeredAt_ = aContext.now_;
   } else {
     aEffects.push_back(Count{ Counter::StopsUnanswered });
     aEffects.push_back(SetTimer{ OrderRetry{ aAnswer.worker_ }, kOrderRetry });
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -116,11 +116,15 @@
   // An order that had no answer may have reached the new life, or may reach it
   // yet; a stop settles that. Of the other runs the next list shows the end.
   for (auto& [task, run] : aWorker.runs_) {
-    if (run.answeredAt_) {
-      run.answeredAt_ = aContext.now_;
+    if (auto* present = std::get_if<Present>(&run.phase_)) {
+      present->shownAt_ = aContext.now_;
+    } else if (auto* stopping = std::get_if<Stopping>(&run.phase_)) {
+      stopping->isSending_ = false;
+      if (stopping->answeredAt_) {
+        stopping->answeredAt_ = aContext.now_;
+      }
     } else if (run.isStored_) {
-      run.phase_ = RunPhase::Stopping;
-      run.isSending_ = false;
+      run.phase_.emplace<Stopping>().orderedAt_ = aContext.now_;
     }
   }
   aEffects.push_back(
