--- a/tests/jobs/StopOrdersTest.cpp
+++ b/tests/jobs/StopOrdersTest.cpp
@@ -99,5 +99,32 @@
   ExpectKept(installation_);
 }
 
+// Guards against a wave that never ends, since the stops for its maintenance
+// were lost and are not ordered again.
+TEST(StopOrdersOfWaves, AreRepeatedUntilTheVmIsFree)
+{
+  Installation installation{ 62, { 3, 4, 2 } };
+  JobDefinition job = MakeJob(4, 1, 1s);
+  job.steps_[0].longRunning_ = true;
+  job.steps_[0].disruptionBudget_ = TaskCount{ 1 };
+  job.steps_[0].perWorker_ = TaskCount{ 2 };
+  installation.RunFor(kStartUp);
+  installation.Submit(kJob, job);
+  installation.RunFor(2s);
+  const auto loseStops = [&](bool aAreLost) {
+    for (std::size_t index = 0; index < installation.Workers(); ++index) {
+      installation.WorkerAt(index).faults_.losesStops_ = aAreLost;
+    }
+  };
+  loseStops(true);
+  installation.BeginWave(2);
+  installation.RunFor(4s);
+  loseStops(false);
+  installation.RunFor(30s);
+  EXPECT_TRUE(installation.store_.waveStatus_[WaveNumber{ 1 }]);
+  EXPECT_EQ(installation.begun_.size(), 4U);
+  ExpectKept(installation);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
