--- a/src/verbenawell/jobs/health/HealthReducer.cpp
+++ b/src/verbenawell/jobs/health/HealthReducer.cpp
@@ -253,8 +253,7 @@
       const Step* step = TimedStep(task);
       const auto run = worker->runs_.find(task);
       if (step == nullptr || run == worker->runs_.end() ||
-          run->second.run_ != seen.run_ ||
-          !run->second.IsPresent()) {
+          run->second.run_ != seen.run_ || !run->second.IsPresent()) {
         continue;
       }
       const double declared =
