Count only workers that are there in a pool's size

Cause: the platform lists a worker for up to 3 s after its VM has moved to another pool. The pool that lent the VM counted the worker as its own and lent more, until it had no VM for its tasks that last.

Change: a pool's size and its processors count workers that are listed and answer.

--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -24,7 +24,8 @@
 {
   std::uint64_t cpu = 0;
   for (const auto& [id, worker] : aWorkers.workers_) {
-    if (worker.isListed_ && worker.entry_.service_ == aService) {
+    if (worker.isListed_ && worker.isKnown_ &&
+        worker.entry_.service_ == aService) {
       cpu += worker.entry_.capacity_.cpu_.Value();
     }
   }
--- a/src/verbenawell/jobs/pools/PoolDemand.cpp
+++ b/src/verbenawell/jobs/pools/PoolDemand.cpp
@@ -75,7 +75,12 @@
 {
   std::map<ServiceId, PoolSize> sizes;
   for (const auto& [id, worker] : aViews.workers_.workers_) {
-    if (worker.isListed_ && !worker.entry_.draining_) {
+    // The list shows a worker for a while after its VM has moved away; only one
+    // that answers is there.
+    const bool isThere = worker.isListed_ && worker.isKnown_ &&
+                         !worker.entry_.draining_ &&
+                         !IsSilent(worker, aContext.now_);
+    if (isThere) {
       PoolSize& size = sizes[worker.entry_.service_];
       ++size.working_;
       size.cpu_ += worker.entry_.capacity_.cpu_.Value();
--- a/src/verbenawell/jobs/pools/internal/MovePlan.cpp
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -24,8 +24,8 @@
 // Being off saves more than the move there costs after about a second; the
 // rest keeps VMs in pools whose work comes in groups.
 constexpr Duration kIdleBeforeReturn = 3s;
-// A pool lends no more than the rest of its VMs, in percent, so that its own
-// next burst finds room until they are back.
+// A pool lends only while it has more than this share of its own VMs, in
+// percent, so that its next burst finds room until they are back.
 constexpr std::uint32_t kKeptPercent = 70;
 // Spares the service that carries the moves out.
 constexpr std::size_t kMostMoves = 12;
--- a/tests/jobs/Installation.cpp
+++ b/tests/jobs/Installation.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kEntryTimeToLive = 4500ms;
 constexpr Duration kUpkeepTime = 2s;
 constexpr Duration kMoveTime = 1500ms;
+// A worker is listed for this long after its VM has gone down or moved.
+constexpr Duration kListLag = 3s;
 constexpr const char* kHost = "host.example";
 constexpr const char* kPath = "/queue/";
 
@@ -530,7 +532,9 @@
 void
 Installation::Renew(Vm& aVm, VmState aMeanwhile, Duration aTime)
 {
-  store_.workers_.erase(aVm.worker_->Entry().worker_);
+  time_.After(kListLag, [this, former = aVm.worker_->Entry().worker_] {
+    store_.workers_.erase(former);
+  });
   aVm.worker_->Die();
   aVm.state_ = aMeanwhile;
   const auto index = static_cast<std::size_t>(&aVm - vms_.data());
--- a/tests/jobs/PoolsTest.cpp
+++ b/tests/jobs/PoolsTest.cpp
@@ -119,5 +119,19 @@
   ExpectKept(installation);
 }
 
+// Guards against a pool that lends nearly all its VMs: the list showed the
+// workers of lent ones on, so that they were counted as its own.
+TEST(Pools, CountNoWorkerWhoseVmHasMovedAway)
+{
+  Installation installation{ 46, { 3, 10, 2, 0, 8 } };
+  installation.AddService();
+  installation.RunFor(kFirstOrders);
+  SubmitBurst(installation, 10, 16, "/queue/");
+  installation.RunFor(2s);
+  EXPECT_GE(VmsIn(installation, kOtherService), 5U);
+  installation.RunFor(10s);
+  ExpectKept(installation);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
