--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -8,6 +8,7 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 #include "verbenawell/jobs/workers/internal/WorkerAnswers.h"
 #include "verbenawell/jobs/workers/internal/WorkerList.h"
+#include "verbenawell/jobs/workers/internal/WorkerOrders.h"
 
 #include <algorithm>
 #include <utility>
@@ -23,13 +24,10 @@
 // A VM that moves is waited for, and its new worker is known from the list.
 constexpr Duration kListPollDuringMoves = 150ms;
 constexpr Duration kLeaseTick = 200ms;
-// How long a worker waits for an end before it answers a hold.
-constexpr Duration kHoldWait = 1s;
 // Lets further ends gather, since each hold is priced.
 constexpr Duration kHoldGap = 80ms;
 // An idle worker is asked rarely: only its clock and its life matter.
 constexpr Duration kIdleHold = 2s;
-constexpr Duration kHoldRetry = 100ms;
 // A hold goes out at the latest after this long without stored ends.
 constexpr Duration kUnsavedHold = 1s;
 
@@ -44,6 +42,7 @@
     , views_(aViews)
     , context_(aContext)
     , effects_(aEffects)
+    , orders_(aState, aViews, aContext, aEffects)
   {
   }
 
@@ -170,7 +169,7 @@
       }
       if (auto* starting = std::get_if<Starting>(&run->second.phase_)) {
         run->second.isStored_ = true;
-        SendStart(worker->second, start.task_, run->second, *starting);
+        orders_.SendStart(worker->second, start.task_, run->second, *starting);
       }
     }
   }
@@ -200,7 +199,7 @@
                                   { "run", std::to_string(aStop.run_.Value()) },
                                   { "worker", aStop.worker_.Value() },
                                   { "reason", aStop.reason_ } } });
-    SendStop(found->second, aStop.task_, run.run_, stopping);
+    orders_.SendStop(found->second, aStop.task_, run.run_, stopping);
   }
 
   void On(const StartAnswered& aAnswer)
@@ -221,8 +220,8 @@
     std::visit(
       Overloaded{
         [&](const WorkerListPoll&) { effects_.push_back(ReadWorkers{}); },
-        [&](const WorkerHold& aHold) { Hold(aHold.worker_); },
-        [&](const OrderRetry& aRetry) { RepeatOrders(aRetry.worker_); },
+        [&](const WorkerHold& aHold) { orders_.Hold(aHold.worker_); },
+        [&](const OrderRetry& aRetry) { orders_.Repeat(aRetry.worker_); },
         [&](const LeaseTick&) { CheckLeases(); },
         [](const auto&) {} },
       aDue.key_);
@@ -304,49 +303,6 @@
     }
   }
 
-  void Hold(const WorkerId& aId)
-  {
-    const auto found = state_.workers_.find(aId);
-    if (found == state_.workers_.end() || found->second.isHolding_) {
-      return;
-    }
-    Worker& worker = found->second;
-    HoldWorker hold{
-      aId,
-      worker.entry_.address_,
-      state_.epoch_, // A silent worker may have a new life, whose ends
-      // have numbers of their own.
-      worker.isSilent_ ? EndNumber{} : worker.acknowledged_,
-      std::nullopt,
-      Duration{}
-    };
-    // A hold without an answer may still extend the lease, which keeps the
-    // runs of a lost worker from starting elsewhere; so a silent worker is only
-    // asked.
-    if (worker.lease_.reading_ && !worker.isSilent_) {
-      hold.leaseEnd_ = LeaseEnd(worker);
-      worker.lease_.Extend(*hold.leaseEnd_);
-    }
-    // Ends that are not acknowledged would be listed at once.
-    if (!worker.runs_.empty() && worker.seen_ == worker.acknowledged_ &&
-        worker.isKnown_) {
-      hold.wait_ = kHoldWait;
-    }
-    worker.isHolding_ = true;
-    effects_.push_back(Count{ Counter::HoldsSent });
-    effects_.push_back(std::move(hold));
-  }
-
-  [[nodiscard]] WorkerTime LeaseEnd(const Worker& aWorker) const
-  {
-    if (aWorker.isSilent_) {
-      return aWorker.lease_.end_;
-    }
-    const Owning* owning = views_.ownership_.AsOwner();
-    return aWorker.lease_.EndFor(owning == nullptr ? state_.takenAt_
-                                                   : owning->confirmedAt_);
-  }
-
   void Assign(const StartDecision& aStart)
   {
     Worker& worker = state_.workers_.at(aStart.worker_);
@@ -372,75 +328,6 @@
     }
   }
 
-  void SendStart(Worker& aWorker,
-                 const TaskId& aTask,
-                 Assignment& aRun,
-                 Starting& aStarting)
-  {
-    const Job* job = views_.tasks_.Find(aTask.job_);
-    const Task* task = job == nullptr ? nullptr : job->Find(aTask);
-    if (task == nullptr || !aWorker.lease_.reading_) {
-      effects_.push_back(
-        SetTimer{ OrderRetry{ aWorker.entry_.worker_ }, kHoldRetry });
-      return;
-    }
-    aStarting.isSending_ = true;
-    aRun.startSentAt_ = context_.now_;
-    const WorkerTime leaseEnd = LeaseEnd(aWorker);
-    aWorker.lease_.Extend(leaseEnd);
-    effects_.push_back(StartTask{ aWorker.entry_.worker_,
-                                  aWorker.entry_.address_,
-                                  aTask,
-                                  aRun.run_,
-                                  state_.epoch_,
-                                  leaseEnd,
-                                  job->definition_.specification_,
-                                  task->checkpoint_,
-                                  aRun.ticket_ });
-  }
-
-  void SendStop(const Worker& aWorker,
-                const TaskId& aTask,
-                RunNumber aRun,
-                Stopping& aStopping)
-  {
-    aStopping.isSending_ = true;
-    ++aStopping.sent_;
-    effects_.push_back(StopTask{ aWorker.entry_.worker_,
-                                 aWorker.entry_.address_,
-                                 aTask,
-                                 aRun,
-                                 state_.epoch_ });
-  }
-
-  // An order without an answer may still be carried out, so it is settled by
-  // repeating it with the same run.
-  void RepeatOrders(const WorkerId& aId)
-  {
-    const auto found = state_.workers_.find(aId);
-    if (found == state_.workers_.end()) {
-      return;
-    }
-    // A start may only be repeated to the life that it was meant for, since
-    // its lease is a time on that life's clock.
-    if (found->second.isSilent_) {
-      effects_.push_back(SetTimer{ OrderRetry{ aId }, kHoldRetry });
-      return;
-    }
-    for (auto& [task, run] : found->second.runs_) {
-      if (auto* starting = std::get_if<Starting>(&run.phase_);
-          starting != nullptr && run.isStored_ && !starting->isSending_) {
-        effects_.push_back(Count{ Counter::StartsRepeated });
-        SendStart(found->second, task, run, *starting);
-      } else if (auto* stopping = std::get_if<Stopping>(&run.phase_);
-                 stopping != nullptr && !stopping->answeredAt_ &&
-                 !stopping->isSending_) {
-        effects_.push_back(Count{ Counter::StopsRepeated });
-        SendStop(found->second, task, run.run_, *stopping);
-      }
-    }
-  }
-
   // A start without an answer may run in a life whose clock is not known, for
   // the longest lease at most.
   void LoseLapsed(Worker& aWorker)
@@ -474,6 +361,7 @@
   const Views& views_;
   const Context& context_;
   Effects& effects_;
+  WorkerOrders orders_;
 };
 
 } // namespace
--- /dev/null
+++ b/src/verbenawell/jobs/workers/internal/WorkerOrders.cpp
@@ -0,0 +1,136 @@
+#include "verbenawell/jobs/workers/internal/WorkerOrders.h"
+
+#include "verbenawell/jobs/ownership/OwnershipState.h"
+#include "verbenawell/jobs/tasks/TasksState.h"
+
+#include <utility>
+#include <variant>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// How long a worker waits for an end before it answers a hold.
+constexpr Duration kHoldWait = 1s;
+
+} // namespace
+
+void
+WorkerOrders::Hold(const WorkerId& aId)
+{
+  const auto found = state_.workers_.find(aId);
+  if (found == state_.workers_.end() || found->second.isHolding_) {
+    return;
+  }
+  Worker& worker = found->second;
+  HoldWorker hold{ aId,
+                   worker.entry_.address_,
+                   state_.epoch_,
+                   // A silent worker may have a new life, whose ends have
+                   // numbers of their own.
+                   worker.isSilent_ ? EndNumber{} : worker.acknowledged_,
+                   std::nullopt,
+                   Duration{} };
+  // A hold without an answer may still extend the lease, which keeps the
+  // runs of a lost worker from starting elsewhere; so a silent worker is only
+  // asked.
+  if (worker.lease_.reading_ && !worker.isSilent_) {
+    hold.leaseEnd_ = LeaseEnd(worker);
+    worker.lease_.Extend(*hold.leaseEnd_);
+  }
+  // Ends that are not acknowledged would be listed at once.
+  if (!worker.runs_.empty() && worker.seen_ == worker.acknowledged_ &&
+      worker.isKnown_) {
+    hold.wait_ = kHoldWait;
+  }
+  worker.isHolding_ = true;
+  effects_.push_back(Count{ Counter::HoldsSent });
+  effects_.push_back(std::move(hold));
+}
+
+WorkerTime
+WorkerOrders::LeaseEnd(const Worker& aWorker) const
+{
+  if (aWorker.isSilent_) {
+    return aWorker.lease_.end_;
+  }
+  const Owning* owning = views_.ownership_.AsOwner();
+  return aWorker.lease_.EndFor(owning == nullptr ? state_.takenAt_
+                                                 : owning->confirmedAt_);
+}
+
+void
+WorkerOrders::SendStart(Worker& aWorker,
+                        const TaskId& aTask,
+                        Assignment& aRun,
+                        Starting& aStarting)
+{
+  const Job* job = views_.tasks_.Find(aTask.job_);
+  const Task* task = job == nullptr ? nullptr : job->Find(aTask);
+  if (task == nullptr || !aWorker.lease_.reading_) {
+    effects_.push_back(
+      SetTimer{ OrderRetry{ aWorker.entry_.worker_ }, kHoldRetry });
+    return;
+  }
+  aStarting.isSending_ = true;
+  aRun.startSentAt_ = context_.now_;
+  const WorkerTime leaseEnd = LeaseEnd(aWorker);
+  aWorker.lease_.Extend(leaseEnd);
+  effects_.push_back(StartTask{ aWorker.entry_.worker_,
+                                aWorker.entry_.address_,
+                                aTask,
+                                aRun.run_,
+                                state_.epoch_,
+                                leaseEnd,
+                                job->definition_.specification_,
+                                task->checkpoint_,
+                                aRun.ticket_ });
+}
+
+void
+WorkerOrders::SendStop(const Worker& aWorker,
+                       const TaskId& aTask,
+                       RunNumber aRun,
+                       Stopping& aStopping)
+{
+  aStopping.isSending_ = true;
+  ++aStopping.sent_;
+  effects_.push_back(StopTask{ aWorker.entry_.worker_,
+                               aWorker.entry_.address_,
+                               aTask,
+                               aRun,
+                               state_.epoch_ });
+}
+
+// An order without an answer may still be carried out, so it is settled by
+// repeating it with the same run.
+void
+WorkerOrders::Repeat(const WorkerId& aId)
+{
+  const auto found = state_.workers_.find(aId);
+  if (found == state_.workers_.end()) {
+    return;
+  }
+  // A start may only be repeated to the life that it was meant for, since
+  // its lease is a time on that life's clock.
+  if (found->second.isSilent_) {
+    effects_.push_back(SetTimer{ OrderRetry{ aId }, kHoldRetry });
+    return;
+  }
+  for (auto& [task, run] : found->second.runs_) {
+    if (auto* starting = std::get_if<Starting>(&run.phase_);
+        starting != nullptr && run.isStored_ && !starting->isSending_) {
+      effects_.push_back(Count{ Counter::StartsRepeated });
+      SendStart(found->second, task, run, *starting);
+    } else if (auto* stopping = std::get_if<Stopping>(&run.phase_);
+               stopping != nullptr && !stopping->answeredAt_ &&
+               !stopping->isSending_) {
+      effects_.push_back(Count{ Counter::StopsRepeated });
+      SendStop(found->second, task, run.run_, *stopping);
+    }
+  }
+}
+
+} // namespace verbenawell::jobs
