--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -19,6 +19,15 @@
 // A stop takes less than a second at a worker.
 constexpr Duration kStopOverdue = 2s;
 
+Assignment*
+FindRun(Worker& aWorker, const TaskId& aTask, RunNumber aRun)
+{
+  const auto found = aWorker.runs_.find(aTask);
+  return found == aWorker.runs_.end() || found->second.run_ != aRun
+           ? nullptr
+           : &found->second;
+}
+
 bool
 IsListed(const WorkerLists& aLists, const TaskId& aTask, RunNumber aRun)
 {
@@ -80,11 +89,9 @@
                 Effects& aEffects)
 {
   for (const ListedRun& listed : aLists.running_) {
-    const auto found = aWorker.runs_.find(listed.task_);
-    if (found == aWorker.runs_.end() || found->second.run_ != listed.run_) {
-      continue;
-    }
-    auto* stopping = std::get_if<Stopping>(&found->second.phase_);
+    Assignment* run = FindRun(aWorker, listed.task_, listed.run_);
+    auto* stopping =
+      run == nullptr ? nullptr : std::get_if<Stopping>(&run->phase_);
     if (stopping == nullptr || aNow - stopping->orderedAt_ < kStopOverdue ||
         std::exchange(stopping->isOverdue_, true)) {
       continue;
@@ -138,12 +145,9 @@
 ConfirmRuns(Worker& aWorker, const WorkerLists& aLists)
 {
   for (const ListedRun& listed : aLists.running_) {
-    const auto found = aWorker.runs_.find(listed.task_);
-    if (found == aWorker.runs_.end() || found->second.run_ != listed.run_) {
-      continue;
-    }
-    if (std::holds_alternative<Starting>(found->second.phase_)) {
-      found->second.phase_ = Present{ aLists.sentAt_ };
+    if (Assignment* run = FindRun(aWorker, listed.task_, listed.run_);
+        run != nullptr && std::holds_alternative<Starting>(run->phase_)) {
+      run->phase_ = Present{ aLists.sentAt_ };
     }
   }
 }
@@ -178,15 +182,6 @@
     aWorker, aAnswer.task_, std::string(ToString(aRefusal)).c_str(), aEffects);
 }
 
-Assignment*
-FindRun(Worker& aWorker, const TaskId& aTask, RunNumber aRun)
-{
-  const auto found = aWorker.runs_.find(aTask);
-  return found == aWorker.runs_.end() || found->second.run_ != aRun
-           ? nullptr
-           : &found->second;
-}
-
 } // namespace
 
 void
