Order a stop again while its run stays listed

Cause: the answer to a stop settled it for ever. A new life of the worker kept the answer of the old one: where a late copy of the start reached the new life, its list showed the run, but the stop counted as answered, so neither the retry nor the next "not expected" ordered it again, and the holds extended the lease.

Evidence: OrderReview.StopsARunThatBeginsInANewLifeAfterTheStopWasAnswered and OrderReview.RepeatsAnAnsweredStopWhoseRunStaysListed fail before this change (the task is still at work 10 s and 4 s later) and pass now.

Change: a new life has not answered any stop, so stops under way are ordered there again. A list that was asked for 2 s after the answer and shows the run takes the answer back; a stop takes less than a second.

--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -72,12 +72,33 @@
                { "after_ms", Milliseconds(aNow - aStopping.orderedAt_) } } });
 }
 
-// Tells a stop that was lost from one that the worker has not carried out.
 void
-LogOverdueStops(Worker& aWorker,
-                const WorkerLists& aLists,
-                TimePoint aNow,
-                Effects& aEffects)
+LogOverdueStop(const Worker& aWorker,
+               const ListedRun& aListed,
+               const Stopping& aStopping,
+               TimePoint aNow,
+               Effects& aEffects)
+{
+  aEffects.push_back(Count{ Counter::StopsOverdue });
+  aEffects.push_back(
+    LogLine{ LogLevel::Warning,
+             "task_stop_overdue",
+             { { "task", ToString(aListed.task_) },
+               { "run", std::to_string(aListed.run_.Value()) },
+               { "worker", aWorker.entry_.worker_.Value() },
+               { "sent", std::to_string(aStopping.sent_) },
+               { "answered", aStopping.answeredAt_ ? "yes" : "no" },
+               { "on_its_way", aStopping.isSending_ ? "yes" : "no" },
+               { "after_ms", Milliseconds(aNow - aStopping.orderedAt_) } } });
+}
+
+// A run that is listed long after its stop shows that the stop has not taken
+// effect, whatever was answered: an answer may be that of an earlier life.
+void
+RepeatOverdueStops(Worker& aWorker,
+                   const WorkerLists& aLists,
+                   TimePoint aNow,
+                   Effects& aEffects)
 {
   for (const ListedRun& listed : aLists.running_) {
     const auto found = aWorker.runs_.find(listed.task_);
@@ -85,21 +106,17 @@
       continue;
     }
     auto* stopping = std::get_if<Stopping>(&found->second.phase_);
-    if (stopping == nullptr || aNow - stopping->orderedAt_ < kStopOverdue ||
-        std::exchange(stopping->isOverdue_, true)) {
+    if (stopping == nullptr || aNow - stopping->orderedAt_ < kStopOverdue) {
       continue;
     }
-    aEffects.push_back(Count{ Counter::StopsOverdue });
-    aEffects.push_back(
-      LogLine{ LogLevel::Warning,
-               "task_stop_overdue",
-               { { "task", ToString(listed.task_) },
-                 { "run", std::to_string(listed.run_.Value()) },
-                 { "worker", aWorker.entry_.worker_.Value() },
-                 { "sent", std::to_string(stopping->sent_) },
-                 { "answered", stopping->answeredAt_ ? "yes" : "no" },
-                 { "on_its_way", stopping->isSending_ ? "yes" : "no" },
-                 { "after_ms", Milliseconds(aNow - stopping->orderedAt_) } } });
+    if (!std::exchange(stopping->isOverdue_, true)) {
+      LogOverdueStop(aWorker, listed, *stopping, aNow, aEffects);
+    }
+    if (stopping->answeredAt_ &&
+        aLists.sentAt_ - *stopping->answeredAt_ >= kStopOverdue) {
+      stopping->answeredAt_.reset();
+      aEffects.push_back(SetTimer{ OrderRetry{ aLists.worker_ }, Duration{} });
+    }
   }
 }
 
@@ -220,7 +237,7 @@
     LogWorker("worker_answering", worker, aEffects);
   }
   ConfirmRuns(worker, aLists);
-  LogOverdueStops(worker, aLists, aContext.now_, aEffects);
+  RepeatOverdueStops(worker, aLists, aContext.now_, aEffects);
   LoseMissing(worker, aLists, aEffects);
   aEffects.push_back(Raise{ RunsSeen{ aLists.worker_, aLists.running_ } });
   TakeEnds(worker, aLists, aContext.now_, aEffects);
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -113,16 +113,15 @@
 {
   aWorker.born_ = aBorn;
   LogWorker("worker_reborn", aWorker, aEffects);
-  // An order that had no answer may have reached the new life, or may reach it
-  // yet; a stop settles that. Of the other runs the next list shows the end.
+  // A start may have reached the new life, or may reach it yet; a stop that the
+  // new life answers settles that, while an answer of the old life tells
+  // nothing. Of the other runs the next list shows the end.
   for (auto& [task, run] : aWorker.runs_) {
     if (auto* present = std::get_if<Present>(&run.phase_)) {
       present->shownAt_ = aContext.now_;
     } else if (auto* stopping = std::get_if<Stopping>(&run.phase_)) {
       stopping->isSending_ = false;
-      if (stopping->answeredAt_) {
-        stopping->answeredAt_ = aContext.now_;
-      }
+      stopping->answeredAt_.reset();
     } else if (run.isStored_) {
       run.phase_.emplace<Stopping>().orderedAt_ = aContext.now_;
     }
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -171,9 +171,9 @@
   const bool answers =
     arrives &&
     random_.Below(100) >= static_cast<std::uint64_t>(faults_.lateOrders_);
-  if (answers) {
+  if (answers && !faults_.ignoresStops_) {
     CarryOut(aStop);
-  } else if (arrives) {
+  } else if (arrives && !answers) {
     Delayed([this, aStop] { CarryOut(aStop); });
   }
   time_.After(answers ? kLatency : kCallLimit, [aReply, aStop, answers] {
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -24,6 +24,8 @@
   int lateOrders_ = 0;
   /// Stops get no answer and are not carried out.
   bool losesStops_ = false;
+  /// Stops are answered and not carried out.
+  bool ignoresStops_ = false;
   /// Of a hundred runs, those that fail.
   int failures_ = 0;
   /// Runs that start take this many times as long.
--- /dev/null
+++ b/tests/jobs/OrderReviewTest.cpp
@@ -0,0 +1,96 @@
+#include "ExpectKept.h"
+
+#include <variant>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kJob = "0000000000000001";
+
+JobDefinition
+Lasting(std::uint32_t aTasks)
+{
+  JobDefinition job = MakeJob(aTasks, 1, 1s);
+  job.steps_[0].longRunning_ = true;
+  return job;
+}
+
+/// Runs in small steps until the condition holds; false after `aMost`.
+template<typename Condition>
+bool
+RunUntil(Installation& aInstallation, Duration aMost, Condition aCondition)
+{
+  const TimePoint end = aInstallation.time_.Now() + aMost;
+  while (!aCondition()) {
+    if (aInstallation.time_.Now() >= end) {
+      return false;
+    }
+    aInstallation.RunFor(1ms);
+  }
+  return true;
+}
+
+// Guards against a cancelled task that runs on in a new life of its worker: the
+// old life had answered its stop, and a late copy of its start reached the new
+// one.
+TEST(OrderReview, StopsARunThatBeginsInANewLifeAfterTheStopWasAnswered)
+{
+  Installation installation{ 71, { 3, 1, 1 } };
+  installation.RunFor(kStartUp);
+  installation.Submit(kJob, Lasting(1));
+  installation.RunFor(2s);
+  FakeWorker& worker = installation.WorkerAt(0);
+  ASSERT_EQ(worker.Running().size(), 1U);
+  const std::string owner = installation.Owner();
+  const TaskId task = worker.Running().front();
+  installation.Cancel(kJob);
+  const auto stopIsAnswered = [&] {
+    const Worker* seen =
+      installation.StateOf(owner).workers_.Find(worker.Entry().worker_);
+    const auto* stopping = std::get_if<Stopping>(&seen->runs_.at(task).phase_);
+    return stopping != nullptr && stopping->answeredAt_;
+  };
+  ASSERT_TRUE(RunUntil(installation, 1s, stopIsAnswered));
+  installation.KillWorker(0);
+  installation.ReviveWorker(0);
+  worker.Run(StartTask{ worker.Entry().worker_,
+                        {},
+                        task,
+                        RunNumber{ 1 },
+                        installation.StateOf(owner).workers_.epoch_,
+                        WorkerTime{ 8000 },
+                        installation.Definition(kJob)->specification_,
+                        {},
+                        {} },
+             [](const Event&) {});
+  ASSERT_EQ(worker.Running().size(), 1U);
+  installation.RunFor(10s);
+  EXPECT_TRUE(worker.Running().empty());
+  ExpectKept(installation);
+}
+
+// Guards against a cancelled task that runs on since its stop was answered but
+// had no effect.
+TEST(OrderReview, RepeatsAnAnsweredStopWhoseRunStaysListed)
+{
+  Installation installation{ 75, { 3, 1, 1 } };
+  installation.RunFor(kStartUp);
+  installation.Submit(kJob, Lasting(1));
+  installation.RunFor(2s);
+  FakeWorker& worker = installation.WorkerAt(0);
+  ASSERT_EQ(worker.Running().size(), 1U);
+  worker.faults_.ignoresStops_ = true;
+  installation.Cancel(kJob);
+  installation.RunFor(1s);
+  worker.faults_.ignoresStops_ = false;
+  installation.RunFor(4s);
+  EXPECT_TRUE(worker.Running().empty());
+  ExpectKept(installation);
+}
+
+} // namespace
+} // namespace verbenawell::jobs
