Drop the outcome of a submission that is dropped

Cause: while the store is away the owner refuses the submissions that it has not sent, but kept the outcome of a job that was cancelled meanwhile.

The fault has nothing to do with lasting tasks.

Forgetting a job no longer claims that an outcome was saved, for the same reason.

--- a/src/verbenawell/jobs/journal/JournalReducer.cpp
+++ b/src/verbenawell/jobs/journal/JournalReducer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <set>
 #include <utility>
 
 namespace verbenawell::jobs {
@@ -149,20 +150,26 @@
   }
 
   // Their callers can come back, while one that waits until its deadline
-  // would learn nothing.
+  // would learn nothing. An outcome of a job that is dropped would end the next
+  // submission of it.
   void DropUnsentSubmissions()
   {
     const auto first =
       state_.queue_.begin() + static_cast<std::ptrdiff_t>(state_.inFlight_);
-    const auto dropped =
+    std::set<JobId> dropped;
+    const auto rest =
       std::remove_if(first, state_.queue_.end(), [&](const SaveWanted& aSave) {
-        const auto* saved = std::get_if<SubmissionSaved>(&aSave.then_);
-        if (saved != nullptr) {
-          effects_.push_back(Raise{ SubmissionDropped{ saved->job_ } });
+        if (const auto* saved = std::get_if<SubmissionSaved>(&aSave.then_)) {
+          dropped.insert(saved->job_);
+          return true;
         }
-        return saved != nullptr;
+        const auto* ended = std::get_if<OutcomeSaved>(&aSave.then_);
+        return ended != nullptr && dropped.contains(ended->job_);
       });
-    state_.queue_.erase(dropped, state_.queue_.end());
+    state_.queue_.erase(rest, state_.queue_.end());
+    for (const JobId& job : dropped) {
+      effects_.push_back(Raise{ SubmissionDropped{ job } });
+    }
   }
 
   void FinishFirst()
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -69,6 +69,8 @@
   {
     state_.jobs_.erase(aDropped.job_);
     AnswerSubmitters(state_, aDropped.job_, StoreAwayAnswer(), effects_);
+    AnswerCancellers(
+      state_, aDropped.job_, UnknownAnswer(views_, context_), effects_);
   }
 
   void On(const OutcomeSaved& aSaved)
@@ -147,8 +149,9 @@
         ++entry;
         continue;
       }
-      effects_.push_back(Raise{ SaveWanted{ { JobForgotten{ entry->first } },
-                                            OutcomeSaved{ entry->first } } });
+      // Nothing follows the save: the job may have been submitted anew by then.
+      effects_.push_back(
+        Raise{ SaveWanted{ { JobForgotten{ entry->first } }, StartsSaved{} } });
       entry = state_.ended_.erase(entry);
     }
   }
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -207,18 +207,7 @@
     state_.jobs_.emplace(id, std::move(job));
   }
 
-  // An owner that was replaced without noticing lacks the jobs of its
-  // successor.
-  void AnswerUnknown()
-  {
-    const Owning* owning = views_.ownership_.AsOwner();
-    if (owning != nullptr &&
-        context_.now_ - owning->confirmedAt_ < kMostUnconfirmed) {
-      Answer(JobUnknown{});
-    } else {
-      Answer(NotOwner{});
-    }
-  }
+  void AnswerUnknown() { Answer(UnknownAnswer(views_, context_)); }
 
   void Answer(const CallerAnswer& aAnswer)
   {
@@ -234,6 +223,18 @@
 
 } // namespace
 
+// An owner that was replaced without noticing lacks the jobs of its successor.
+CallerAnswer
+UnknownAnswer(const Views& aViews, const Context& aContext)
+{
+  const Owning* owning = aViews.ownership_.AsOwner();
+  if (owning != nullptr &&
+      aContext.now_ - owning->confirmedAt_ < kMostUnconfirmed) {
+    return JobUnknown{};
+  }
+  return NotOwner{};
+}
+
 CallerAnswer
 StoreAwayAnswer()
 {
@@ -264,4 +265,17 @@
   aState.submitters_.erase(first, last);
 }
 
+void
+AnswerCancellers(TasksState& aState,
+                 const JobId& aJob,
+                 const CallerAnswer& aAnswer,
+                 Effects& aEffects)
+{
+  const auto [first, last] = aState.cancellers_.equal_range(aJob);
+  for (auto entry = first; entry != last; ++entry) {
+    aEffects.push_back(Raise{ RequestDecided{ entry->second, aAnswer } });
+  }
+  aState.cancellers_.erase(first, last);
+}
+
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.h
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.h
@@ -22,6 +22,16 @@
                  const CallerAnswer& aAnswer,
                  Effects& aEffects);
 
+void
+AnswerCancellers(TasksState& aState,
+                 const JobId& aJob,
+                 const CallerAnswer& aAnswer,
+                 Effects& aEffects);
+
+/// To a request for a job that this owner does not have.
+CallerAnswer
+UnknownAnswer(const Views& aViews, const Context& aContext);
+
 /// To a submission that was not stored and never will be.
 CallerAnswer
 StoreAwayAnswer();
--- a/src/verbenawell/jobs/tasks/internal/JobEnds.cpp
+++ b/src/verbenawell/jobs/tasks/internal/JobEnds.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/jobs/tasks/JobRecords.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
+#include "verbenawell/jobs/tasks/internal/CallerActions.h"
 
 namespace verbenawell::jobs {
 
@@ -72,12 +73,7 @@
                          aContext.now_ - job.acceptedAt_)
                          .count()) } } });
   StopRuns(job, aEffects);
-  const auto [first, last] = aState.cancellers_.equal_range(aJob);
-  for (auto entry = first; entry != last; ++entry) {
-    aEffects.push_back(
-      Raise{ RequestDecided{ entry->second, CancelAccepted{} } });
-  }
-  aState.cancellers_.erase(first, last);
+  AnswerCancellers(aState, aJob, CancelAccepted{}, aEffects);
   aState.ended_.insert_or_assign(
     aJob, EndedJob{ job.queue_, job.outcome_, aContext.wallNow_ });
   aState.jobs_.erase(found);
--- a/tests/jobs/Installation.cpp
+++ b/tests/jobs/Installation.cpp
@@ -632,6 +632,12 @@
   CancelOnce(aJob);
 }
 
+void
+Installation::CancelAt(const std::string& aDaemon, const std::string& aJob)
+{
+  Ask(aDaemon, CancelJob{ JobId{ aJob } }, [](const CallerAnswer&) {});
+}
+
 void
 Installation::CancelOnce(const std::string& aJob)
 {
--- a/tests/jobs/Installation.h
+++ b/tests/jobs/Installation.h
@@ -54,6 +54,8 @@
                 JobDefinition aDefinition,
                 Duration aTimeLeft);
   void Cancel(const std::string& aJob);
+  /// Cancels a job once, at this daemon, whatever is answered.
+  void CancelAt(const std::string& aDaemon, const std::string& aJob);
   /// Asks every running daemon; the answers go to the oracle.
   void AskForAll();
   std::optional<CallerAnswer> AskOnce(const std::string& aDaemon,
--- a/tests/jobs/OrderReviewTest.cpp
+++ b/tests/jobs/OrderReviewTest.cpp
@@ -10,6 +10,7 @@
 using namespace std::chrono_literals;
 
 const std::string kJob = "0000000000000001";
+const std::string kOtherJob = "0000000000000002";
 
 JobDefinition
 Lasting(std::uint32_t aTasks)
@@ -92,5 +93,40 @@
   ExpectKept(installation);
 }
 
+// Guards against an outcome that was decided for a submission which was then
+// refused, and that ended the next submission of the same job.
+TEST(OrderReview, KeepsAJobThatIsSubmittedAgainAfterItsCancelAndRefusal)
+{
+  Installation installation{ 72, {} };
+  installation.RunFor(kStartUp);
+  const std::string owner = installation.Owner();
+  auto& store = installation.store_.faults_;
+  store.isDown_ = true;
+  installation.SubmitAt(owner, kJob, MakeJob(1, 1, 200ms), 3s);
+  installation.RunFor(20ms);
+  installation.SubmitAt(owner, kOtherJob, MakeJob(1, 1, 200ms), 3s);
+  installation.RunFor(20ms);
+  installation.CancelAt(owner, kOtherJob);
+  const auto& state = installation.StateOf(owner);
+  const JobId job{ kOtherJob };
+  ASSERT_TRUE(RunUntil(installation, 100ms, [&] {
+    return state.tasks_.cancellers_.contains(job);
+  }));
+  ASSERT_TRUE(RunUntil(
+    installation, 2s, [&] { return state.tasks_.Find(job) == nullptr; }));
+  store.isDown_ = false;
+  store.latency_ = 50ms;
+  ASSERT_TRUE(RunUntil(installation, 2s, [&] {
+    const Job* first = state.tasks_.Find(JobId{ kJob });
+    return first == nullptr || first->stored_;
+  }));
+  installation.SubmitAt(owner, kOtherJob, MakeJob(1, 1, 20s), 3s);
+  installation.RunFor(5s);
+  installation.AskForAll();
+  installation.RunFor(1s);
+  EXPECT_NE(state.tasks_.Find(job), nullptr);
+  ExpectKept(installation);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
