--- /dev/null
+++ b/tests/jobs/OneAnswer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "verbenawell/adapters/http/HttpListener.h"
+#include "verbenawell/core/Endpoint.h"
+
+#include <string>
+#include <utility>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+namespace verbenawell::platform {
+
+/// An address of loopback that nothing listens on.
+inline Endpoint
+FreeEndpoint()
+{
+  asio::io_context io;
+  const asio::ip::tcp::acceptor acceptor(
+    io, { asio::ip::make_address("127.0.0.1"), 0 });
+  return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+/// A store that answers each call with one prepared response.
+class OneAnswer
+{
+public:
+  OneAnswer(asio::io_context& aIo, http::Response aResponse)
+    : address_(FreeEndpoint())
+    , listener_(aIo,
+                address_,
+                1'000'000,
+                { [this, response = std::move(aResponse)](
+                    http::ExchangeId aExchange,
+                    const http::Request& aRequest) {
+                   target_ = aRequest.target_;
+                   body_ = aRequest.body_;
+                   listener_.Answer(aExchange, response);
+                 },
+                  [](http::ExchangeId) {} })
+  {
+  }
+
+  Endpoint address_;
+  std::string target_;
+  std::string body_;
+
+private:
+  http::Listener listener_;
+};
+
+} // namespace verbenawell::platform
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -1,8 +1,8 @@
 #include "verbenawell/adapters/LineLog.h"
-#include "verbenawell/adapters/http/HttpListener.h"
 #include "verbenawell/codec/DecodeError.h"
 #include "verbenawell/codec/jobs/JournalCodec.h"
 
+#include "OneAnswer.h"
 #include "platform/JsonFields.h"
 #include "platform/PlatformSettings.h"
 #include "platform/StoreClient.h"
@@ -26,43 +26,6 @@
 
 using namespace std::chrono_literals;
 
-Endpoint
-FreeEndpoint()
-{
-  asio::io_context io;
-  const asio::ip::tcp::acceptor acceptor(
-    io, { asio::ip::make_address("127.0.0.1"), 0 });
-  return { "127.0.0.1", acceptor.local_endpoint().port() };
-}
-
-/// A store that answers each call with one prepared response.
-class OneAnswer
-{
-public:
-  OneAnswer(asio::io_context& aIo, http::Response aResponse)
-    : address_(FreeEndpoint())
-    , listener_(aIo,
-                address_,
-                1'000'000,
-                { [this, response = std::move(aResponse)](
-                    http::ExchangeId aExchange,
-                    const http::Request& aRequest) {
-                   target_ = aRequest.target_;
-                   body_ = aRequest.body_;
-                   listener_.Answer(aExchange, response);
-                 },
-                  [](http::ExchangeId) {} })
-  {
-  }
-
-  Endpoint address_;
-  std::string target_;
-  std::string body_;
-
-private:
-  http::Listener listener_;
-};
-
 // Guards against a body that crashes the daemon or is stored half-read.
 TEST(WireJobs, NamesTheFaultOfAJobThatDoesNotDecode)
 {
