Read messages within bounds of nesting and numbers

Milliseconds overflowed as microseconds: an estimate of 2^63 - 1 ms was -1 ms. - the reason of a refused VM order was read as text whatever its type, so {"reason":5} ended the process with type_error.302.

--- a/tests/jobs/OddEntriesTest.cpp
+++ b/tests/jobs/OddEntriesTest.cpp
@@ -2,11 +2,16 @@
 
 #include "OneAnswer.h"
 #include "platform/CallerApi.h"
+#include "platform/VmService.h"
+#include "platform/WireJobs.h"
 #include "platform/WorkerCalls.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -75,5 +80,186 @@
   EXPECT_NE(worker.body_.find("checkpoint"), std::string::npos);
 }
 
+/// An entry of a worker as the platform writes them, with one more member.
+std::string
+EntryWith(const std::string& aMembers)
+{
+  return R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",
+             "labels":["a","r1"])" +
+         (aMembers.empty() ? "" : "," + aMembers) + "}";
+}
+
+std::string
+Nested(std::size_t aDepth)
+{
+  return std::string(aDepth, '[') + std::string(aDepth, ']');
+}
+
+/// All decoders of what other processes write.
+std::vector<std::function<void(const std::string&)>>
+Decoders()
+{
+  return {
+    [](const std::string& aBody) { DecodeWorkerEntry("i-1", aBody); },
+    [](const std::string& aBody) {
+      DecodeLists(jobs::WorkerId{ "i-1" }, aBody);
+    },
+    DecodeConfiguration,
+    DecodeWave,
+    DecodeVms,
+    DecodeAdvice,
+    DecodeJob,
+  };
+}
+
+// Guards against stacks and memory that one deeply nested value takes up.
+TEST(WireJobs, RefusesDeepNesting)
+{
+  for (const std::size_t depth : { 100U, 10'000U, 1'000'000U }) {
+    const std::string deep = Nested(depth);
+    for (const auto& decode : Decoders()) {
+      EXPECT_THROW(decode(deep), std::invalid_argument) << depth;
+      EXPECT_THROW(decode(deep.substr(0, depth)), std::invalid_argument);
+      EXPECT_THROW(decode("{\"x\":" + deep + "}"), std::invalid_argument);
+    }
+    EXPECT_THROW(
+      DecodeWorkerEntry("i-1", EntryWith("\"capacity\":{},\"x\":" + deep)),
+      std::invalid_argument);
+  }
+}
+
+// Guards against a stack that ends the process: the token of the next page
+// was encoded again, level by level.
+TEST(WireJobs, RefusesATokenThatIsNestedDeeply)
+{
+  for (const std::size_t depth : { 10'000U, 1'000'000U }) {
+    EXPECT_THROW(
+      DecodeVms("{\"machines\":[],\"nextPageToken\":" + Nested(depth) + "}"),
+      std::invalid_argument);
+  }
+}
+
+// Guards against numbers that wrap or are cut in the conversion to a narrower
+// type, which gave a worker room or a life that it does not have.
+TEST(WireJobs, TakesNoWorkerFromAnEntryWithANumberOutOfRange)
+{
+  EXPECT_NO_THROW(DecodeWorkerEntry(
+    "i-1",
+    EntryWith(R"("capacity":{"cpu":4e3,"gpu":1},"born":1764918000000)")));
+  for (const char* number : { "-1",
+                              "9007199254740993",
+                              "9223372036854775807",
+                              "18446744073709551615",
+                              "99999999999999999999999",
+                              "1e308",
+                              "-1e308",
+                              "1e999" }) {
+    const std::string text = number;
+    EXPECT_THROW(DecodeWorkerEntry(
+                   "i-1", EntryWith("\"capacity\":{\"cpu\":" + text + "}")),
+                 std::invalid_argument)
+      << text;
+    EXPECT_THROW(
+      DecodeWorkerEntry("i-1", EntryWith("\"capacity\":{},\"born\":" + text)),
+      std::invalid_argument)
+      << text;
+  }
+  for (const char* members : { R"("capacity":{"gpu":4294967297})",
+                               R"("capacity":{},"born":1.5)",
+                               R"("capacity":{},"born":"1")",
+                               R"("capacity":{},"born":true)",
+                               R"("capacity":{},"born":null)",
+                               R"("capacity":{"cpu":"1"})",
+                               R"("capacity":[])",
+                               R"("labels":[])" }) {
+    EXPECT_THROW(DecodeWorkerEntry("i-1", EntryWith(members)), std::exception)
+      << members;
+  }
+}
+
+// Guards against runs and ends taken for others because their numbers wrapped,
+// and against a clock whose lease ends overflow.
+TEST(WireJobs, TakesNoListsWithANumberOutOfRange)
+{
+  const auto decode = [](const std::string& aBody) {
+    return DecodeLists(jobs::WorkerId{ "i-1" }, aBody);
+  };
+  const std::string task = "\"0123456789abcdef.0.1.17\"";
+  EXPECT_EQ(decode(R"({"clockMs":7.5,"running":[[)" + task +
+                   R"(,2,"c",41,3.5]],"ended":[]})")
+              .running_.at(0)
+              .figure_,
+            3);
+  for (const char* row : { ",4294967298,\"c\",41",
+                           ",-1,\"c\",41",
+                           ",1.5,\"c\",41",
+                           ",2,\"c\",-1",
+                           ",2,\"c\",4294967296",
+                           ",2,\"c\",41,1e300" }) {
+    EXPECT_THROW(
+      decode(R"({"clockMs":7,"running":[[)" + task + row + "]],\"ended\":[]}"),
+      std::exception)
+      << row;
+  }
+  for (const char* clock : { "9223372036854775807", "1e300", "\"7\"" }) {
+    EXPECT_THROW(decode(std::string("{\"clockMs\":") + clock +
+                        R"(,"running":[],"ended":[]})"),
+                 std::exception)
+      << clock;
+  }
+  EXPECT_THROW(decode(R"({"clockMs":7,"running":[],"ended":[[-1,)" + task +
+                      R"(,1,"done",""]]})"),
+               std::exception);
+}
+
+// Guards against times that overflow, which made a job late at once or never.
+TEST(WireJobs, BoundsTimes)
+{
+  const auto estimate = [](const std::string& aNumber) {
+    return DecodeJob(R"({"specification":"s","steps":[{"count":1,
+                        "estimatedMs":)" +
+                     aNumber + "}]}")
+      .steps_.at(0)
+      .estimate_;
+  };
+  EXPECT_EQ(estimate("12.5"), 12'500us);
+  EXPECT_EQ(estimate("9223372036854775807"), 24h * 3650);
+  EXPECT_EQ(estimate("1e308"), 24h * 3650);
+  EXPECT_THROW(estimate("-1"), std::invalid_argument);
+  const auto wave =
+    DecodeWave(R"({"wave":1,"machines":["m"],"durationS":1e308,"cap":2})");
+  EXPECT_GT(wave.duration_, 0s);
+  EXPECT_THROW(
+    DecodeWave(R"({"wave":1,"machines":["m"],"durationS":1,"cap":4294967297})"),
+    std::exception);
+  EXPECT_THROW(DecodeConfiguration(R"({"version":3,"services":[],"routes":[
+    {"name":"r","host":"h","pathPrefix":"/p/","service":"s",
+     "maxAttempts":-1}]})"),
+               std::exception);
+}
+
+// Guards against a process that ends when the reason of a refusal is no text.
+TEST(VmService, ReadsARefusalWhoseReasonIsNoText)
+{
+  for (const std::string& body :
+       { std::string(R"({"reason":5})"), Nested(100'000), std::string("5") }) {
+    asio::io_context io;
+    OneAnswer service{ io, { 409, {}, body } };
+    std::optional<jobs::Event> seen;
+    VmService vms{ io,
+                   service.address_,
+                   DaemonId{ "d" },
+                   [&](jobs::Event aEvent) {
+                     seen = std::move(aEvent);
+                     io.stop();
+                   } };
+    vms.Run(jobs::MoveVm{ VmId{ "m" }, ServiceId{ "s" }, jobs::Epoch{ 1 } });
+    ASSERT_NO_THROW(io.run_for(5s));
+    ASSERT_TRUE(seen);
+    EXPECT_TRUE(std::holds_alternative<jobs::VmOrderBusy>(
+      std::get<jobs::VmMoveAnswered>(*seen).result_));
+  }
+}
+
 } // namespace
 } // namespace verbenawell::platform
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -137,6 +137,24 @@
   }
 }
 
+// Guards against a port that wraps: 70000 was read as 4464.
+TEST(PlatformSettings, NamesAPortOutOfRange)
+{
+  const std::string path = testing::TempDir() + "settings-port.json";
+  std::ofstream(path) << R"({"node":"n","zone":"z","ipAddress":"127.0.0.1",
+    "listen":{"frontend":"127.0.0.1:1","readiness":"127.0.0.1:2"},
+    "internalPortRange":[70000,70001],
+    "platform":{"address":"127.0.0.1:3","recordBytes":1}})";
+  try {
+    LoadPlatformSettings(path);
+    FAIL() << "expected a fault";
+  } catch (const std::runtime_error& error) {
+    EXPECT_NE(std::string(error.what()).find("internalPortRange"),
+              std::string::npos)
+      << error.what();
+  }
+}
+
 // Guards against a reordered or mangled append.
 TEST(StoreClient, FramesRecordsAndReadsWhereTheyWereAppended)
 {
