Read the others of a list beside an odd entry

An entry of another writer could take the whole list with it or be taken for a worker: - a key that is not UTF-8, as raw bytes or as half a pair of surrogates, made the page unreadable, so that a list was no longer followed as long as the entry stayed; so did an item without a key, of another type, or with a value that is not base64. - an id with a line break became a worker, and its id is sent as a header of each order; the empty id stands for no worker. - port 0, a host that is no IP address, or one that nobody has (0.0.0.0, multicast) became a worker that was called in vain every 100 ms. - a value behind whose object came a byte of zero and anything else. - a list whose next page is the same page again was read without end.

A page that does not advance is a failed read, in the VM list as well, whose token is now escaped in the URL. A record of an operator that is no key and value no longer loses its page.

--- /dev/null
+++ b/tests/jobs/OddListsTest.cpp
@@ -0,0 +1,221 @@
+#include "OneAnswer.h"
+#include "platform/StoreAdapter.h"
+#include "platform/VmService.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <openssl/evp.h>
+
+namespace verbenawell::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string
+Base64(const std::string& aBytes)
+{
+  std::string text(aBytes.size() / 3 * 4 + 5, '\0');
+  const int size =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<const unsigned char*>(aBytes.data()),
+                    static_cast<int>(aBytes.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+std::string
+Entry(const std::string& aAddress = "10.0.0.1:80")
+{
+  return R"({"service":"s","zone":"z","state":"ready","labels":["a","r1"],
+             "capacity":{"cpu":1000},"born":5,"address":")" +
+         aAddress + "\"}";
+}
+
+/// An item of a list of records; the key is taken as JSON.
+std::string
+Item(const std::string& aKey, const std::string& aValue)
+{
+  return R"({"offset":1,"key":)" + aKey + R"(,"value":")" + Base64(aValue) +
+         "\"}";
+}
+
+/// A page with sound entries before and behind the odd ones.
+std::string
+PageAround(const std::vector<std::string>& aOdd)
+{
+  std::string page = R"({"end":9,"items":[)" + Item("\"i-1\"", Entry());
+  for (const std::string& item : aOdd) {
+    page += "," + item;
+  }
+  return page + "," + Item("\"i-2\"", Entry()) + "]}";
+}
+
+/// What the real adapter makes of a list of workers that a store gives.
+struct ListRead
+{
+  explicit ListRead(std::string aPage)
+  {
+    asio::io_context io;
+    OneAnswer store{ io, { 200, {}, std::move(aPage) } };
+    StoreAdapter adapter{ io, store.address_, [&](jobs::Event aEvent) {
+                           Take(aEvent);
+                           if (isOver_) {
+                             io.stop();
+                           }
+                         } };
+    adapter.Run(jobs::ReadWorkers{});
+    io.run_for(3s);
+  }
+
+  void Take(const jobs::Event& aEvent)
+  {
+    if (const auto* read = std::get_if<jobs::WorkersRead>(&aEvent)) {
+      isOver_ = true;
+      for (const jobs::WorkerEntry& entry : read->workers_) {
+        workers_.push_back(entry.worker_.Value());
+      }
+    } else if (std::holds_alternative<jobs::WorkersReadFailed>(aEvent)) {
+      isOver_ = true;
+      hasFailed_ = true;
+    } else if (const auto* bad = std::get_if<jobs::RecordInvalid>(&aEvent)) {
+      faults_.push_back(bad->reason_);
+    }
+  }
+
+  std::vector<std::string> workers_;
+  std::vector<std::string> faults_;
+  bool isOver_ = false;
+  bool hasFailed_ = false;
+};
+
+const std::vector<std::string> kSound{ "i-1", "i-2" };
+
+// Guards against a list that is no longer followed, or workers made up, for an
+// entry whose value is odd.
+TEST(WorkerList, KeepsTheOthersBesideAnOddValue)
+{
+  const std::string deep(100'000, '[');
+  const std::string sound = Entry();
+  const std::vector<std::string> odd{
+    "",
+    deep,
+    sound.substr(0, sound.size() - 1) + ",\"x\":" + deep,
+    sound.substr(0, sound.size() - 1) + ",\"born\":1e999}",
+    sound.substr(0, sound.size() - 1) + ",\"born\":\"9\"}",
+    std::string("\0\0", 2),
+    sound + std::string("\0", 1),
+    "\xff\xfe",
+    Entry("10.0.0.1:0"),
+    Entry("10.0.0.1:65536"),
+    Entry("10.0.0.1:99999"),
+    Entry("10.0.0.1:-1"),
+    Entry("10.0.0.1:80x"),
+    Entry("10.0.0.1:"),
+    Entry("10.0.0.1"),
+    Entry("10.0.0:80"),
+    Entry("worker.example:80"),
+    Entry("10.0.0.1\\u0000:80"),
+    Entry("10.0.0.1\\r\\nX: y:80"),
+    Entry("0.0.0.0:80"),
+    Entry("224.0.0.1:80"),
+    Entry("255.255.255.255:80"),
+    Entry(":80"),
+    Entry("")
+  };
+  for (const std::string& value : odd) {
+    const ListRead read{ PageAround({ Item("\"i-odd\"", value) }) };
+    EXPECT_EQ(read.workers_, kSound) << value.substr(0, 300);
+    ASSERT_EQ(read.faults_.size(), 1U) << value.substr(0, 300);
+    EXPECT_LT(read.faults_[0].size(), 300U);
+  }
+}
+
+// Guards against a list that is no longer followed, or orders that name no
+// worker or carry headers of another writer, for an entry whose key is odd.
+TEST(WorkerList, KeepsTheOthersBesideAnOddKey)
+{
+  const std::vector<std::string> odd{ R"("")",
+                                      "\"\xff\xfe\"",
+                                      "\"i-\xc3\"",
+                                      R"("i-\udcff")",
+                                      R"("\ud83d")",
+                                      R"("\ud83dx\\")",
+                                      R"("i-1\r\nX-Fencing-Token: 9")",
+                                      R"("i\u00001")",
+                                      R"("i 3")",
+                                      "\"i-\xc3\xa9\"",
+                                      "5",
+                                      "null",
+                                      "{}" };
+  for (const std::string& key : odd) {
+    const ListRead read{ PageAround({ Item(key, Entry()) }) };
+    EXPECT_EQ(read.workers_, kSound) << key;
+    EXPECT_EQ(read.faults_.size(), 1U) << key;
+  }
+}
+
+// Guards against a page that is lost for one item of another shape.
+TEST(WorkerList, KeepsTheOthersBesideAnOddItem)
+{
+  for (const char* item : { "5",
+                            "[]",
+                            "{}",
+                            R"({"offset":1,"key":"k","value":"not base64"})",
+                            R"({"offset":1,"key":"k","value":"e"})",
+                            R"({"offset":1,"key":"k","value":5})",
+                            R"({"offset":-1,"key":"k","value":"e30="})",
+                            R"({"offset":1e300,"key":"k","value":"e30="})" }) {
+    const ListRead read{ PageAround({ item }) };
+    EXPECT_EQ(read.workers_, kSound) << item;
+    EXPECT_EQ(read.faults_.size(), 1U) << item;
+  }
+}
+
+// An id of 255 bytes is the longest that a record can have.
+TEST(WorkerList, TakesALongIdAndTheLastOfTwoEqualMembers)
+{
+  const std::string id(255, 'i');
+  std::string value = Entry();
+  value.insert(1, R"("service":"first",)");
+  const ListRead read{ PageAround({ Item('"' + id + '"', value) }) };
+  EXPECT_EQ(read.workers_.size(), 3U);
+  EXPECT_NE(std::ranges::find(read.workers_, id), read.workers_.end());
+}
+
+// Guards against calls and memory without end for a list whose next page is
+// the same page again.
+TEST(WorkerList, GivesUpAListThatDoesNotAdvance)
+{
+  const ListRead read{ R"({"end":9,"truncated":true,"items":[)" +
+                       Item("\"i-1\"", Entry()) + "]}" };
+  EXPECT_TRUE(read.hasFailed_);
+}
+
+TEST(VmList, GivesUpAListThatDoesNotAdvance)
+{
+  asio::io_context io;
+  OneAnswer service{
+    io, { 200, {}, R"({"machines":[],"nextPageToken":"a b\r\nX: y"})" }
+  };
+  bool hasFailed = false;
+  VmService vms{ io,
+                 service.address_,
+                 DaemonId{ "d" },
+                 [&](const jobs::Event& aEvent) {
+                   if (std::holds_alternative<jobs::VmsReadFailed>(aEvent)) {
+                     hasFailed = true;
+                     io.stop();
+                   }
+                 } };
+  vms.Run(jobs::ReadVms{});
+  io.run_for(3s);
+  EXPECT_TRUE(hasFailed);
+  EXPECT_EQ(service.target_, "/api/machines?pageToken=a%20b%0D%0AX%3A%20y");
+}
+
+} // namespace
+} // namespace verbenawell::platform
