Log an odd record when it appears or changes

The first 100 odd records are now logged when their fault appears or changes, further ones are only counted. A worker keeps the reason of its last refusal, which an answer clears. A worker that was seen to end is neither logged nor stored anew before it answers; it gets no orders until then. OddRecords.AreLogged.., OfAWorker.. and OfAnEndedWorker.. fail without the change.

--- a/src/verbenawell/jobs/configuration/ConfigurationReducer.cpp
+++ b/src/verbenawell/jobs/configuration/ConfigurationReducer.cpp
@@ -42,12 +42,16 @@
   void On(const RecordInvalid& aInvalid)
   {
     effects_.push_back(Count{ Counter::RecordsInvalid });
-    if (state_.invalid_.size() >= kMostInvalidKept) {
-      state_.invalid_.clear();
+    // Lists repeat their faults with each reading, twice a second, so that
+    // dropping old ones would log them all anew. Beyond it they are counted.
+    if (state_.invalid_.size() >= kMostInvalidKept &&
+        !state_.invalid_.contains(aInvalid.key_)) {
+      return;
     }
-    std::string& known = state_.invalid_[aInvalid.key_];
-    if (known != aInvalid.reason_) {
-      known = aInvalid.reason_;
+    const auto [known, isNew] =
+      state_.invalid_.try_emplace(aInvalid.key_, aInvalid.reason_);
+    if (isNew || known->second != aInvalid.reason_) {
+      known->second = aInvalid.reason_;
       effects_.push_back(LogLine{
         LogLevel::Warning,
         "record_invalid",
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -143,10 +143,15 @@
 
   void On(const HoldRefused& aRefused)
   {
-    effects_.push_back(LogLine{ LogLevel::Warning,
-                                "hold_refused",
-                                { { "worker", aRefused.worker_.Value() },
-                                  { "reason", aRefused.reason_ } } });
+    const auto found = state_.workers_.find(aRefused.worker_);
+    if (found != state_.workers_.end() &&
+        std::exchange(found->second.refusal_, aRefused.reason_) !=
+          aRefused.reason_) {
+      effects_.push_back(LogLine{ LogLevel::Warning,
+                                  "hold_refused",
+                                  { { "worker", aRefused.worker_.Value() },
+                                    { "reason", aRefused.reason_ } } });
+    }
     RepeatHold(aRefused.worker_);
   }
 
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -53,6 +53,8 @@
   bool isStored_ = false;
   /// It has answered under this epoch.
   bool isKnown_ = false;
+  /// Why the last hold was refused, as logged; empty if it was not.
+  std::string refusal_;
   /// The last hold had no answer.
   bool isSilent_ = false;
   BirthTime born_;
--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -115,6 +115,7 @@
     aEffects.push_back(Raise{ RoomChanged{} });
   }
   worker.isSilent_ = false;
+  worker.refusal_.clear();
   ConfirmRuns(worker, aLists);
   LoseMissing(worker, aLists, aEffects);
   aEffects.push_back(Raise{ RunsSeen{ aLists.worker_, aLists.running_ } });
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -43,7 +43,11 @@
   worker.listedAt_ = aContext.now_;
   if (isNew) {
     worker.born_ = aEntry.born_;
-    LogWorker("worker_listed", worker, aEffects);
+    // An entry that stays behind its worker, or names the address of another
+    // one, is listed anew after each proof that its worker has ended.
+    if (!aState.ended_.contains(aEntry.worker_)) {
+      LogWorker("worker_listed", worker, aEffects);
+    }
     aEffects.push_back(SetTimer{ WorkerHold{ aEntry.worker_ }, {} });
   } else if (aEntry.draining_ && !wasDraining) {
     LogWorker("worker_draining", worker, aEffects);
@@ -77,7 +81,9 @@
     stored.workers_.push_back(
       { id, worker.entry_.service_, worker.entry_.address_ });
     saved.workers_.push_back(id);
-    hasNew = hasNew || !worker.isStored_;
+    // One that has ended gets no orders until it answers again.
+    hasNew = hasNew || (!worker.isStored_ &&
+                        (worker.isKnown_ || !aState.ended_.contains(id)));
   }
   if (hasNew) {
     aEffects.push_back(
--- a/tests/jobs/OddListsTest.cpp
+++ b/tests/jobs/OddListsTest.cpp
@@ -61,7 +61,7 @@
   {
     asio::io_context io;
     OneAnswer store{ io, { 200, {}, std::move(aPage) } };
-    StoreAdapter adapter{ io, store.address_, [&](jobs::Event aEvent) {
+    StoreAdapter adapter{ io, store.address_, [&](const jobs::Event& aEvent) {
                            Take(aEvent);
                            if (isOver_) {
                              io.stop();
--- /dev/null
+++ b/tests/jobs/OddRecordsTest.cpp
@@ -0,0 +1,126 @@
+#include "verbenawell/jobs/core/Reduce.h"
+#include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/placement/Admission.h"
+#include "verbenawell/jobs/placement/JobOrder.h"
+#include "verbenawell/jobs/pools/PoolDemand.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceId kService{ "s" };
+
+Context
+At(Duration aTime)
+{
+  return { TimePoint{ aTime }, WallTime{}, DaemonId{ "d" } };
+}
+
+std::size_t
+CountLines(const Effects& aEffects, const std::string& aEvent)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aEffects, [&](const Effect& aEffect) {
+      const auto* line = std::get_if<LogLine>(&aEffect);
+      return line != nullptr && line->event_ == aEvent;
+    }));
+}
+
+Worker&
+AddWorker(State& aState, const std::string& aId, std::uint64_t aCpu)
+{
+  Worker& worker = aState.workers_.workers_[WorkerId{ aId }];
+  worker.entry_.worker_ = WorkerId{ aId };
+  worker.entry_.service_ = kService;
+  worker.entry_.capacity_.cpu_ = MilliCores{ aCpu };
+  worker.isListed_ = true;
+  worker.isKnown_ = true;
+  return worker;
+}
+
+// Guards against a log that grows with each reading of the list, twice a
+// second, for as long as odd entries stay.
+TEST(OddRecords, AreLoggedWhenTheyAppearOrChange)
+{
+  State state;
+  std::size_t lines = 0;
+  const auto read = [&](const std::string& aReason) {
+    for (int entry = 0; entry < 150; ++entry) {
+      lines += CountLines(
+        Reduce(state,
+               RecordInvalid{ "i-" + std::to_string(entry), aReason },
+               At(1s)),
+        "record_invalid");
+    }
+  };
+  for (int reading = 0; reading < 10; ++reading) {
+    read("first");
+  }
+  EXPECT_GE(lines, 100U);
+  EXPECT_LE(lines, 150U);
+  lines = 0;
+  read("second");
+  EXPECT_GE(lines, 100U);
+  EXPECT_LE(lines, 150U);
+}
+
+// Guards against a line each 100 ms for a worker whose lists do not decode.
+TEST(OddRecords, OfAWorkerAreLoggedWhenTheReasonChanges)
+{
+  State state;
+  AddWorker(state, "i-1", 1000);
+  state.workers_.isActive_ = true;
+  std::size_t lines = 0;
+  const auto refuse = [&](const std::string& aReason) {
+    lines += CountLines(
+      Reduce(state, HoldRefused{ WorkerId{ "i-1" }, aReason }, At(1s)),
+      "hold_refused");
+  };
+  for (int hold = 0; hold < 10; ++hold) {
+    refuse("clockMs is missing");
+  }
+  EXPECT_EQ(lines, 1U);
+  refuse("503");
+  EXPECT_EQ(lines, 2U);
+  // An answer in between makes the next refusal a new one.
+  Reduce(state, WorkerLists{ WorkerId{ "i-1" }, {}, {}, {}, {}, {} }, At(2s));
+  refuse("503");
+  EXPECT_EQ(lines, 3U);
+}
+
+// Guards against lines and journal writes twice a second for an entry whose
+// address belongs to another worker.
+TEST(OddRecords, OfAnEndedWorkerAreNotLoggedOrStoredAnew)
+{
+  State state;
+  state.workers_.isActive_ = true;
+  WorkerEntry entry;
+  entry.worker_ = WorkerId{ "i-1" };
+  entry.service_ = kService;
+  std::size_t lines = 0;
+  std::size_t appends = 0;
+  state.journal_.phase_ = JournalReady{};
+  for (int reading = 0; reading < 10; ++reading) {
+    const Effects effects =
+      Reduce(state, WorkersRead{ { entry } }, At(1s * reading));
+    lines += CountLines(effects, "worker_listed");
+    appends += state.journal_.queue_.size();
+    state.journal_ = {};
+    state.journal_.phase_ = JournalReady{};
+    Reduce(state, WorkerEnded{ entry.worker_ }, At(1s * reading));
+  }
+  EXPECT_EQ(lines, 1U);
+  EXPECT_LE(appends, 1U);
+}
+
+} // namespace
+} // namespace verbenawell::jobs
