Count the room of workers that have answered

An entry with a huge capacity, of another writer and with no worker behind it, made the room of its service look endless: admission refused nothing however long the backlog, and the pool wanted 1 VM in place of 501. A job of a huge declared size made the sum of the backlog wrap, to 0 in the test, with the same effect.

Admission and the demand of pools now count workers that have answered under this epoch; one that is listed answers within milliseconds. Sums of declared work stop at the largest number, and the wait and the wanted VMs that follow are bounded. OddRecords.GiveAPoolNoRoom and KeepSumsOfWorkWithinTheirType fail without the change.

--- /dev/null
+++ b/src/verbenawell/core/Saturating.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <limits>
+
+namespace verbenawell {
+
+/// A sum that stops at the largest number. Declared sizes come from outside,
+/// and a sum that wraps would make a huge backlog look small.
+constexpr std::uint64_t
+AddUpTo(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint64_t>::max();
+  return aLeft > kMost - aRight ? kMost : aLeft + aRight;
+}
+
+/// A product that stops at the largest number.
+constexpr std::uint64_t
+MultiplyUpTo(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint64_t>::max();
+  return aRight != 0 && aLeft > kMost / aRight ? kMost : aLeft * aRight;
+}
+
+} // namespace verbenawell
--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/jobs/placement/Admission.h"
 
+#include "verbenawell/core/Saturating.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -18,14 +19,19 @@
 constexpr int kMostObjectives = 10;
 constexpr Duration kLeastRetryAfter = 1s;
 constexpr Duration kMostRetryAfter = 30s;
+// In microseconds; longer than any objective, and sums with it do not overflow.
+constexpr std::uint64_t kMostWait = std::uint64_t{ 1 } << 60U;
 
 std::uint64_t
 CpuOf(const WorkersState& aWorkers, const ServiceId& aService)
 {
   std::uint64_t cpu = 0;
   for (const auto& [id, worker] : aWorkers.workers_) {
-    if (worker.isListed_ && worker.entry_.service_ == aService) {
-      cpu += worker.entry_.capacity_.cpu_.Value();
+    // An entry may come from another writer; a worker stands behind it once it
+    // has answered.
+    if (worker.isListed_ && worker.isKnown_ &&
+        worker.entry_.service_ == aService) {
+      cpu = AddUpTo(cpu, worker.entry_.capacity_.cpu_.Value());
     }
   }
   return cpu;
@@ -38,7 +44,7 @@
   for (const auto& [id, job] : aTasks.jobs_) {
     if (job.service_ == aService && job.outcome_ == JobOutcome::Open &&
         !job.IsLongRunning()) {
-      work += Remaining(job).cpu_;
+      work = AddUpTo(work, Remaining(job).cpu_);
     }
   }
   return work;
@@ -58,7 +64,7 @@
     return std::nullopt;
   }
   const Duration wait{ static_cast<Duration::rep>(
-    BacklogOf(aViews.tasks_, aJob.service_) / cpu) };
+    std::min(BacklogOf(aViews.tasks_, aJob.service_) / cpu, kMostWait)) };
   const Duration most =
     kMostObjectives * aJob.terms_.objective_ - LongestChain(aJob.definition_);
   if (wait <= most) {
--- a/src/verbenawell/jobs/placement/JobOrder.cpp
+++ b/src/verbenawell/jobs/placement/JobOrder.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/jobs/placement/JobOrder.h"
 
+#include "verbenawell/core/Saturating.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -26,8 +28,10 @@
     ends.push_back(isDone ? start : start + step.estimate_);
     aWork.chain_ = std::max(aWork.chain_, ends.back());
     const std::uint64_t left = tasks.tasks_.size() - tasks.done_.Value();
-    aWork.cpu_ += left * step.room_.cpu_.Value() *
-                  static_cast<std::uint64_t>(step.estimate_.count());
+    const std::uint64_t cpuTime =
+      MultiplyUpTo(step.room_.cpu_.Value(),
+                   static_cast<std::uint64_t>(step.estimate_.count()));
+    aWork.cpu_ = AddUpTo(aWork.cpu_, MultiplyUpTo(left, cpuTime));
   }
 }
 
--- a/src/verbenawell/jobs/pools/ArrivalRate.cpp
+++ b/src/verbenawell/jobs/pools/ArrivalRate.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/jobs/pools/ArrivalRate.h"
 
+#include "verbenawell/core/Saturating.h"
+
 #include <chrono>
 
 namespace verbenawell::jobs {
@@ -29,7 +31,7 @@
   std::uint64_t work = 0;
   for (const auto& [at, amount] : arrivals_) {
     if (aNow - at <= kWindow) {
-      work += amount;
+      work = AddUpTo(work, amount);
     }
   }
   return work / static_cast<std::uint64_t>(kWindow.count());
--- a/src/verbenawell/jobs/pools/PoolDemand.cpp
+++ b/src/verbenawell/jobs/pools/PoolDemand.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/jobs/pools/PoolDemand.h"
 
+#include "verbenawell/core/Saturating.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -19,6 +20,8 @@
 // A burst grows for some two seconds, as long as a VM takes to come; the last
 // second's arrivals are well below those that it will meet.
 constexpr std::uint64_t kGrowthPercent = 200;
+// Far more than a region has.
+constexpr std::uint64_t kMostVms = 1'000'000;
 
 struct PoolSize
 {
@@ -51,6 +54,12 @@
   return false;
 }
 
+std::uint32_t
+VmsFor(std::uint64_t aCpu, std::uint64_t aCpuOfOne)
+{
+  return static_cast<std::uint32_t>(std::min(aCpu / aCpuOfOne, kMostVms)) + 1;
+}
+
 /// The VMs that the limits on tasks of one VM ask for.
 std::uint32_t
 SpreadOf(const JobDefinition& aDefinition)
@@ -75,10 +84,12 @@
 {
   std::map<ServiceId, PoolSize> sizes;
   for (const auto& [id, worker] : aViews.workers_.workers_) {
-    if (worker.isListed_ && !worker.entry_.draining_) {
+    // An entry may come from another writer; a worker stands behind it once it
+    // has answered.
+    if (worker.isListed_ && worker.isKnown_ && !worker.entry_.draining_) {
       PoolSize& size = sizes[worker.entry_.service_];
       ++size.working_;
-      size.cpu_ += worker.entry_.capacity_.cpu_.Value();
+      size.cpu_ = AddUpTo(size.cpu_, worker.entry_.capacity_.cpu_.Value());
     }
   }
   std::map<ServiceId, std::uint64_t> work;
@@ -94,7 +105,8 @@
       }
     } else if (job.outcome_ == JobOutcome::Open &&
                Rank(job, aContext.now_).urgency_ != Urgency::Overdue) {
-      work[job.service_] += Remaining(job).cpu_;
+      std::uint64_t& sum = work[job.service_];
+      sum = AddUpTo(sum, Remaining(job).cpu_);
     }
   }
   std::map<ServiceId, PoolDemand> demand;
@@ -106,11 +118,12 @@
     const std::uint64_t arriving =
       arrivals == aArrivals.end()
         ? 0
-        : arrivals->second.CpuAt(aContext.now_) * kGrowthPercent / 100;
+        : MultiplyUpTo(arrivals->second.CpuAt(aContext.now_), kGrowthPercent) /
+            100;
     const std::uint64_t cpu = std::max(work[service] / horizon, arriving);
     demand[service] = { size.working_,
-                        static_cast<std::uint32_t>(cpu / cpuOfOne) + 1,
-                        static_cast<std::uint32_t>(arriving / cpuOfOne) + 1,
+                        VmsFor(cpu, cpuOfOne),
+                        VmsFor(arriving, cpuOfOne),
                         spread[service] + 1 };
     if (lacking.contains(service)) {
       demand[service].wanted_ =
--- a/tests/jobs/OddRecordsTest.cpp
+++ b/tests/jobs/OddRecordsTest.cpp
@@ -47,6 +47,26 @@
   return worker;
 }
 
+/// A job of one step that was accepted at the start of time.
+Job&
+AddJob(State& aState,
+       const std::string& aId,
+       std::uint32_t aTasks,
+       std::uint64_t aCpu,
+       Duration aEstimate)
+{
+  Job job;
+  job.id_ = JobId{ aId };
+  job.service_ = kService;
+  job.terms_.objective_ = 1s;
+  Step& step = job.definition_.steps_.emplace_back();
+  step.count_ = TaskCount{ aTasks };
+  step.room_.cpu_ = MilliCores{ aCpu };
+  step.estimate_ = aEstimate;
+  AddOccurrence(job);
+  return aState.tasks_.jobs_[job.id_] = job;
+}
+
 // Guards against a log that grows with each reading of the list, twice a
 // second, for as long as odd entries stay.
 TEST(OddRecords, AreLoggedWhenTheyAppearOrChange)
@@ -122,5 +142,38 @@
   EXPECT_LE(appends, 1U);
 }
 
+// Guards against an admission that refuses nothing, and a pool that wants no
+// VMs, because of the room of an entry that no worker stands behind.
+TEST(OddRecords, GiveAPoolNoRoom)
+{
+  State state;
+  AddWorker(state, "i-1", 1000);
+  const Job& job = AddJob(state, "j", 1000, 1000, 1s);
+  const auto before = DemandOf(state.View(), {}, At(1s)).at(kService);
+  ASSERT_TRUE(Admit(job, state.View(), At(1s)));
+  AddWorker(state, "i-odd", std::uint64_t{ 1 } << 52U).isKnown_ = false;
+  EXPECT_TRUE(Admit(job, state.View(), At(1s)));
+  const auto after = DemandOf(state.View(), {}, At(1s)).at(kService);
+  EXPECT_EQ(after.wanted_, before.wanted_);
+  EXPECT_EQ(after.working_, before.working_);
+}
+
+// Guards against sums that wrap: a job of a huge declared size made the
+// backlog of its service look small, or the wait negative.
+TEST(OddRecords, KeepSumsOfWorkWithinTheirType)
+{
+  constexpr std::uint64_t kHuge = std::uint64_t{ 1 } << 53U;
+  State state;
+  AddWorker(state, "i-1", 1);
+  const Job& huge = AddJob(state, "j", 3, kHuge, 24h * 3650);
+  AddJob(state, "k", 3, kHuge, 24h * 3650);
+  EXPECT_EQ(Remaining(huge).cpu_, std::numeric_limits<std::uint64_t>::max());
+  EXPECT_TRUE(Admit(huge, state.View(), At(1s)));
+  Job& small = AddJob(state, "l", 1, 1, 1ms);
+  EXPECT_TRUE(Admit(small, state.View(), At(1s)));
+  AddJob(state, "m", 3, kHuge, 500ms);
+  EXPECT_GT(DemandOf(state.View(), {}, At(1s)).at(kService).wanted_, 1000U);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
