Look up the step of a run that a worker lists

A worker that lists a run of a known job with a step that the job does not have ended the owner while the worker's VM was due for maintenance: the run is kept until it is stopped, and the upkeep read the step of that index behind the end of the list. OddRecords.OfARunMayNameAStepThatIsNotThere ended with a segmentation fault. The upkeep now passes over runs that name no task of their job, as the other modules do.

--- a/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
+++ b/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
@@ -275,7 +275,8 @@
     bool isDrained = true;
     for (const auto& [task, run] : worker->runs_) {
       const Job* job = views_.tasks_.Find(task.job_);
-      if (job == nullptr) {
+      // A worker may list a run of a task that its job does not have.
+      if (job == nullptr || job->Find(task) == nullptr) {
         continue;
       }
       const Step& step = job->definition_.steps_[task.step_.Value()];
--- a/tests/jobs/OddRecordsTest.cpp
+++ b/tests/jobs/OddRecordsTest.cpp
@@ -175,5 +175,23 @@
   EXPECT_GT(DemandOf(state.View(), {}, At(1s)).at(kService).wanted_, 1000U);
 }
 
+// Guards against a read behind the steps of a job: a worker listed a run of a
+// step that the job does not have, and its VM is due for maintenance.
+TEST(OddRecords, OfARunMayNameAStepThatIsNotThere)
+{
+  State state;
+  AddJob(state, "j", 1, 1, 1s);
+  Worker& worker = AddWorker(state, "i-1", 1000);
+  Assignment& run =
+    worker.runs_[TaskId{ JobId{ "j" }, {}, StepIndex{ 4'000'000'000U }, {} }];
+  run.isStranger_ = true;
+  state.upkeep_.isActive_ = true;
+  WaveProgress& wave = state.upkeep_.waves_[WaveNumber{ 1 }];
+  wave.wave_.number_ = WaveNumber{ 1 };
+  wave.vms_[VmId{ "m" }] = { VmPhase::Draining, {}, WorkerId{ "i-1" }, false };
+  const ListedVm vm{ VmId{ "m" }, kService, VmState::Up, WorkerId{ "i-1" } };
+  EXPECT_NO_THROW(Reduce(state, VmsRead{ { vm } }, At(1s)));
+}
+
 } // namespace
 } // namespace verbenawell::jobs
