--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -231,6 +231,7 @@
   if (std::exchange(worker.isSilent_, false)) {
     LogWorker("worker_answering", worker, aEffects);
   }
+  worker.refusal_.clear();
   ConfirmRuns(worker, aLists);
   RepeatOverdueStops(worker, aLists, aContext.now_, aEffects);
   LoseMissing(worker, aLists, aEffects);
