Find the claim in front of an odd record

A read of the owner topic looked at its last record only, whatever its key. A claim or renewal with a record of another writer behind it in the same read was missed: the follower counted the owner as silent, and an owner whose successor had claimed did not step down by that read. The epoch of a claim was taken from the end of the topic, which is one too high with a record behind the claim.

OwnerTopic.TakesTheNewestRecordThatIsAnOwners fails without the change; it also reads 60 kB of nested CBOR arrays.

--- a/src/verbenawell/jobs/ownership/OwnershipEvents.h
+++ b/src/verbenawell/jobs/ownership/OwnershipEvents.h
@@ -7,12 +7,15 @@
 
 namespace verbenawell::jobs {
 
-/// The owner topic was read; `record_` is the newest one of the read.
+/// The owner topic was read; `record_` is the newest one of the read that an
+/// owner wrote.
 struct OwnerRead
 {
   std::optional<OwnerRecord> record_;
-  /// Offset behind the newest record.
+  /// Offset behind the newest record of any writer.
   Offset end_;
+  /// Offset of `record_`.
+  Offset recordAt_;
 };
 
 struct OwnerReadFailed
--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -51,7 +51,7 @@
     const bool isFirst = !std::exchange(state_.hasRead_, true);
     state_.end_ = std::max(state_.end_, aRead.end_);
     if (aRead.record_) {
-      Learn(*aRead.record_);
+      Learn(*aRead.record_, aRead.recordAt_);
     } else if (isFirst) {
       state_.renewedAt_ = now_;
     }
@@ -136,11 +136,11 @@
       state_.random_.Below(static_cast<std::uint64_t>(kClaimSpread.count()))) };
   }
 
-  void Learn(const OwnerRecord& aRecord)
+  void Learn(const OwnerRecord& aRecord, Offset aOffset)
   {
     OwnerRecord record = aRecord;
     if (record.epoch_ == Epoch{}) {
-      record.epoch_ = EpochOf(Offset{ state_.end_.Value() - 1 });
+      record.epoch_ = EpochOf(aOffset);
     }
     const bool isNew = !state_.owner_ ||
                        state_.owner_->instance_ != record.instance_ ||
--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -76,6 +76,7 @@
   read.end_ = Offset{ owners_.size() };
   if (aFrom < read.end_) {
     read.record_ = owners_.back();
+    read.recordAt_ = Offset{ owners_.size() - 1 };
   }
   return read;
 }
--- a/tests/jobs/OddListsTest.cpp
+++ b/tests/jobs/OddListsTest.cpp
@@ -1,8 +1,13 @@
+#include "verbenawell/codec/jobs/JournalCodec.h"
+#include "verbenawell/codec/jobs/RequestCodec.h"
+
 #include "OneAnswer.h"
 #include "platform/StoreAdapter.h"
 #include "platform/VmService.h"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -186,6 +191,56 @@
   EXPECT_NE(std::ranges::find(read.workers_, id), read.workers_.end());
 }
 
+/// Records as `log-read` gives them: the end, the first offset, and each with
+/// its size and the size of its key.
+std::string
+LogPage(const std::vector<std::pair<std::string, std::string>>& aRecords)
+{
+  std::string page(16, '\0');
+  page[7] = static_cast<char>(aRecords.size());
+  for (const auto& [key, value] : aRecords) {
+    const std::size_t size = 1 + key.size() + value.size();
+    page += std::string(2, '\0') + static_cast<char>(size / 256) +
+            static_cast<char>(size % 256);
+    page += static_cast<char>(key.size()) + key + value;
+  }
+  return page;
+}
+
+// Guards against an owner or a follower that misses a claim because another
+// writer's record came behind it.
+TEST(OwnerTopic, TakesTheNewestRecordThatIsAnOwners)
+{
+  const jobs::OwnerRecord owner{
+    DaemonId{ "d" }, "instance", { "10.0.0.1", 80 }, jobs::Epoch{ 4 }, false
+  };
+  for (const auto& [key, value] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "owner", std::string(100'000, '\x81') },
+         { "owner", "\xff" },
+         { "owner", "" },
+         { "", "" },
+         { "other", jobs::EncodeOwner({}) } }) {
+    asio::io_context io;
+    OneAnswer store{ io,
+                     { 200,
+                       {},
+                       LogPage({ { "owner", jobs::EncodeOwner(owner) },
+                                 { key, value.substr(0, 60'000) } }) } };
+    std::optional<jobs::OwnerRead> read;
+    StoreAdapter adapter{ io, store.address_, [&](const jobs::Event& aEvent) {
+                           read = std::get<jobs::OwnerRead>(aEvent);
+                           io.stop();
+                         } };
+    adapter.Run(jobs::ReadOwner{ Offset{ 0 }, 0s });
+    io.run_for(3s);
+    ASSERT_TRUE(read && read->record_) << key;
+    EXPECT_EQ(read->record_->instance_, "instance");
+    EXPECT_EQ(read->recordAt_, Offset{ 0 });
+    EXPECT_EQ(read->end_, Offset{ 2 });
+  }
+}
+
 // Guards against calls and memory without end for a list whose next page is
 // the same page again.
 TEST(WorkerList, GivesUpAListThatDoesNotAdvance)
