--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "verbenawell/codec/DecodeError.h"
 #include "verbenawell/codec/internal/Fields.h"
 #include "verbenawell/jobs/callers/CallerRequest.h"
 #include "verbenawell/jobs/journal/JournalRecord.h"
 #include "verbenawell/jobs/ownership/OwnerRecord.h"
 
+#include <stdexcept>
+
 /// Names the fields of the job manager's encoded types once, for both
 /// directions. The order is part of the format: new fields go to the end.
 namespace verbenawell::codec {
@@ -19,6 +22,17 @@
 inline constexpr jobs::JobState kLastOf<jobs::JobState> =
   jobs::JobState::Cancelled;
 
+/// Throws `DecodeError` for a definition that no caller can hand in.
+inline void
+RequireSound(const jobs::JobDefinition& aDefinition)
+{
+  try {
+    jobs::CheckDefinition(aDefinition);
+  } catch (const std::invalid_argument& error) {
+    throw DecodeError(error.what());
+  }
+}
+
 template<typename Archive, OneOf<jobs::Room> T>
 void
 Fields(Archive& aArchive, T& aValue)
--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -66,7 +66,11 @@
 JournalRecord
 DecodeJournalRecord(std::string_view aBytes)
 {
-  return codec::DecodeCbor<JournalRecord>(aBytes);
+  auto record = codec::DecodeCbor<JournalRecord>(aBytes);
+  if (const auto* stored = std::get_if<JobStored>(&record)) {
+    codec::RequireSound(stored->definition_);
+  }
+  return record;
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/codec/jobs/RequestCodec.cpp
+++ b/src/verbenawell/codec/jobs/RequestCodec.cpp
@@ -28,7 +28,11 @@
 CallerRequest
 DecodeRequest(std::string_view aBytes)
 {
-  return codec::DecodeCbor<CallerRequest>(aBytes);
+  auto request = codec::DecodeCbor<CallerRequest>(aBytes);
+  if (const auto* submit = std::get_if<SubmitJob>(&request.action_)) {
+    codec::RequireSound(*submit->definition_);
+  }
+  return request;
 }
 
 std::string
--- a/tests/jobs/OddListsTest.cpp
+++ b/tests/jobs/OddListsTest.cpp
@@ -241,6 +241,30 @@
   }
 }
 
+// Guards against an owner that ends whenever it reads its journal, or a
+// request of another process: steps that wait for steps that are not there.
+TEST(JournalCodec, RefusesAJobWithoutOrder)
+{
+  jobs::JobDefinition definition;
+  definition.specification_ = "s";
+  definition.steps_.emplace_back().count_ = jobs::TaskCount{ 1 };
+  definition.steps_[0].after_ = { jobs::StepIndex{ 7 } };
+  jobs::JobStored stored;
+  stored.job_ = jobs::JobId{ "0123456789abcdef" };
+  stored.definition_ = definition;
+  EXPECT_THROW(
+    jobs::DecodeJournalRecord(jobs::EncodeJournalRecord(stored).at(0).value_),
+    std::exception);
+  const jobs::CallerRequest request{
+    "h",
+    "/p/",
+    jobs::SubmitJob{ stored.job_,
+                     std::make_shared<const jobs::JobDefinition>(definition) }
+  };
+  EXPECT_THROW(jobs::DecodeRequest(jobs::EncodeRequest(request)),
+               std::exception);
+}
+
 // Guards against calls and memory without end for a list whose next page is
 // the same page again.
 TEST(WorkerList, GivesUpAListThatDoesNotAdvance)
