--- a/tests/fuzz/ByteFuzz.cpp
+++ b/tests/fuzz/ByteFuzz.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <stdexcept>
+#include <utility>
 
 #include <sys/resource.h>
 
@@ -99,8 +100,8 @@
   return aBytes;
 }
 
-ByteFuzz::ByteFuzz()
-  : targets_(AllByteTargets())
+ByteFuzz::ByteFuzz(std::vector<ByteTarget> aTargets)
+  : targets_(std::move(aTargets))
 {
   for (const ByteTarget& target : targets_) {
     for (const std::string& bytes : target.valid_) {
--- a/tests/fuzz/ByteFuzz.h
+++ b/tests/fuzz/ByteFuzz.h
@@ -28,7 +28,7 @@
 class ByteFuzz
 {
 public:
-  ByteFuzz();
+  explicit ByteFuzz(std::vector<ByteTarget> aTargets = AllByteTargets());
 
   /// Throws `std::runtime_error` where a reader fails in another way than by
   /// refusing its input, or takes more memory than its input justifies.
--- /dev/null
+++ b/tests/jobs/WireFuzzTest.cpp
@@ -0,0 +1,136 @@
+#include "verbenawell/codec/DecodeError.h"
+#include "verbenawell/codec/jobs/JournalCodec.h"
+#include "verbenawell/codec/jobs/RequestCodec.h"
+
+#include "ByteFuzz.h"
+#include "platform/JsonFields.h"
+#include "platform/Utf8.h"
+#include "platform/WireJobs.h"
+
+#include <memory>
+#include <new>
+#include <stdexcept>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::platform {
+namespace {
+
+constexpr std::uint64_t kSeeds = 20'000;
+
+/// A reader that refuses with any exception but those of memory.
+template<typename Read>
+std::function<bool(const std::string&)>
+Reading(Read aRead)
+{
+  return [aRead](const std::string& aBytes) {
+    try {
+      aRead(aBytes);
+      return true;
+    } catch (const std::bad_alloc&) {
+      throw;
+    } catch (const std::length_error&) {
+      throw;
+    } catch (const std::logic_error&) {
+      return false;
+    } catch (const nlohmann::json::exception&) {
+      return false;
+    } catch (const DecodeError&) {
+      return false;
+    }
+  };
+}
+
+/// An entry that is taken names a worker that can be called and whose numbers
+/// can be added up.
+void
+ReadEntry(const std::string& aBytes)
+{
+  const auto entry = DecodeWorkerEntry("i-1", aBytes);
+  EXPECT_NE(entry.address_.port_, 0);
+  EXPECT_LE(entry.capacity_.cpu_.Value(),
+            static_cast<std::uint64_t>(kMostWhole));
+  EXPECT_GE(entry.born_.Value(), 0);
+  EXPECT_NO_THROW(ToText(entry.service_.Value()));
+}
+
+std::vector<fuzz::ByteTarget>
+Targets()
+{
+  jobs::JobDefinition definition;
+  definition.specification_ = "s";
+  definition.steps_.emplace_back().count_ = jobs::TaskCount{ 1 };
+  jobs::JobStored stored;
+  stored.job_ = jobs::JobId{ "0123456789abcdef" };
+  stored.definition_ = definition;
+  const jobs::CallerRequest submit{
+    "h",
+    "/p/",
+    jobs::SubmitJob{ stored.job_,
+                     std::make_shared<const jobs::JobDefinition>(definition) }
+  };
+  return {
+    { "entry of a worker",
+      { R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",
+            "capacity":{"cpu":1000,"gpu":1},"labels":["a","r1"],"born":5})" },
+      Reading(ReadEntry) },
+    { "lists of a worker",
+      { R"({"clockMs":7,"born":9,
+            "running":[["0123456789abcdef.0.1.17",2,"c",41,3]],
+            "ended":[[58,"0123456789abcdef.0.1.9",1,"done",""]]})" },
+      Reading([](const std::string& aBytes) {
+        DecodeLists(jobs::WorkerId{ "i-1" }, aBytes);
+      }) },
+    { "configuration",
+      { R"({"version":3,"services":[{"name":"s","standby":true}],
+            "routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
+            "advice":{"decisionMs":40,"perItemMs":1.5,"validityMs":3000}}]})" },
+      Reading(DecodeConfiguration) },
+    { "wave",
+      { R"({"wave":1,"machines":["m"],"durationS":1.5,"cap":2})" },
+      Reading(DecodeWave) },
+    { "list of VMs",
+      { R"({"machines":[{"machine":"m","pool":"s","state":"up",
+            "identifier":"i-1"}],"nextPageToken":"t"})" },
+      Reading(DecodeVms) },
+    { "advice",
+      { R"({"allowed":[["i-1","c81e"]],"validityMs":3000})" },
+      Reading(DecodeAdvice) },
+    { "job",
+      { R"({"specification":"s","repetitions":3,"firstRunMs":1,"intervalMs":5,
+            "steps":[{"count":4,"cpu":500,"estimatedMs":900},
+                     {"count":1,"after":[0]}]})" },
+      Reading(DecodeJob) },
+    { "owner", { jobs::EncodeOwner({}) }, Reading(jobs::DecodeOwner) },
+    { "journal record",
+      { jobs::EncodeJournalRecord(stored).at(0).value_ },
+      Reading(jobs::DecodeJournalRecord) },
+    { "request",
+      { jobs::EncodeRequest(submit) },
+      Reading(jobs::DecodeRequest) },
+    { "page of records",
+      { "{\"items\":[{\"key\":\"\\ud83d\\ude00\xc3\xa9\"}]}" },
+      // Whatever comes in, what is left is UTF-8.
+      [](const std::string& aBytes) {
+        const std::string text = ReplaceUnreadable(aBytes);
+        EXPECT_NO_THROW(nlohmann::json(text).dump());
+        return ReasonOf(text).empty();
+      } },
+  };
+}
+
+// Guards against bytes of other processes that end this one, take its memory
+// or stack, or are refused in a way that no caller of the reader expects.
+TEST(WireFuzz, RefusesOrReadsWhateverComesIn)
+{
+  fuzz::ByteFuzz fuzz{ Targets() };
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ASSERT_NO_THROW(fuzz.RunSeed(seed));
+  }
+  EXPECT_GT(fuzz.Accepted(), 0U);
+  EXPECT_GT(fuzz.Refused(), 0U);
+}
+
+} // namespace
+} // namespace verbenawell::platform
