Say what happens to odd records, and test a worker that goes odd

OddRecords.TakeNoRunsFromAWorkerThatLives shows what was decided and holds already: an entry that turns odd counts as missing, so that its worker gets no new tasks and keeps its runs. One line of OddListsTest is written as the linter asks.

--- a/tests/jobs/OddListsTest.cpp
+++ b/tests/jobs/OddListsTest.cpp
@@ -200,9 +200,12 @@
   page[7] = static_cast<char>(aRecords.size());
   for (const auto& [key, value] : aRecords) {
     const std::size_t size = 1 + key.size() + value.size();
-    page += std::string(2, '\0') + static_cast<char>(size / 256) +
-            static_cast<char>(size % 256);
-    page += static_cast<char>(key.size()) + key + value;
+    page.append(2, '\0');
+    page += static_cast<char>(size / 256);
+    page += static_cast<char>(size % 256);
+    page += static_cast<char>(key.size());
+    page += key;
+    page += value;
   }
   return page;
 }
--- a/tests/jobs/OddRecordsTest.cpp
+++ b/tests/jobs/OddRecordsTest.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/jobs/placement/Admission.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/pools/PoolDemand.h"
+#include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -142,6 +143,27 @@
   EXPECT_LE(appends, 1U);
 }
 
+// An entry that is sound at one reading and odd at the next is missing from
+// the list. Guards against runs started a second time: their worker lives, and
+// its lease is over no sooner than it stops answering.
+TEST(OddRecords, TakeNoRunsFromAWorkerThatLives)
+{
+  State state;
+  state.workers_.isActive_ = true;
+  const WorkerId busy{ "i-1" };
+  const WorkerId idle{ "i-2" };
+  AddWorker(state, "i-1", 1000).runs_[TaskId{ JobId{ "j" }, {}, {}, {} }];
+  AddWorker(state, "i-2", 1000);
+  for (int second = 1; second <= 60; ++second) {
+    const Effects effects = Reduce(state, WorkersRead{}, At(1s * second));
+    EXPECT_EQ(CountLines(effects, "run_lost"), 0U);
+    const Worker* worker = state.workers_.Find(busy);
+    ASSERT_NE(worker, nullptr) << second;
+    EXPECT_FALSE(TakesStarts(*worker, TimePoint{ 1s * second }));
+    EXPECT_EQ(state.workers_.Find(idle) != nullptr, second < 3) << second;
+  }
+}
+
 // Guards against an admission that refuses nothing, and a pool that wants no
 // VMs, because of the room of an entry that no worker stands behind.
 TEST(OddRecords, GiveAPoolNoRoom)
