--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -78,6 +78,8 @@
       return "job_time";
     case LatencyMetric::TakeOver:
       return "take_over";
+    case LatencyMetric::LoopDelay:
+      return "loop_delay";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -58,6 +58,8 @@
   JobTime,
   /// From claiming the ownership to the first decisions.
   TakeOver,
+  /// By how much timers come late, the most of each second.
+  LoopDelay,
 };
 
 std::string_view
