Keep a connection when a call expires behind another or the loop is late

Cause: a call whose limit had passed while it waited behind another closed the connection as it got its turn, and so did the next one. A limit of 250 ms is also less than the two turns of the loop that a new connection takes when each turn takes 0.3 s, so the answer was thrown away and the order repeated. Both add work to a process that has too much. Change: a call that expired in the queue fails by itself. A deadline whose timer comes more than 20 ms late is moved by twice that, 0.5 s at most, twice. The effect on an owner that stays on a small VM was not measured alone.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -1,11 +1,24 @@
 #include "verbenawell/adapters/http/HttpChannel.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <asio/write.hpp>
 
 namespace verbenawell::http {
 
+namespace {
+
+// Above the delays of a loop that is not behind, some milliseconds.
+constexpr auto kLoopBehind = std::chrono::milliseconds(20);
+// A new connection takes two turns of the loop until its answer is read.
+constexpr int kExtensionFactor = 2;
+constexpr int kMostExtensions = 2;
+// A process that was suspended is late by more than any loop is behind.
+constexpr auto kMostExtension = std::chrono::milliseconds(500);
+
+} // namespace
+
 Channel::Channel(asio::io_context& aIo,
                  Endpoint aServer,
                  std::size_t aMostBodyBytes)
@@ -43,6 +56,14 @@
 void
 Channel::Start()
 {
+  // A call that has waited too long behind others fails by itself; the
+  // connection is sound, and a new one would make the next calls late too.
+  while (!isBusy_ && !isClosed_ && !calls_.empty() &&
+         std::chrono::steady_clock::now() >= calls_.front().deadline_) {
+    const PendingCall call = std::move(calls_.front());
+    calls_.pop_front();
+    call.handler_(Failure{ false });
+  }
   if (isBusy_ || calls_.empty() || isClosed_) {
     return;
   }
@@ -62,15 +83,35 @@
   timer_.expires_at(calls_.front().deadline_);
   timer_.async_wait([weak = weak_from_this()](const std::error_code& aError) {
     const auto self = weak.lock();
-    if (!self || aError || !self->isBusy_ || self->calls_.empty() ||
-        std::chrono::steady_clock::now() < self->calls_.front().deadline_) {
-      return;
+    if (self && !aError && self->isBusy_ && !self->calls_.empty()) {
+      self->OnDeadline();
     }
-    self->Drop();
-    self->Finish(Failure{ self->isSent_ });
   });
 }
 
+void
+Channel::OnDeadline()
+{
+  PendingCall& call = calls_.front();
+  const auto now = std::chrono::steady_clock::now();
+  if (now < call.deadline_) {
+    return;
+  }
+  // A timer that comes late shows that the loop is behind. The connection or
+  // the answer then waits for its turn too, and closing the connection would
+  // add work to a loop that has too much.
+  const auto late = now - call.deadline_;
+  if (late >= kLoopBehind && call.extensions_ < kMostExtensions) {
+    ++call.extensions_;
+    call.deadline_ = now + std::min<std::chrono::steady_clock::duration>(
+                             kExtensionFactor * late, kMostExtension);
+    ArmTimer();
+    return;
+  }
+  Drop();
+  Finish(Failure{ isSent_ });
+}
+
 void
 Channel::Connect()
 {
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -22,7 +22,8 @@
 using ResultHandler = std::function<void(Result)>;
 
 /// One kept connection to a server; calls wait for each other. Every call
-/// gets exactly one result, at the latest after its time limit.
+/// gets exactly one result, at the latest after its time limit. Delays of the
+/// event loop, which hold up answers that have arrived, extend the limit.
 class Channel : public std::enable_shared_from_this<Channel>
 {
 public:
@@ -41,6 +42,8 @@
     Request request_;
     std::chrono::steady_clock::time_point deadline_;
     ResultHandler handler_;
+    /// How often the deadline was moved since the timer came late.
+    int extensions_ = 0;
   };
 
   void Start();
@@ -49,6 +52,7 @@
   void Read();
   void OnBytes(std::size_t aCount);
   void ArmTimer();
+  void OnDeadline();
   void Finish(Result aResult);
   void Drop();
 
