Have daemons on larger VMs own

Cause: any follower may claim, so a take-over mostly ends on a VM with 0.12 of a core. Change: the owner's record names the processor share of its VM (`limits`). Where the owner is silent or has resigned, daemons with less than that share wait 0.4 s longer. A daemon with twice the owner's share claims from an owner that is alive, after 2.5 s of reading and 3 s of the owner's time. A follower's read ends when its patience does; before, all claims fell on the read's full second, 3 s after the last renewal, whatever the patience. Records of earlier versions decode with a share of zero, which is never replaced for its size. AcknowledgesNoEndBeforeAllEarlierEndsAreStored asked a daemon drawn by chance, which can be the former owner without the store; it now lifts the cut before it asks, and so covers the former owner's return as well.

--- a/src/verbenawell/codec/internal/Encoder.h
+++ b/src/verbenawell/codec/internal/Encoder.h
@@ -28,6 +28,13 @@
     (array_.push_back(Encode(aFields)), ...);
   }
 
+  /// A field that earlier versions lack; it follows all others.
+  template<typename T>
+  void Later(const T& aField)
+  {
+    array_.push_back(Encode(aField));
+  }
+
   [[nodiscard]] nlohmann::json Take() { return std::move(array_); }
 
 private:
--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -163,6 +163,7 @@
            aValue.address_,
            aValue.epoch_,
            aValue.resigned_);
+  aArchive.Later(aValue.processor_);
 }
 
 template<typename Archive, OneOf<jobs::SubmitJob> T>
--- a/src/verbenawell/jobs/ownership/OwnerRecord.h
+++ b/src/verbenawell/jobs/ownership/OwnerRecord.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Endpoint.h"
 #include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Units.h"
 #include "verbenawell/jobs/model/Ids.h"
 
 #include <string>
@@ -19,6 +20,8 @@
   /// Zero in a claim, whose epoch follows from its offset.
   Epoch epoch_;
   bool resigned_ = false;
+  /// Processor share of the daemon's VM; zero where it is not known.
+  MilliCores processor_;
 
   bool operator==(const OwnerRecord&) const = default;
 };
--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -17,7 +17,14 @@
 constexpr Duration kOwnerSilence = 2500ms;
 // Spreads the claims of the followers, so that most of them see the first one.
 constexpr Duration kClaimSpread = 400ms;
+// An owner on a VM of this many times less processor is replaced: an owner
+// with 0.12 of a core ended a tenth of the jobs that one with 0.5 did.
+constexpr std::uint64_t kOutgrownBy = 2;
+// Orders for VMs of two owners have to lie this far apart.
+constexpr Duration kLeastTenure = 3s;
 constexpr Duration kReadWait = 1s;
+// The shortest wait that the store can be asked for is a millisecond.
+constexpr Duration kLeastReadWait = 10ms;
 constexpr Duration kReadRetry = 200ms;
 
 class Reducer
@@ -65,10 +72,10 @@
       state_.role_ = Following{};
       state_.appendSentAt_.reset();
     }
-    if (IsFree()) {
-      Claim();
+    if (const char* reason = ClaimReason(); reason != nullptr) {
+      Claim(reason);
     } else {
-      effects_.push_back(ReadOwner{ state_.end_, kReadWait });
+      effects_.push_back(ReadOwner{ state_.end_, TimeToWatch() });
     }
   }
 
@@ -166,25 +173,72 @@
     }
   }
 
-  [[nodiscard]] bool IsFree() const
+  /// Why this daemon may claim, or null.
+  [[nodiscard]] const char* ClaimReason() const
   {
     if (state_.isStopping_ || state_.AsOwner() != nullptr) {
-      return false;
+      return nullptr;
     }
     if (!state_.owner_) {
-      return now_ - state_.renewedAt_ >= state_.patience_;
+      return silence >= state_.patience_ ? "no owner" : nullptr;
     }
-    if (state_.owner_->resigned_ && !IsSelf(*state_.owner_)) {
-      return true;
+    if (IsOfEarlierSelf(*state_.owner_)) {
+      return "own earlier process";
     }
-    // The record is of an earlier process of this daemon, which is gone.
-    if (state_.owner_->daemon_ == state_.self_.daemon_) {
-      return true;
+      state_.ownerSince_ = now_;
+    const Duration patience = Patience(*state_.owner_);
+    if (silence >= patience &&
+        (state_.owner_->resigned_ || HasWatchedFor(patience))) {
+      return state_.owner_->resigned_ ? "resigned" : "silent";
     }
-    const Duration silence = kOwnerSilence + state_.patience_;
-    return now_ - state_.renewedAt_ >= silence &&
-           state_.readingSince_ != TimePoint::max() &&
-           now_ - state_.readingSince_ >= silence;
+    if (IsOutgrown(*state_.owner_) && HasWatchedFor(kOwnerSilence) &&
+        now_ - state_.ownerSince_ >= kLeastTenure) {
+      return "larger";
+    }
+    return nullptr;
+  }
+
+  // A daemon on a smaller VM than the owner had leaves the first claim to the
+  // others.
+  [[nodiscard]] Duration Patience(const OwnerRecord& aOwner) const
+  {
+    const bool isSmaller = state_.self_.processor_ < aOwner.processor_;
+    if (aOwner.resigned_ && !IsSelf(aOwner)) {
+      return isSmaller ? kClaimSpread + state_.patience_ : Duration{};
+    }
+                   { "millicores", std::to_string(record.processor_.Value()) },
+    return kOwnerSilence + state_.patience_ +
+           (isSmaller ? kClaimSpread : Duration{});
+  }
+
+  [[nodiscard]] bool HasWatchedFor(Duration aTime) const
+  {
+    return state_.readingSince_ != TimePoint::max() &&
+           now_ - state_.readingSince_ >= aTime;
+  }
+
+  [[nodiscard]] bool IsOutgrown(const OwnerRecord& aOwner) const
+  {
+    return aOwner.processor_ > MilliCores{} &&
+           state_.self_.processor_.Value() >=
+             kOutgrownBy * aOwner.processor_.Value();
+  }
+
+  // The record of an earlier process of this daemon, which is gone.
+  [[nodiscard]] bool IsOfEarlierSelf(const OwnerRecord& aRecord) const
+  {
+    return aRecord.daemon_ == state_.self_.daemon_ && !IsSelf(aRecord);
+  }
+
+  // A read ends when the owner has been silent for long enough, so that the
+  // order in which daemons claim is the order of their patience.
+  [[nodiscard]] Duration TimeToWatch() const
+  {
+    const Duration left =
+      (state_.owner_ ? Patience(*state_.owner_) : state_.patience_) -
+      (now_ - state_.renewedAt_);
+    return left <= Duration{} ? kReadWait
+                              : std::clamp(left, kLeastReadWait, kReadWait);
   }
 
   [[nodiscard]] bool IsSelf(const OwnerRecord& aRecord) const
@@ -192,7 +246,8 @@
     return aRecord.instance_ == state_.self_.instance_;
   }
 
-  void Claim()
+    const Duration silence = now_ - state_.renewedAt_;
+  void Claim(const char* aReason)
   {
     state_.role_ = Claiming{};
     DrawPatience();
@@ -221,6 +276,8 @@
   void Take(Epoch aEpoch, TimePoint aSentAt)
   {
     state_.role_ = Owning{ aEpoch, aSentAt, now_ };
+        { "reason", aReason },
+        { "millicores", std::to_string(state_.self_.processor_.Value()) },
     state_.owner_ = state_.self_;
     state_.owner_->epoch_ = aEpoch;
     state_.renewedAt_ = now_;
--- a/src/verbenawell/jobs/ownership/OwnershipState.h
+++ b/src/verbenawell/jobs/ownership/OwnershipState.h
@@ -40,6 +40,8 @@
   Offset end_;
   bool hasRead_ = false;
   bool isStopping_ = false;
+  /// Since when the newest record names its owner.
+  TimePoint ownerSince_;
   /// When the newest renewal was read.
   TimePoint renewedAt_;
   /// Since when the topic is read without a failure.
--- a/tests/jobs/Installation.h
+++ b/tests/jobs/Installation.h
@@ -66,6 +66,8 @@
   void AddService();
   /// From now on the queue's jobs start only with tickets.
   void RequireTickets();
+  /// Sets the processor share of a daemon's VM, from its next start on.
+  void SetProcessor(const std::string& aDaemon, MilliCores aProcessor);
   void Kill(const std::string& aDaemon);
   void Start(const std::string& aDaemon);
   void Stop(const std::string& aDaemon);
@@ -150,6 +152,7 @@
   void ListWorkers();
 
   std::map<std::string, Daemon> daemons_;
+  std::map<std::string, MilliCores> processors_;
   std::vector<Vm> vms_;
   std::vector<std::unique_ptr<FakeWorker>> formerWorkers_;
   std::map<std::string, JobDefinition> definitions_;
--- a/tests/jobs/JobManagerTest.cpp
+++ b/tests/jobs/JobManagerTest.cpp
@@ -107,6 +107,9 @@
   installation.RunFor(100ms);
   installation.store_.faults_.cutOff_.insert(DaemonId{ owner });
   installation.RunFor(20s);
+  // Any daemon may be asked, so the former owner has to be back.
+  installation.store_.faults_.cutOff_.clear();
+  installation.RunFor(2s);
   EXPECT_EQ(installation.StateOfJob("0000000000000001"), JobState::Completed);
   ExpectKept(installation);
 }
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -182,6 +182,22 @@
   }
 }
 
+// Guards against a share that is read as whole cores, or a file without limits
+// that is taken for a fault.
+TEST(PlatformSettings, ReadsTheProcessorShare)
+{
+  const std::string path = testing::TempDir() + "limits.json";
+  const std::string rest =
+    R"("zone":"z","ipAddress":"10.0.0.1","internalPortRange":[70,80],
+       "listen":{"frontend":"10.0.0.1:1","readiness":"10.0.0.1:2"},
+       "platform":{"address":"10.0.0.9:3","recordBytes":9}})";
+  std::ofstream(path) << R"({"node":"n","limits":{"cpuShare":0.12,"cores":2},)"
+                      << rest;
+  EXPECT_EQ(LoadPlatformSettings(path).processor_, MilliCores{ 240 });
+  std::ofstream(path) << R"({"node":"n",)" << rest;
+  EXPECT_EQ(LoadPlatformSettings(path).processor_, MilliCores{});
+}
+
 /// Answers each request after a while; `/now` at once.
 class SlowServer
 {
