Give up the ownership when workers follow a newer owner

Cause: a hold refused for its epoch was repeated every 100 ms, and only the store told an owner of its successor. Change: a refusal for a higher epoch ends the ownership; orders stop and waiting requests go to the next owner. A renewal whose answer comes later takes nothing over. Tests: Ownership.EndsWhenWorkersFollowANewerOwner.

--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -99,8 +99,11 @@
       } else {
         effects_.push_back(SetTimer{ OwnershipTick{}, kRenewalInterval });
       }
-    } else {
+    } else if (std::holds_alternative<Claiming>(state_.role_)) {
       Take(EpochOf(aAppended.offset_), sentAt);
+    } else {
+      // A renewal from before the ownership was lost.
+      effects_.push_back(ReadNewestOwner{});
     }
   }
 
@@ -114,6 +117,24 @@
 
   void On(const JournalEpochRefused&) { effects_.push_back(ReadNewestOwner{}); }
 
+  // Workers refuse an epoch only for a higher one, which a later claim has
+  // given. A daemon that the store turns away learns of the claim here first.
+  void On(const HoldRefused& aRefused)
+  {
+    const Owning* owning = state_.AsOwner();
+    if (owning == nullptr || aRefused.fenced_ != owning->epoch_) {
+      return;
+    }
+    const bool isAppending = state_.appendSentAt_.has_value();
+    Lose("workers follow a newer owner");
+    if (isAppending) {
+      // Its result leads to the next read.
+      state_.readingSince_ = TimePoint::max();
+    } else {
+      effects_.push_back(ReadNewestOwner{});
+    }
+  }
+
   void On(const TimerDue& aDue)
   {
     if (!std::holds_alternative<OwnershipTick>(aDue.key_)) {
@@ -163,10 +184,12 @@
       Lose("another daemon has claimed");
     }
     if (isNew) {
+      state_.ownerSince_ = now_;
       effects_.push_back(
         LogLine{ LogLevel::Info,
                  "owner_changed",
                  { { "owner", record.daemon_.Value() },
+                   { "millicores", std::to_string(record.processor_.Value()) },
                    { "epoch", std::to_string(record.epoch_.Value()) },
                    { "offset", std::to_string(state_.end_.Value()) } } });
       effects_.push_back(Raise{ OwnerChanged{} });
@@ -179,13 +202,13 @@
     if (state_.isStopping_ || state_.AsOwner() != nullptr) {
       return nullptr;
     }
+    const Duration silence = now_ - state_.renewedAt_;
     if (!state_.owner_) {
       return silence >= state_.patience_ ? "no owner" : nullptr;
     }
     if (IsOfEarlierSelf(*state_.owner_)) {
       return "own earlier process";
     }
-      state_.ownerSince_ = now_;
     const Duration patience = Patience(*state_.owner_);
     if (silence >= patience &&
         (state_.owner_->resigned_ || HasWatchedFor(patience))) {
@@ -206,7 +229,6 @@
     if (aOwner.resigned_ && !IsSelf(aOwner)) {
       return isSmaller ? kClaimSpread + state_.patience_ : Duration{};
     }
-                   { "millicores", std::to_string(record.processor_.Value()) },
     return kOwnerSilence + state_.patience_ +
            (isSmaller ? kClaimSpread : Duration{});
   }
@@ -246,7 +268,6 @@
     return aRecord.instance_ == state_.self_.instance_;
   }
 
-    const Duration silence = now_ - state_.renewedAt_;
   void Claim(const char* aReason)
   {
     state_.role_ = Claiming{};
@@ -255,6 +276,8 @@
       LogLevel::Info,
       "owner_claim",
       { { "offset", std::to_string(state_.end_.Value()) },
+        { "reason", aReason },
+        { "millicores", std::to_string(state_.self_.processor_.Value()) },
         { "silent_ms",
           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
                            now_ - state_.renewedAt_)
@@ -276,8 +299,6 @@
   void Take(Epoch aEpoch, TimePoint aSentAt)
   {
     state_.role_ = Owning{ aEpoch, aSentAt, now_ };
-        { "reason", aReason },
-        { "millicores", std::to_string(state_.self_.processor_.Value()) },
     state_.owner_ = state_.self_;
     state_.owner_->epoch_ = aEpoch;
     state_.renewedAt_ = now_;
--- a/src/verbenawell/jobs/workers/WorkerEvents.h
+++ b/src/verbenawell/jobs/workers/WorkerEvents.h
@@ -101,6 +101,8 @@
 {
   WorkerId worker_;
   std::string reason_;
+  /// The refused epoch, if a newer owner has given orders to the worker.
+  std::optional<Epoch> fenced_;
 };
 
 enum class StartRefusal : std::uint8_t
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -191,7 +191,7 @@
   }
   if (!RaiseFence(aHold.epoch_)) {
     time_.After(kLatency, [aReply, aHold] {
-      aReply(HoldRefused{ aHold.worker_, "fence" });
+      aReply(HoldRefused{ aHold.worker_, "fence", aHold.epoch_ });
     });
     return;
   }
--- a/tests/jobs/OwnershipTest.cpp
+++ b/tests/jobs/OwnershipTest.cpp
@@ -106,6 +106,28 @@
   EXPECT_EQ(Count(installation, "ownership_taken"), 1U);
 }
 
+// Guards against a former owner without the store that goes on asking workers
+// which refuse it: 3,000 refused calls a second for four seconds.
+TEST(Ownership, EndsWhenWorkersFollowANewerOwner)
+{
+  Installation installation{ 9, { 3, 20, 2, 0, 0 } };
+  installation.RunFor(kStartUp);
+  installation.Submit("0000000000000001", MakeJob(20, 1, 15s));
+  installation.RunFor(1s);
+  const std::string first = installation.Owner();
+  installation.store_.faults_.cutOff_.insert(DaemonId{ first });
+  installation.RunFor(8s);
+  EXPECT_EQ(installation.StateOf(first).ownership_.AsOwner(), nullptr);
+  EXPECT_NE(installation.Owner(), first);
+  EXPECT_FALSE(installation.Owner().empty());
+  EXPECT_LE(Count(installation, "hold_refused"), installation.Workers());
+  installation.store_.faults_.cutOff_.clear();
+  installation.RunFor(15s);
+  EXPECT_EQ(Count(installation, "ownership_taken"), 2U);
+  EXPECT_EQ(installation.StateOfJob("0000000000000001"), JobState::Completed);
+  ExpectKept(installation);
+}
+
 // Guards against a record of an earlier version that is taken for no record:
 // the daemons of both versions would claim in turns during an upgrade.
 TEST(Ownership, ReadsTheRecordOfAnEarlierVersion)
