--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -17,7 +17,14 @@
 constexpr Duration kOwnerSilence = 2500ms;
 // Spreads the claims of the followers, so that most of them see the first one.
 constexpr Duration kClaimSpread = 400ms;
+// An owner on a VM of this many times less processor is replaced: an owner
+// with 0.12 of a core ended a tenth of the jobs that one with 0.5 did.
+constexpr std::uint64_t kOutgrownBy = 2;
+// Orders for VMs of two owners have to lie this far apart.
+constexpr Duration kLeastTenure = 3s;
 constexpr Duration kReadWait = 1s;
+// The shortest wait that the store can be asked for is a millisecond.
+constexpr Duration kLeastReadWait = 10ms;
 constexpr Duration kReadRetry = 200ms;
 
 class Reducer
@@ -65,10 +72,10 @@
       state_.role_ = Following{};
       state_.appendSentAt_.reset();
     }
-    if (IsFree()) {
-      Claim();
+    if (const char* reason = ClaimReason(); reason != nullptr) {
+      Claim(reason);
     } else {
-      effects_.push_back(ReadOwner{ state_.end_, kReadWait });
+      effects_.push_back(ReadOwner{ state_.end_, TimeToWatch() });
     }
   }
 
@@ -92,8 +99,11 @@
       } else {
         effects_.push_back(SetTimer{ OwnershipTick{}, kRenewalInterval });
       }
-    } else {
+    } else if (std::holds_alternative<Claiming>(state_.role_)) {
       Take(EpochOf(aAppended.offset_), sentAt);
+    } else {
+      // A renewal from before the ownership was lost.
+      effects_.push_back(ReadNewestOwner{});
     }
   }
 
@@ -107,6 +117,24 @@
 
   void On(const JournalEpochRefused&) { effects_.push_back(ReadNewestOwner{}); }
 
+  // Workers refuse an epoch only for a higher one, which a later claim has
+  // given. A daemon that the store turns away learns of the claim here first.
+  void On(const HoldRefused& aRefused)
+  {
+    const Owning* owning = state_.AsOwner();
+    if (owning == nullptr || aRefused.fenced_ != owning->epoch_) {
+      return;
+    }
+    const bool isAppending = state_.appendSentAt_.has_value();
+    Lose("workers follow a newer owner");
+    if (isAppending) {
+      // Its result leads to the next read.
+      state_.readingSince_ = TimePoint::max();
+    } else {
+      effects_.push_back(ReadNewestOwner{});
+    }
+  }
+
   void On(const TimerDue& aDue)
   {
     if (!std::holds_alternative<OwnershipTick>(aDue.key_)) {
@@ -156,35 +184,83 @@
       Lose("another daemon has claimed");
     }
     if (isNew) {
+      state_.ownerSince_ = now_;
       effects_.push_back(
         LogLine{ LogLevel::Info,
                  "owner_changed",
                  { { "owner", record.daemon_.Value() },
+                   { "millicores", std::to_string(record.processor_.Value()) },
                    { "epoch", std::to_string(record.epoch_.Value()) },
                    { "offset", std::to_string(state_.end_.Value()) } } });
       effects_.push_back(Raise{ OwnerChanged{} });
     }
   }
 
-  [[nodiscard]] bool IsFree() const
+  /// Why this daemon may claim, or null.
+  [[nodiscard]] const char* ClaimReason() const
   {
     if (state_.isStopping_ || state_.AsOwner() != nullptr) {
-      return false;
+      return nullptr;
     }
+    const Duration silence = now_ - state_.renewedAt_;
     if (!state_.owner_) {
-      return now_ - state_.renewedAt_ >= state_.patience_;
+      return silence >= state_.patience_ ? "no owner" : nullptr;
     }
-    if (state_.owner_->resigned_ && !IsSelf(*state_.owner_)) {
-      return true;
+    if (IsOfEarlierSelf(*state_.owner_)) {
+      return "own earlier process";
     }
-    // The record is of an earlier process of this daemon, which is gone.
-    if (state_.owner_->daemon_ == state_.self_.daemon_) {
-      return true;
+    const Duration patience = Patience(*state_.owner_);
+    if (silence >= patience &&
+        (state_.owner_->resigned_ || HasWatchedFor(patience))) {
+      return state_.owner_->resigned_ ? "resigned" : "silent";
+    }
+    if (IsOutgrown(*state_.owner_) && HasWatchedFor(kOwnerSilence) &&
+        now_ - state_.ownerSince_ >= kLeastTenure) {
+      return "larger";
+    }
+    return nullptr;
+  }
+
+  // A daemon on a smaller VM than the owner had leaves the first claim to the
+  // others.
+  [[nodiscard]] Duration Patience(const OwnerRecord& aOwner) const
+  {
+    const bool isSmaller = state_.self_.processor_ < aOwner.processor_;
+    if (aOwner.resigned_ && !IsSelf(aOwner)) {
+      return isSmaller ? kClaimSpread + state_.patience_ : Duration{};
     }
-    const Duration silence = kOwnerSilence + state_.patience_;
-    return now_ - state_.renewedAt_ >= silence &&
-           state_.readingSince_ != TimePoint::max() &&
-           now_ - state_.readingSince_ >= silence;
+    return kOwnerSilence + state_.patience_ +
+           (isSmaller ? kClaimSpread : Duration{});
+  }
+
+  [[nodiscard]] bool HasWatchedFor(Duration aTime) const
+  {
+    return state_.readingSince_ != TimePoint::max() &&
+           now_ - state_.readingSince_ >= aTime;
+  }
+
+  [[nodiscard]] bool IsOutgrown(const OwnerRecord& aOwner) const
+  {
+    return aOwner.processor_ > MilliCores{} &&
+           state_.self_.processor_.Value() >=
+             kOutgrownBy * aOwner.processor_.Value();
+  }
+
+  // The record of an earlier process of this daemon, which is gone.
+  [[nodiscard]] bool IsOfEarlierSelf(const OwnerRecord& aRecord) const
+  {
+    return aRecord.daemon_ == state_.self_.daemon_ && !IsSelf(aRecord);
+  }
+
+  // A read ends when the owner has been silent for long enough, so that the
+  // order in which daemons claim is the order of their patience.
+  [[nodiscard]] Duration TimeToWatch() const
+  {
+    const Duration left =
+      (state_.owner_ ? Patience(*state_.owner_) : state_.patience_) -
+      (now_ - state_.renewedAt_);
+    return left <= Duration{} ? kReadWait
+                              : std::clamp(left, kLeastReadWait, kReadWait);
   }
 
   [[nodiscard]] bool IsSelf(const OwnerRecord& aRecord) const
@@ -192,7 +268,7 @@
     return aRecord.instance_ == state_.self_.instance_;
   }
 
-  void Claim()
+  void Claim(const char* aReason)
   {
     state_.role_ = Claiming{};
     DrawPatience();
@@ -200,6 +276,8 @@
       LogLevel::Info,
       "owner_claim",
       { { "offset", std::to_string(state_.end_.Value()) },
+        { "reason", aReason },
+        { "millicores", std::to_string(state_.self_.processor_.Value()) },
         { "silent_ms",
           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
                            now_ - state_.renewedAt_)
--- a/tests/jobs/OddRecordsTest.cpp
+++ b/tests/jobs/OddRecordsTest.cpp
@@ -103,7 +103,7 @@
   std::size_t lines = 0;
   const auto refuse = [&](const std::string& aReason) {
     lines += CountLines(
-      Reduce(state, HoldRefused{ WorkerId{ "i-1" }, aReason }, At(1s)),
+      Reduce(state, HoldRefused{ WorkerId{ "i-1" }, aReason, {} }, At(1s)),
       "hold_refused");
   };
   for (int hold = 0; hold < 10; ++hold) {
