End a worker for its VM's upkeep only when the list of VMs shows it

What callers saw: a task could run twice at the same time, and a wave could stand still: TWICE, two starts by one owner, the first run stopped a moment after the second began. Cause: an upkeep order is also accepted if the VM's upkeep was done before. An owner took each acceptance for the end of the VM's present worker. A new owner does not know of the upkeeps whose answer its predecessor did not store, so it orders them again; the VM's next worker then lived on while its runs were lost and started elsewhere, and were stopped as unexpected when it was listed again within half a second. The VM also counted as down until the wave was over. Change: an accepted order marks the VM as down; the worker ends, or the VM is done, by the first list that was asked for after the answer. The log line upkeep_done_before tells of an order that came too late. Conclusion: a cause of TWICE.

--- a/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
+++ b/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
@@ -100,8 +100,6 @@
         [&](VmOrderAccepted) {
           SetPhase(progress, VmPhase::Down);
           StoreProgress(wave->second);
-          // Everything on the VM has ended with the order.
-          effects_.push_back(Raise{ WorkerEnded{ progress.worker_ } });
         },
         [&](VmOrderBusy) { SetPhase(progress, VmPhase::Draining); },
         [&](VmOrderInvalid) { SetPhase(progress, VmPhase::Done); },
@@ -237,16 +235,41 @@
     Complete(aWave);
   }
 
-  // A VM that has left the list needs no maintenance any more.
+  // A VM that has left the list needs no maintenance any more. An order is also
+  // accepted if the maintenance was done before, as by an owner whose answer
+  // was lost; the worker of the VM then lives on. Only a list that was asked
+  // for after the answer shows whether it has ended.
   void ObserveVm(const VmId& aVm, VmProgress& aProgress)
   {
     const auto found = state_.vms_.find(aVm);
-    const bool isBack = found != state_.vms_.end() &&
-                        aProgress.phase_ == VmPhase::Down &&
-                        found->second.state_ == VmState::Up &&
-                        found->second.worker_ != aProgress.worker_;
-    if (found == state_.vms_.end() || isBack) {
+    if (found == state_.vms_.end()) {
       SetPhase(aProgress, VmPhase::Done);
+      return;
+    }
+    if (aProgress.phase_ != VmPhase::Down ||
+        state_.readAt_ <= aProgress.since_) {
+      return;
+    }
+    const ListedVm& vm = found->second;
+    const bool isUp = vm.state_ == VmState::Up;
+    if (!isUp || vm.worker_ != aProgress.worker_) {
+      EndWorker(aProgress);
+    } else if (!vm.worker_.IsEmpty()) {
+      effects_.push_back(
+        LogLine{ LogLevel::Info,
+                 "upkeep_done_before",
+                 { { "vm", aVm.Value() }, { "worker", vm.worker_.Value() } } });
+    }
+    if (isUp) {
+      SetPhase(aProgress, VmPhase::Done);
+    }
+  }
+
+  void EndWorker(const VmProgress& aProgress)
+  {
+    if (views_.workers_.Find(aProgress.worker_) != nullptr &&
+        !views_.workers_.ended_.contains(aProgress.worker_)) {
+      effects_.push_back(Raise{ WorkerEnded{ aProgress.worker_ } });
     }
   }
 
--- /dev/null
+++ b/tests/jobs/StartOrdersTest.cpp
@@ -0,0 +1,65 @@
+#include "ExpectKept.h"
+
+#include <gtest/gtest.h>
+
+namespace verbenawell::jobs {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A wave in which the first upkeep was begun by an owner that ended before it
+/// was answered; its successor does not know of it.
+class StartOrders : public testing::Test
+{
+protected:
+  StartOrders()
+  {
+    installation_.RunFor(kStartUp);
+    // Keeps the VM that is first in the wave from being the first to go down.
+    installation_.Submit("0000000000000001", MakeJob(1, 1, 30s));
+    installation_.RunFor(1s);
+    installation_.BeginWave(1);
+    const TimePoint end = installation_.time_.Now() + 30s;
+    while (installation_.begun_.empty() && installation_.time_.Step(end)) {
+    }
+    const std::string owner = installation_.Owner();
+    installation_.Kill(owner);
+    installation_.RunFor(100ms);
+    installation_.Start(owner);
+    installation_.RunFor(2500ms);
+  }
+
+  /// The present worker of the VM whose upkeep was begun first.
+  FakeWorker& Renewed() { return installation_.WorkerAt(renewed_); }
+
+  Installation installation_{ 61, { 3, 4, 2 } };
+  std::size_t renewed_ = 1;
+};
+
+// Guards against an accepted upkeep order that is taken to have ended the VM's
+// present worker, though the upkeep was done before that worker came: its runs
+// were started a second time while they went on.
+TEST_F(StartOrders, KeepTheRunsOfAWorkerThatCameAfterTheUpkeep)
+{
+  ASSERT_EQ(installation_.begun_, std::set{ VmId{ "vm1" } });
+  installation_.Submit("0000000000000002", MakeJob(12, 1, 30s));
+  installation_.RunFor(1s);
+  const auto runs = Renewed().Running();
+  ASSERT_FALSE(runs.empty());
+  installation_.RunFor(25s);
+  EXPECT_EQ(Renewed().Running(), runs);
+  ExpectKept(installation_);
+}
+
+// Guards against a VM that counts as down for the rest of the wave, since its
+// worker does not change any more: no other VM went down.
+TEST_F(StartOrders, FinishAWaveInWhichAnUpkeepWasDoneBefore)
+{
+  installation_.RunFor(30s);
+  EXPECT_EQ(installation_.begun_.size(), 4U);
+  EXPECT_TRUE(installation_.store_.waveStatus_[WaveNumber{ 1 }]);
+  ExpectKept(installation_);
+}
+
+} // namespace
+} // namespace verbenawell::jobs
