Stop a start in a worker's next life if a copy of it may still arrive

What callers saw: in virtual time, a task ran twice at the same time. Cause: a start without an answer is repeated; once the repeat was answered, the run of a worker with a new life counted as gone like any other. The first copy may be carried out later, by the new life, which knows of no earlier run. Change: such a run is stopped in the new life, as one without any answer is. The fake worker can keep late orders over a life. Conclusion: closed for runs that the owner still knows. A copy that is carried out after its run has ended and the worker has a new life is still open.

--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -114,12 +114,14 @@
   aWorker.born_ = aBorn;
   LogWorker("worker_reborn", aWorker, aEffects);
   // An order that had no answer may have reached the new life, or may reach it
-  // yet; a stop settles that. Of the other runs the next list shows the end.
+  // yet, also where a repeat was answered; a stop settles that. Of the other
+  // runs the next list shows the end.
   for (auto& [task, run] : aWorker.runs_) {
-    if (run.answeredAt_) {
+    if (run.answeredAt_ && !run.mayArrive_) {
       run.answeredAt_ = aContext.now_;
     } else if (run.isStored_) {
       run.phase_ = RunPhase::Stopping;
+      run.answeredAt_.reset();
       run.isSending_ = false;
     }
   }
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -70,7 +70,7 @@
 {
   time_.After(1s + Duration(random_.Below(5'000'000)),
               [this, life = life_, order = std::move(aOrder)] {
-                if (isAlive_ && life == life_) {
+                if (isAlive_ && (life == life_ || faults_.lateOrdersOutlive_)) {
                   order();
                 }
               });
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -22,6 +22,8 @@
   bool isCutOff_ = false;
   /// Of a hundred orders, those carried out seconds later without an answer.
   int lateOrders_ = 0;
+  /// Late orders are also carried out by the next life under the same id.
+  bool lateOrdersOutlive_ = false;
   /// Of a hundred runs, those that fail.
   int failures_ = 0;
   /// Runs that start take this many times as long.
--- a/tests/jobs/StartOrdersTest.cpp
+++ b/tests/jobs/StartOrdersTest.cpp
@@ -61,5 +61,34 @@
   ExpectKept(installation_);
 }
 
+// Guards against a copy of a start that had no answer and is carried out by the
+// worker's next life: its run was known from a repeat, so it counted as gone
+// with the first life and was started elsewhere. The seed decides how late the
+// copy is; with each of these it comes while the second run is at work.
+class LateStarts : public testing::TestWithParam<std::uint64_t>
+{};
+
+TEST_P(LateStarts, AreStoppedAtAWorkerWithANewLife)
+{
+  Installation installation{ GetParam(), { 3, 4, 2 } };
+  installation.RunFor(kStartUp);
+  WorkerFaults& faults = installation.WorkerAt(0).faults_;
+  faults.lateOrders_ = 100;
+  faults.lateOrdersOutlive_ = true;
+  installation.Submit("0000000000000001", MakeJob(1, 1, 30s));
+  installation.RunFor(400ms);
+  faults.lateOrders_ = 0;
+  installation.RunFor(500ms);
+  ASSERT_EQ(installation.WorkerAt(0).Running().size(), 1U);
+  installation.KillWorker(0);
+  installation.ReviveWorker(0);
+  // Keeps the task from starting again on the same worker.
+  installation.BeginWave(1);
+  installation.RunFor(10s);
+  ExpectKept(installation);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LateStarts, testing::Values(60, 67, 68, 78));
+
 } // namespace
 } // namespace verbenawell::jobs
