--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -275,7 +275,7 @@
         const Step& step = job.definition_.steps_[task.step_.Value()];
         run.room_ = RoomOnWorker(step);
         run.isLongRunning_ = step.longRunning_;
-        run.phase_ = Present{ state_.takenAt_ };
+        run.phase_ = Present{ state_.takenAt_, false };
         run.isStored_ = true;
         worker->second.used_ += run.room_;
         worker->second.runs_.emplace(task, std::move(run));
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -26,6 +26,8 @@
 struct Present
 {
   TimePoint shownAt_;
+  /// An earlier start had no answer; a new life may still carry it out.
+  bool mayArrive_ = false;
 };
 
 /// A stop is ordered; the room stays taken until the end is listed.
--- a/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerAnswers.cpp
@@ -162,9 +162,11 @@
 ConfirmRuns(Worker& aWorker, const WorkerLists& aLists)
 {
   for (const ListedRun& listed : aLists.running_) {
-    if (Assignment* run = FindRun(aWorker, listed.task_, listed.run_);
-        run != nullptr && std::holds_alternative<Starting>(run->phase_)) {
-      run->phase_ = Present{ aLists.sentAt_ };
+    Assignment* run = FindRun(aWorker, listed.task_, listed.run_);
+    const auto* starting =
+      run == nullptr ? nullptr : std::get_if<Starting>(&run->phase_);
+    if (starting != nullptr) {
+      run->phase_ = Present{ aLists.sentAt_, starting->mayArrive_ };
     }
   }
 }
@@ -178,16 +180,16 @@
             const Context& aContext,
             Effects& aEffects)
 {
+  const bool mayArrive = std::get<Starting>(aRun.phase_).mayArrive_;
   if (aRefusal == StartRefusal::Old) {
     // The run was there before; its end is listed.
-    aRun.phase_ = Present{ aContext.now_ };
+    aRun.phase_ = Present{ aContext.now_, mayArrive };
     return;
   }
   if (aRefusal != StartRefusal::Ticket) {
     aWorker.avoidUntil_ = aContext.now_ + kAvoidAfterRefusal;
   }
-  if (std::get<Starting>(aRun.phase_).mayArrive_ &&
-      aRefusal != StartRefusal::OtherLife) {
+  if (mayArrive && aRefusal != StartRefusal::OtherLife) {
     // A stop keeps an earlier copy of the order from being carried out.
     aEffects.push_back(Raise{ StopDecided{ aAnswer.worker_,
                                            aAnswer.task_,
@@ -257,7 +259,9 @@
   }
   starting->isSending_ = false;
   std::visit(Overloaded{
-               [&](StartAccepted) { run->phase_ = Present{ aContext.now_ }; },
+               [&](StartAccepted) {
+                 run->phase_ = Present{ aContext.now_, starting->mayArrive_ };
+               },
                [&](StartRefusal aRefusal) {
                  aEffects.push_back(Count{ aRefusal });
                  RefuseStart(
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -119,15 +119,17 @@
 {
   aWorker.born_ = aBorn;
   LogWorker("worker_reborn", aWorker, aEffects);
-  // A start may have reached the new life, or may reach it yet; a stop that the
-  // new life answers settles that, while an answer of the old life tells
-  // nothing. Of the other runs the next list shows the end.
+  // A start may have reached the new life, or may reach it yet, also where a
+  // repeat was answered; a stop that the new life answers settles that, while
+  // an answer of the old life tells nothing. Of the other runs the next list
+  // shows the end.
   for (auto& [task, run] : aWorker.runs_) {
-    if (auto* present = std::get_if<Present>(&run.phase_)) {
-      present->shownAt_ = aContext.now_;
-    } else if (auto* stopping = std::get_if<Stopping>(&run.phase_)) {
+    if (auto* stopping = std::get_if<Stopping>(&run.phase_)) {
       stopping->isSending_ = false;
       stopping->answeredAt_.reset();
+    } else if (auto* present = std::get_if<Present>(&run.phase_);
+               present != nullptr && !present->mayArrive_) {
+      present->shownAt_ = aContext.now_;
     } else if (run.isStored_) {
       run.phase_.emplace<Stopping>().orderedAt_ = aContext.now_;
     }
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -26,6 +26,8 @@
   bool losesStops_ = false;
   /// Stops are answered and not carried out.
   bool ignoresStops_ = false;
+  /// Late orders are also carried out by the next life under the same id.
+  bool lateOrdersOutlive_ = false;
   /// Of a hundred runs, those that fail.
   int failures_ = 0;
   /// Runs that start take this many times as long.
--- a/tests/jobs/OddListsTest.cpp
+++ b/tests/jobs/OddListsTest.cpp
@@ -215,7 +215,7 @@
 TEST(OwnerTopic, TakesTheNewestRecordThatIsAnOwners)
 {
   const jobs::OwnerRecord owner{
-    DaemonId{ "d" }, "instance", { "10.0.0.1", 80 }, jobs::Epoch{ 4 }, false
+    DaemonId{ "d" }, "instance", { "10.0.0.1", 80 }, jobs::Epoch{ 4 }, false, {}
   };
   for (const auto& [key, value] :
        std::vector<std::pair<std::string, std::string>>{
