Tell a maintenance done before from one that ends a worker

Callers would see tasks run twice (TWICE), and operators a wave that never ends, after an owner was replaced during a wave.

Cause: the platform also accepts an order that is already done. Where an owner was lost between its order and the record of it, the next owner ordered the maintenance again, and took the acceptance for the end of the worker that had come after it. It started the tasks of that worker elsewhere, and the VM counted as down for good, since it waited for a third worker; at a limit of 1 no further VM was ordered.

Change: in a wave that an owner finds at its take-over, an accepted order ends the worker only once the list shows its VM not up or with another worker. A worker that answers a hold sent behind the order lives on, so its VM had its maintenance. Waves that begin under the owner are as before.

--- a/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
+++ b/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kIdleRead = 1s;
 // Tasks that have not ended by then are cut: the wave has its own time.
 constexpr Duration kMostDrain = 5s;
+// A hold waits for a second at the worker; its call ends after 1.7 s.
+constexpr Duration kLongestHold = 2s;
 
 class Reducer
 {
@@ -47,6 +49,7 @@
     state_.isActive_ = true;
     for (const auto& [number, wave] : views_.configuration_.waves_) {
       Begin(wave);
+      state_.waves_.at(number).isInherited_ = true;
     }
     for (const JournalRecord& record : aLoaded.records_) {
       if (const auto* stored = std::get_if<WaveStored>(&record)) {
@@ -100,8 +103,11 @@
         [&](VmOrderAccepted) {
           SetPhase(progress, VmPhase::Down);
           StoreProgress(wave->second);
-          // Everything on the VM has ended with the order.
-          effects_.push_back(Raise{ WorkerEnded{ progress.worker_ } });
+          progress.mayOutlive_ = wave->second.isInherited_;
+          if (!progress.mayOutlive_) {
+            // Everything on the VM has ended with the order.
+            effects_.push_back(Raise{ WorkerEnded{ progress.worker_ } });
+          }
         },
         [&](VmOrderBusy) { SetPhase(progress, VmPhase::Draining); },
         [&](VmOrderInvalid) { SetPhase(progress, VmPhase::Done); },
@@ -180,6 +186,7 @@
   void SetPhase(VmProgress& aProgress, VmPhase aPhase)
   {
     aProgress.phase_ = aPhase;
+    aProgress.mayOutlive_ = false;
     aProgress.since_ = now_;
   }
 
@@ -245,11 +252,26 @@
                         aProgress.phase_ == VmPhase::Down &&
                         found->second.state_ == VmState::Up &&
                         found->second.worker_ != aProgress.worker_;
-    if (found == state_.vms_.end() || isBack) {
+    const bool hasEnded = found != state_.vms_.end() &&
+                          (found->second.state_ != VmState::Up || isBack);
+    if (aProgress.mayOutlive_ && hasEnded) {
+      aProgress.mayOutlive_ = false;
+      effects_.push_back(Raise{ WorkerEnded{ aProgress.worker_ } });
+    }
+    if (found == state_.vms_.end() || isBack || HasOutlived(aProgress)) {
       SetPhase(aProgress, VmPhase::Done);
     }
   }
 
+  // An answer that can only belong to a hold that was sent behind the order.
+  [[nodiscard]] bool HasOutlived(const VmProgress& aProgress) const
+  {
+    const Worker* worker =
+      aProgress.mayOutlive_ ? views_.workers_.Find(aProgress.worker_) : nullptr;
+    return worker != nullptr &&
+           worker->answeredAt_ - aProgress.since_ >= kLongestHold;
+  }
+
   bool StartDrain(const VmId& aVm, VmProgress& aProgress)
   {
     const ListedVm& vm = state_.vms_.at(aVm);
--- a/src/verbenawell/jobs/upkeep/UpkeepState.h
+++ b/src/verbenawell/jobs/upkeep/UpkeepState.h
@@ -32,6 +32,9 @@
   WorkerId worker_;
   /// The last order had no answer.
   bool isUnanswered_ = false;
+  /// Accepted, though perhaps because an earlier owner's order was carried out
+  /// before this worker came; then it runs on.
+  bool mayOutlive_ = false;
 };
 
 struct WaveProgress
@@ -39,6 +42,8 @@
   Wave wave_;
   TimePoint startedAt_;
   std::map<VmId, VmProgress> vms_;
+  /// An earlier owner may have ordered some of the maintenance.
+  bool isInherited_ = false;
   bool isCompleted_ = false;
   bool isStatusWritten_ = false;
 };
--- a/tests/jobs/OrderReviewTest.cpp
+++ b/tests/jobs/OrderReviewTest.cpp
@@ -128,5 +128,44 @@
   ExpectKept(installation);
 }
 
+// Guards against a wave that never goes on after an owner was replaced: the
+// answer that the maintenance had been done before was taken for the end of the
+// worker that came after it.
+TEST(OrderReview, GoesOnWithAWaveWhoseOwnerIsKilledBehindAnOrder)
+{
+  Installation installation{ 73, { 3, 3, 2 } };
+  installation.RunFor(kStartUp + 4s);
+  installation.BeginWave(1);
+  ASSERT_TRUE(
+    RunUntil(installation, 5s, [&] { return !installation.begun_.empty(); }));
+  installation.Kill(installation.Owner());
+  installation.RunFor(60s);
+  EXPECT_EQ(installation.begun_.size(), 3U);
+  EXPECT_TRUE(installation.store_.waveStatus_[WaveNumber{ 1 }]);
+  ExpectKept(installation);
+}
+
+// Guards against tasks that start a second time while they run: a worker whose
+// VM had its maintenance before counted as ended by a repeated order.
+TEST(OrderReview, KeepsTheRunsOfAVmWhoseMaintenanceWasDoneBefore)
+{
+  for (Duration offset = 0ms; offset < 2s; offset += 100ms) {
+    Installation installation{ 74, { 3, 4, 2 } };
+    installation.RunFor(kStartUp + 4s);
+    installation.Submit(kJob, MakeJob(8, 1, 40s));
+    installation.RunFor(20ms);
+    installation.Submit(kOtherJob, MakeJob(8, 1, 11s));
+    installation.RunFor(1s + offset);
+    // Waits until the new worker of the first VM has come.
+    installation.Submit("0000000000000003", MakeJob(2, 1, 30s));
+    installation.BeginWave(1);
+    ASSERT_TRUE(RunUntil(
+      installation, 10s, [&] { return !installation.begun_.empty(); }));
+    installation.Kill(installation.Owner());
+    installation.RunFor(60s);
+    ExpectKept(installation);
+  }
+}
+
 } // namespace
 } // namespace verbenawell::jobs
