Order a full share again to a task that may work at less

Callers would see a task that fills beside others work at a low share, or not at all, for the rest of its run.

Cause: a share below the full one is ordered with each list, the full one only once and only by an owner that had ordered less. Where that order was lost, or carried out before an older one, or where the owner was replaced while the task was paced, nothing raised the share again.

Evidence: OrderReview.RaisesTheShareOfATaskThatAnEarlierOwnerPaced and OrderReview.RepeatsAFullShareForAWhile fail before this change and pass now.

Change: the full share is repeated once a second for 10 s, which covers orders that are carried out seconds late, and a run that this owner has not started is told its share once.

--- a/src/verbenawell/jobs/pacing/PacingReducer.cpp
+++ b/src/verbenawell/jobs/pacing/PacingReducer.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 // Shares of the latency target, in percent. Pacing down starts before the
 // target is passed, since the reported tail is a rough figure.
 constexpr std::int64_t kHarmShare = 85;
@@ -17,6 +19,10 @@
 constexpr std::uint32_t kLeastPercent = 10;
 constexpr std::uint32_t kRaisePercent = 10;
 constexpr std::uint32_t kFullPercent = 100;
+// An order may be lost, or carried out seconds later behind newer ones; a full
+// share that was lost in this way would never be ordered again.
+constexpr Duration kRepeatFullShare = 10s;
+constexpr Duration kFullShareGap = 1s;
 
 class WorkerPass
 {
@@ -24,10 +30,12 @@
   WorkerPass(PacingState& aState,
              const Views& aViews,
              const RunsSeen& aSeen,
+             TimePoint aNow,
              Effects& aEffects)
     : state_(aState)
     , views_(aViews)
     , seen_(aSeen)
+    , now_(aNow)
     , effects_(aEffects)
   {
   }
@@ -96,20 +104,35 @@
     return aNow;
   }
 
+  /// Tells whether this owner has ordered the start, at the full share.
+  static bool IsStartedHere(const Worker& aWorker, const TaskId& aTask)
+  {
+    const auto run = aWorker.runs_.find(aTask);
+    return run != aWorker.runs_.end() &&
+           run->second.startSentAt_ != TimePoint{};
+  }
+
   void Tell(WorkerPace& aPace, const ListedRun& aRun)
   {
-    const auto [told, isNew] =
-      aPace.told_.try_emplace(aRun.task_, Percent{ kFullPercent });
-    const bool isHarmful = aPace.percent_ < Percent{ kFullPercent };
-    // A paced share is repeated with each list: its order may have been lost.
-    if (told->second == aPace.percent_ && !isHarmful) {
-      return;
-    }
     const Worker* worker = views_.workers_.Find(seen_.worker_);
     if (worker == nullptr) {
       return;
     }
-    if (told->second != aPace.percent_) {
+    const auto [entry, isNew] = aPace.told_.try_emplace(
+      aRun.task_, ToldShare{ Percent{ kFullPercent }, {}, {} });
+    ToldShare& told = entry->second;
+    // An earlier owner may have set any share.
+    const bool isChanged = told.percent_ != aPace.percent_ ||
+                           (isNew && !IsStartedHere(*worker, aRun.task_));
+    // A paced share is repeated with each list: its order may have been lost.
+    const bool isHarmful = aPace.percent_ < Percent{ kFullPercent };
+    const bool isRepeated = now_ - told.changedAt_ < kRepeatFullShare &&
+                            now_ - told.sentAt_ >= kFullShareGap;
+    if (!isChanged && !isHarmful && !isRepeated) {
+      return;
+    }
+    if (isChanged) {
+      told.changedAt_ = now_;
       effects_.push_back(
         LogLine{ LogLevel::Info,
                  "task_paced",
@@ -118,7 +141,8 @@
                    { "percent", std::to_string(aPace.percent_.Value()) },
                    { "tail_percent", std::to_string(WorstShare()) } } });
     }
-    told->second = aPace.percent_;
+    told.percent_ = aPace.percent_;
+    told.sentAt_ = now_;
     effects_.push_back(Count{ Counter::Paces });
     effects_.push_back(PaceTask{ seen_.worker_,
                                  worker->entry_.address_,
@@ -131,6 +155,7 @@
   PacingState& state_;
   const Views& views_;
   const RunsSeen& seen_;
+  TimePoint now_;
   Effects& effects_;
 };
 
@@ -140,11 +165,11 @@
 ReducePacing(PacingState& aState,
              const Views& aViews,
              const Event& aEvent,
-             const Context&,
+             const Context& aContext,
              Effects& aEffects)
 {
   if (const auto* seen = std::get_if<RunsSeen>(&aEvent)) {
-    WorkerPass pass{ aState, aViews, *seen, aEffects };
+    WorkerPass pass{ aState, aViews, *seen, aContext.now_, aEffects };
     pass.Run();
   } else if (std::holds_alternative<OwnershipTaken>(aEvent)) {
     aState = {};
--- a/src/verbenawell/jobs/pacing/PacingState.h
+++ b/src/verbenawell/jobs/pacing/PacingState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/TaskId.h"
 
@@ -7,12 +8,19 @@
 
 namespace verbenawell::jobs {
 
+/// What a run was last told.
+struct ToldShare
+{
+  Percent percent_;
+  TimePoint changedAt_;
+  TimePoint sentAt_;
+};
+
 /// At which share the filling runs of a worker work.
 struct WorkerPace
 {
   Percent percent_{ 100 };
-  /// What each run was last told.
-  std::map<TaskId, Percent> told_;
+  std::map<TaskId, ToldShare> told_;
 };
 
 struct PacingState
--- a/tests/jobs/OrderReviewTest.cpp
+++ b/tests/jobs/OrderReviewTest.cpp
@@ -1,6 +1,9 @@
+#include "verbenawell/jobs/pacing/PacingReducer.h"
+
 #include "ExpectKept.h"
 
 #include <variant>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -167,5 +170,79 @@
   }
 }
 
+/// One worker with a task that fills beside one that serves.
+class PacedTask
+{
+public:
+  PacedTask()
+  {
+    Job job;
+    job.id_ = JobId{ kJob };
+    job.definition_ = MakeJob(1, 2, 60s);
+    job.definition_.steps_[0].fills_ = true;
+    job.definition_.steps_[1].latencyTarget_ = 100ms;
+    AddOccurrence(job);
+    state_.tasks_.jobs_.emplace(job.id_, job);
+    state_.workers_.workers_[worker_].runs_[filling_].run_ = RunNumber{ 1 };
+  }
+
+  /// The present owner has ordered the start.
+  void Start()
+  {
+    state_.workers_.workers_[worker_].runs_[filling_].startSentAt_ =
+      TimePoint{} + 1ms;
+  }
+
+  /// The shares that a list with this latency leads to.
+  std::vector<Percent> SharesAt(Duration aAt, std::int64_t aLatency)
+  {
+    Effects effects;
+    ReducePacing(state_.pacing_,
+                 state_.View(),
+                 RunsSeen{ worker_,
+                           { { filling_, RunNumber{ 1 }, {}, {}, 0 },
+                             { serving_, RunNumber{ 1 }, {}, {}, aLatency } } },
+                 { TimePoint{} + aAt, {}, {} },
+                 effects);
+    std::vector<Percent> shares;
+    for (const Effect& effect : effects) {
+      if (const auto* pace = std::get_if<PaceTask>(&effect)) {
+        shares.push_back(pace->percent_);
+      }
+    }
+    return shares;
+  }
+
+private:
+  const WorkerId worker_{ "w" };
+  const TaskId filling_{ JobId{ kJob }, {}, {}, {} };
+  const TaskId serving_{ JobId{ kJob }, {}, StepIndex{ 1 }, {} };
+  State state_;
+};
+
+// Guards against a task that stays at the low share that an earlier owner had
+// set: the new owner took it to work at its full share.
+TEST(OrderReview, RaisesTheShareOfATaskThatAnEarlierOwnerPaced)
+{
+  PacedTask paced;
+  EXPECT_EQ(paced.SharesAt(20s, 0), std::vector{ Percent{ 100 } });
+  EXPECT_TRUE(paced.SharesAt(20100ms, 0).empty());
+}
+
+// Guards against a task that works at a low share for good, since the order
+// that raised it was lost.
+TEST(OrderReview, RepeatsAFullShareForAWhile)
+{
+  PacedTask paced;
+  paced.Start();
+  EXPECT_EQ(paced.SharesAt(1s, 90), std::vector{ Percent{ 50 } });
+  for (Duration at = 2s; at < 7s; at += 1s) {
+    paced.SharesAt(at, 0);
+  }
+  EXPECT_EQ(paced.SharesAt(8s, 0), std::vector{ Percent{ 100 } });
+  EXPECT_TRUE(paced.SharesAt(8100ms, 0).empty());
+  EXPECT_TRUE(paced.SharesAt(20s, 0).empty());
+}
+
 } // namespace
 } // namespace verbenawell::jobs
