Hold stops to the disruption budgets in the tests' oracle

Guards against stops for maintenance that end tasks beyond their budget (AVAIL): the oracle judged only what a VM that goes down ends, so a stop was never held to a budget, and KeepsDisruptionBudgetsThroughAWave could not fail for the fault that it names.

Evidence: with isStopping_ and the sibling check taken out, as a trial, the job tests without the fuzz report AVAIL in two tests; before this change they report nothing. On the code as it is all pass.

--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -159,6 +159,7 @@
               [this, task = aStop.task_, serial = run->second.serial_] {
                 const auto found = runs_.find(task);
                 if (found != runs_.end() && found->second.serial_ == serial) {
+                  oracle_.Disrupted(task, time_.Now());
                   End(task, EndKind::Stopped);
                 }
               });
