Tell the answers to a wave's first and last status apart

Operators would see a wave that has ended as running for good.

Cause: an answer to a status did not say which status it was of. An owner that takes over a wave that has ended writes both within 0.3 s; where the last status was lost and the answer to the first came behind it, the wave counted as reported, and the last status was not written again. A lost first status likewise led to the last one being written again.

Evidence: OrderReview.WritesTheLastStatusOfAWaveUntilItIsAnswered fails without the check of the status in the reducer and passes with it.

Change: the answer names its status; only that of the last one settles it.

--- a/src/verbenawell/jobs/upkeep/UpkeepEvents.h
+++ b/src/verbenawell/jobs/upkeep/UpkeepEvents.h
@@ -74,6 +74,8 @@
 struct WaveStatusWritten
 {
   WaveNumber wave_;
+  /// Which status it was.
+  bool completed_ = false;
   bool written_ = false;
 };
 
--- a/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
+++ b/src/verbenawell/jobs/upkeep/UpkeepReducer.cpp
@@ -120,7 +120,7 @@
   void On(const WaveStatusWritten& aWritten)
   {
     if (const auto found = state_.waves_.find(aWritten.wave_);
-        found != state_.waves_.end()) {
+        found != state_.waves_.end() && aWritten.completed_) {
       found->second.isStatusWritten_ = aWritten.written_;
     }
   }
--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -266,10 +266,10 @@
 {
   Write(aFrom,
         aReply,
-        WaveStatusWritten{ aStatus.wave_, false },
+        WaveStatusWritten{ aStatus.wave_, aStatus.completed_, false },
         [this, aStatus]() -> Event {
           waveStatus_[aStatus.wave_] = aStatus.completed_;
-          return WaveStatusWritten{ aStatus.wave_, true };
+          return WaveStatusWritten{ aStatus.wave_, aStatus.completed_, true };
         });
 }
 
--- a/tests/jobs/OrderReviewTest.cpp
+++ b/tests/jobs/OrderReviewTest.cpp
@@ -1,7 +1,9 @@
 #include "verbenawell/jobs/pacing/PacingReducer.h"
+#include "verbenawell/jobs/upkeep/UpkeepReducer.h"
 
 #include "ExpectKept.h"
 
+#include <algorithm>
 #include <variant>
 #include <vector>
 
@@ -244,5 +246,27 @@
   EXPECT_TRUE(paced.SharesAt(20s, 0).empty());
 }
 
+// Guards against a wave that is never shown as completed: the late answer to
+// its first status was taken for that to the last one.
+TEST(OrderReview, WritesTheLastStatusOfAWaveUntilItIsAnswered)
+{
+  const WaveNumber wave{ 1 };
+  State state;
+  state.upkeep_.waves_[wave].wave_.number_ = wave;
+  const auto writes = [&](const Event& aEvent) {
+    Effects effects;
+    ReduceUpkeep(state.upkeep_, state.View(), aEvent, {}, effects);
+    return std::ranges::count_if(effects, [](const Effect& aEffect) {
+      return std::holds_alternative<WriteWaveStatus>(aEffect);
+    });
+  };
+  EXPECT_EQ(writes(VmsRead{}), 1);
+  writes(WaveStatusWritten{ wave, true, false });
+  writes(WaveStatusWritten{ wave, false, true });
+  EXPECT_EQ(writes(VmsRead{}), 1);
+  writes(WaveStatusWritten{ wave, true, true });
+  EXPECT_EQ(writes(VmsRead{}), 0);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
