--- a/tests/jobs/OrderReviewTest.cpp
+++ b/tests/jobs/OrderReviewTest.cpp
@@ -1,6 +1,11 @@
+#include "verbenawell/jobs/pacing/PacingReducer.h"
+#include "verbenawell/jobs/upkeep/UpkeepReducer.h"
+
 #include "ExpectKept.h"
 
+#include <algorithm>
 #include <variant>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -128,5 +133,140 @@
   ExpectKept(installation);
 }
 
+// Guards against a wave that never goes on after an owner was replaced: the
+// answer that the maintenance had been done before was taken for the end of the
+// worker that came after it.
+TEST(OrderReview, GoesOnWithAWaveWhoseOwnerIsKilledBehindAnOrder)
+{
+  Installation installation{ 73, { 3, 3, 2 } };
+  installation.RunFor(kStartUp + 4s);
+  installation.BeginWave(1);
+  ASSERT_TRUE(
+    RunUntil(installation, 5s, [&] { return !installation.begun_.empty(); }));
+  installation.Kill(installation.Owner());
+  installation.RunFor(60s);
+  EXPECT_EQ(installation.begun_.size(), 3U);
+  EXPECT_TRUE(installation.store_.waveStatus_[WaveNumber{ 1 }]);
+  ExpectKept(installation);
+}
+
+// Guards against tasks that start a second time while they run: a worker whose
+// VM had its maintenance before counted as ended by a repeated order.
+TEST(OrderReview, KeepsTheRunsOfAVmWhoseMaintenanceWasDoneBefore)
+{
+  for (Duration offset = 0ms; offset < 2s; offset += 100ms) {
+    Installation installation{ 74, { 3, 4, 2 } };
+    installation.RunFor(kStartUp + 4s);
+    installation.Submit(kJob, MakeJob(8, 1, 40s));
+    installation.RunFor(20ms);
+    installation.Submit(kOtherJob, MakeJob(8, 1, 11s));
+    installation.RunFor(1s + offset);
+    // Waits until the new worker of the first VM has come.
+    installation.Submit("0000000000000003", MakeJob(2, 1, 30s));
+    installation.BeginWave(1);
+    ASSERT_TRUE(RunUntil(
+      installation, 10s, [&] { return !installation.begun_.empty(); }));
+    installation.Kill(installation.Owner());
+    installation.RunFor(60s);
+    ExpectKept(installation);
+  }
+}
+
+/// One worker with a task that fills beside one that serves.
+class PacedTask
+{
+public:
+  PacedTask()
+  {
+    Job job;
+    job.id_ = JobId{ kJob };
+    job.definition_ = MakeJob(1, 2, 60s);
+    job.definition_.steps_[0].fills_ = true;
+    job.definition_.steps_[1].latencyTarget_ = 100ms;
+    AddOccurrence(job);
+    state_.tasks_.jobs_.emplace(job.id_, job);
+    state_.workers_.workers_[worker_].runs_[filling_].run_ = RunNumber{ 1 };
+  }
+
+  /// The present owner has ordered the start.
+  void Start()
+  {
+    state_.workers_.workers_[worker_].runs_[filling_].startSentAt_ =
+      TimePoint{} + 1ms;
+  }
+
+  /// The shares that a list with this latency leads to.
+  std::vector<Percent> SharesAt(Duration aAt, std::int64_t aLatency)
+  {
+    Effects effects;
+    ReducePacing(state_.pacing_,
+                 state_.View(),
+                 RunsSeen{ worker_,
+                           { { filling_, RunNumber{ 1 }, {}, {}, 0 },
+                             { serving_, RunNumber{ 1 }, {}, {}, aLatency } } },
+                 { TimePoint{} + aAt, {}, {} },
+                 effects);
+    std::vector<Percent> shares;
+    for (const Effect& effect : effects) {
+      if (const auto* pace = std::get_if<PaceTask>(&effect)) {
+        shares.push_back(pace->percent_);
+      }
+    }
+    return shares;
+  }
+
+private:
+  const WorkerId worker_{ "w" };
+  const TaskId filling_{ JobId{ kJob }, {}, {}, {} };
+  const TaskId serving_{ JobId{ kJob }, {}, StepIndex{ 1 }, {} };
+  State state_;
+};
+
+// Guards against a task that stays at the low share that an earlier owner had
+// set: the new owner took it to work at its full share.
+TEST(OrderReview, RaisesTheShareOfATaskThatAnEarlierOwnerPaced)
+{
+  PacedTask paced;
+  EXPECT_EQ(paced.SharesAt(20s, 0), std::vector{ Percent{ 100 } });
+  EXPECT_TRUE(paced.SharesAt(20100ms, 0).empty());
+}
+
+// Guards against a task that works at a low share for good, since the order
+// that raised it was lost.
+TEST(OrderReview, RepeatsAFullShareForAWhile)
+{
+  PacedTask paced;
+  paced.Start();
+  EXPECT_EQ(paced.SharesAt(1s, 90), std::vector{ Percent{ 50 } });
+  for (Duration at = 2s; at < 7s; at += 1s) {
+    paced.SharesAt(at, 0);
+  }
+  EXPECT_EQ(paced.SharesAt(8s, 0), std::vector{ Percent{ 100 } });
+  EXPECT_TRUE(paced.SharesAt(8100ms, 0).empty());
+  EXPECT_TRUE(paced.SharesAt(20s, 0).empty());
+}
+
+// Guards against a wave that is never shown as completed: the late answer to
+// its first status was taken for that to the last one.
+TEST(OrderReview, WritesTheLastStatusOfAWaveUntilItIsAnswered)
+{
+  const WaveNumber wave{ 1 };
+  State state;
+  state.upkeep_.waves_[wave].wave_.number_ = wave;
+  const auto writes = [&](const Event& aEvent) {
+    Effects effects;
+    ReduceUpkeep(state.upkeep_, state.View(), aEvent, {}, effects);
+    return std::ranges::count_if(effects, [](const Effect& aEffect) {
+      return std::holds_alternative<WriteWaveStatus>(aEffect);
+    });
+  };
+  EXPECT_EQ(writes(VmsRead{}), 1);
+  writes(WaveStatusWritten{ wave, true, false });
+  writes(WaveStatusWritten{ wave, false, true });
+  EXPECT_EQ(writes(VmsRead{}), 1);
+  writes(WaveStatusWritten{ wave, true, true });
+  EXPECT_EQ(writes(VmsRead{}), 0);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
