--- a/tests/jobs/ChannelTest.cpp
+++ b/tests/jobs/ChannelTest.cpp
@@ -9,6 +9,8 @@
 #include <semaphore>
 #include <string>
 #include <thread>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include <asio/post.hpp>
@@ -20,6 +22,40 @@
 
 using namespace std::chrono_literals;
 
+// Guards against a call that waits for ever on a connection gone silent.
+TEST(HttpChannel, FailsACallWhoseServerStaysSilent)
+{
+  asio::io_context io;
+  const Endpoint address = FreeEndpoint();
+  const asio::ip::tcp::acceptor silent(
+    io, { asio::ip::make_address(address.host_), address.port_ });
+  const auto channel = std::make_shared<http::Channel>(io, address, 1000);
+  std::optional<http::Result> result;
+  channel->Call({ "GET", "/", {}, {} }, 200ms, [&](http::Result aResult) {
+    result = std::move(aResult);
+    io.stop();
+  });
+  io.run_for(5s);
+  ASSERT_TRUE(result.has_value());
+  EXPECT_TRUE(std::get<http::Failure>(*result).sent_);
+}
+
+// Guards against work that a refused connection reports as possibly done.
+TEST(HttpChannel, KnowsThatARequestWithoutAConnectionWasNotSent)
+{
+  asio::io_context io;
+  const auto channel =
+    std::make_shared<http::Channel>(io, FreeEndpoint(), 1000);
+  std::optional<http::Result> result;
+  channel->Call({ "GET", "/", {}, {} }, 1s, [&](http::Result aResult) {
+    result = std::move(aResult);
+    io.stop();
+  });
+  io.run_for(5s);
+  ASSERT_TRUE(result.has_value());
+  EXPECT_FALSE(std::get<http::Failure>(*result).sent_);
+}
+
 /// Answers each request after a while; `/now` at once.
 class SlowServer
 {
--- a/tests/jobs/Installation.cpp
+++ b/tests/jobs/Installation.cpp
@@ -14,16 +14,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kNetwork = 1ms;
-constexpr Duration kDeadline = 3s;
-constexpr Duration kListGap = 500ms;
-// Three heartbeats of 1.5 s without a sign of life.
-constexpr Duration kEntryTimeToLive = 4500ms;
-constexpr Duration kUpkeepTime = 2s;
-constexpr Duration kMoveTime = 1500ms;
-// A worker is listed for this long after its VM has gone down or moved.
-constexpr Duration kListLag = 3s;
-constexpr const char* kHost = "host.example";
-constexpr const char* kPath = "/queue/";
 
 Configuration
 OneQueue()
@@ -32,8 +22,8 @@
   configuration.version_ = ConfigurationVersion{ 1 };
   Queue queue;
   queue.id_ = kQueue;
-  queue.host_ = kHost;
-  queue.pathPrefix_ = kPath;
+  queue.host_ = kCallerHost;
+  queue.pathPrefix_ = kQueuePath;
   queue.service_ = kService;
   queue.maxAttempts_ = TaskCount{ 2 };
   queue.stretch_ = 2;
@@ -44,6 +34,8 @@
   return configuration;
 }
 
+} // namespace
+
 WallTime
 WallAt(TimePoint aTime)
 {
@@ -53,8 +45,6 @@
                      aTime.time_since_epoch()) };
 }
 
-} // namespace
-
 JobDefinition
 MakeJob(std::uint32_t aTasks, std::uint32_t aSteps, Duration aRunTime)
 {
@@ -95,45 +85,6 @@
   }
 }
 
-void
-Installation::MakeWorker(Vm& aVm, std::size_t aIndex)
-{
-  WorkerEntry entry;
-  entry.worker_ =
-    WorkerId{ aVm.id_.Value() + "-" + std::to_string(aVm.lives_) };
-  entry.service_ = aVm.pool_;
-  entry.address_ = { "10.0.0.1", static_cast<std::uint16_t>(1000 + aIndex) };
-  entry.capacity_ = { MilliCores{ 8000 }, Megabytes{ 8000 }, Accelerators{} };
-  entry.rack_ =
-    RackId{ "r" +
-            std::to_string(aIndex / static_cast<std::size_t>(size_.perRack_)) };
-  entry.labels_ = { "a", entry.rack_.Value() };
-  entry.born_ = BirthTime{ WallAt(time_.Now()).time_since_epoch().count() };
-  if (aVm.worker_) {
-    formerWorkers_.push_back(std::move(aVm.worker_));
-  }
-  const auto lookup = [this](const TaskId& aTask) -> const Step* {
-    const auto found = definitions_.find(aTask.job_.Value());
-    return found == definitions_.end()
-             ? nullptr
-             : &found->second.steps_.at(aTask.step_.Value());
-  };
-  aVm.worker_ =
-    std::make_unique<FakeWorker>(time_, random_, oracle_, lookup, entry);
-}
-
-void
-Installation::ListWorkers()
-{
-  for (const Vm& vm : vms_) {
-    if (vm.worker_->IsAlive() && vm.state_ == VmState::Up &&
-        vm.pool_ != kSpare) {
-      store_.workers_[vm.worker_->Entry().worker_] = vm.worker_->Entry();
-    }
-  }
-  time_.After(kListGap, [this] { ListWorkers(); });
-}
-
 void
 Installation::Start(const std::string& aDaemon)
 {
@@ -247,51 +198,6 @@
   return daemons_.at(aDaemon).state_;
 }
 
-FakeWorker&
-Installation::WorkerAt(std::size_t aIndex)
-{
-  return *vms_.at(aIndex).worker_;
-}
-
-void
-Installation::KillWorker(std::size_t aIndex)
-{
-  FakeWorker& worker = WorkerAt(aIndex);
-  worker.Die();
-  time_.After(kEntryTimeToLive, [this, &worker] {
-    if (!worker.IsAlive()) {
-      store_.workers_.erase(worker.Entry().worker_);
-    }
-  });
-}
-
-void
-Installation::ReviveWorker(std::size_t aIndex)
-{
-  WorkerAt(aIndex).Revive();
-}
-
-void
-Installation::RemoveVm(std::size_t aIndex)
-{
-  vms_.at(aIndex).isRemoved_ = true;
-  KillWorker(aIndex);
-}
-
-void
-Installation::BeginWave(int aLimit)
-{
-  Wave wave;
-  wave.number_ = WaveNumber{ 1 };
-  wave.duration_ = 30s;
-  wave.limit_ = VmCount{ static_cast<std::uint32_t>(aLimit) };
-  for (const Vm& vm : vms_) {
-    wave.vms_.push_back(vm.id_);
-  }
-  wave_ = wave;
-  store_.Put(wave);
-}
-
 void
 Installation::Deliver(const std::string& aDaemon,
                       std::uint64_t aLife,
@@ -470,251 +376,4 @@
   });
 }
 
-void
-Installation::ListVms(const std::string& aDaemon)
-{
-  VmsRead read;
-  for (const Vm& vm : vms_) {
-    if (!vm.isRemoved_) {
-      read.vms_.push_back(
-        { vm.id_, vm.pool_, vm.state_, vm.worker_->Entry().worker_ });
-    }
-  }
-  time_.After(kNetwork, [reply = ReplyTo(aDaemon), read] { reply(read); });
-}
-
-void
-Installation::TakeDown(const std::string& aDaemon, const StartUpkeep& aOrder)
-{
-  const auto vm = std::ranges::find(vms_, aOrder.vm_, &Vm::id_);
-  const auto answer = [&](VmOrderResult aResult) {
-    time_.After(kNetwork, [reply = ReplyTo(aDaemon), aOrder, aResult] {
-      reply(UpkeepAnswered{ aOrder.vm_, aOrder.wave_, aResult });
-    });
-  };
-  if (begun_.contains(aOrder.vm_)) {
-    answer(VmOrderAccepted{});
-    return;
-  }
-  if (vm == vms_.end() || vm->state_ != VmState::Up) {
-    answer(VmOrderBusy{});
-    return;
-  }
-  begun_.insert(aOrder.vm_);
-  for (const TaskId& task : vm->worker_->Running()) {
-    oracle_.Disrupted(task, time_.Now());
-  }
-  Renew(*vm, VmState::Upkeep, kUpkeepTime);
-  oracle_.UpkeepBegun(*wave_,
-                      static_cast<std::uint32_t>(std::ranges::count(
-                        vms_, VmState::Upkeep, &Vm::state_)));
-  answer(VmOrderAccepted{});
-}
-
-void
-Installation::MoveToPool(const std::string& aDaemon, const MoveVm& aOrder)
-{
-  const auto vm = std::ranges::find(vms_, aOrder.vm_, &Vm::id_);
-  const auto answer = [&](VmOrderResult aResult) {
-    time_.After(kNetwork, [reply = ReplyTo(aDaemon), aOrder, aResult] {
-      reply(VmMoveAnswered{ aOrder.vm_, aResult });
-    });
-  };
-  if (vm->pool_ == aOrder.pool_) {
-    answer(VmOrderAccepted{});
-    return;
-  }
-  if (vm->state_ != VmState::Up) {
-    answer(VmOrderBusy{});
-    return;
-  }
-  for (const TaskId& task : vm->worker_->Running()) {
-    oracle_.Disrupted(task, time_.Now());
-  }
-  vm->pool_ = aOrder.pool_;
-  Renew(*vm, VmState::Moving, kMoveTime);
-  answer(VmOrderAccepted{});
-}
-
-void
-Installation::Renew(Vm& aVm, VmState aMeanwhile, Duration aTime)
-{
-  time_.After(kListLag, [this, former = aVm.worker_->Entry().worker_] {
-    store_.workers_.erase(former);
-  });
-  aVm.worker_->Die();
-  aVm.state_ = aMeanwhile;
-  const auto index = static_cast<std::size_t>(&aVm - vms_.data());
-  time_.After(aTime, [this, index] {
-    Vm& back = vms_[index];
-    ++back.lives_;
-    back.state_ = VmState::Up;
-    MakeWorker(back, index);
-  });
-}
-
-std::string
-Installation::AnyDaemon()
-{
-  const auto running = Running();
-  return running.empty() ? std::string{}
-                         : running[random_.Below(running.size())];
-}
-
-void
-Installation::Ask(const std::string& aDaemon,
-                  CallerAction aAction,
-                  AnswerHandler aHandler,
-                  const std::string& aPath,
-                  Duration aTimeLeft)
-{
-  const RequestKey key = ++lastKey_;
-  asked_[key] = std::move(aHandler);
-  Deliver(aDaemon,
-          daemons_.at(aDaemon).life_,
-          CallerRequested{
-            key, { kHost, aPath, std::move(aAction) }, aTimeLeft, false });
-}
-
-void
-Installation::Submit(const std::string& aJob,
-                     JobDefinition aDefinition,
-                     const std::string& aPath)
-{
-  aDefinition.specification_ = "specification of " + aJob;
-  definitions_[aJob] = aDefinition;
-  oracle_.Submitted(JobId{ aJob }, aDefinition);
-  SubmitOnce(aJob, aPath);
-}
-
-void
-Installation::SubmitAt(const std::string& aDaemon,
-                       const std::string& aJob,
-                       JobDefinition aDefinition,
-                       Duration aTimeLeft)
-{
-  aDefinition.specification_ = "specification of " + aJob;
-  definitions_[aJob] = aDefinition;
-  oracle_.Submitted(JobId{ aJob }, aDefinition);
-  oracle_.Unanswered(JobId{ aJob });
-  Ask(
-    aDaemon,
-    SubmitJob{ JobId{ aJob },
-               std::make_shared<const JobDefinition>(aDefinition) },
-    [](const CallerAnswer&) {},
-    kPath,
-    aTimeLeft);
-}
-
-void
-Installation::SubmitOnce(const std::string& aJob, const std::string& aPath)
-{
-  const auto answered = std::make_shared<bool>(false);
-  const std::string daemon = AnyDaemon();
-  if (!daemon.empty()) {
-    Ask(
-      daemon,
-      SubmitJob{ JobId{ aJob },
-                 std::make_shared<const JobDefinition>(definitions_.at(aJob)) },
-      [this, aJob, answered](const CallerAnswer& aAnswer) {
-        if (std::holds_alternative<JobAccepted>(aAnswer)) {
-          *answered = true;
-          oracle_.Accepted(JobId{ aJob });
-        } else if (const auto* rejected = std::get_if<JobRejected>(&aAnswer)) {
-          *answered = true;
-          oracle_.Rejected(JobId{ aJob }, rejected->reason_);
-        } else {
-          oracle_.Unanswered(JobId{ aJob });
-        }
-      },
-      aPath);
-  }
-  time_.After(kDeadline, [this, aJob, aPath, answered] {
-    if (!*answered) {
-      oracle_.Unanswered(JobId{ aJob });
-      SubmitOnce(aJob, aPath);
-    }
-  });
-}
-
-void
-Installation::Cancel(const std::string& aJob)
-{
-  CancelOnce(aJob);
-}
-
-void
-Installation::CancelAt(const std::string& aDaemon, const std::string& aJob)
-{
-  Ask(aDaemon, CancelJob{ JobId{ aJob } }, [](const CallerAnswer&) {});
-}
-
-void
-Installation::CancelOnce(const std::string& aJob)
-{
-  const auto answered = std::make_shared<bool>(false);
-  const std::string daemon = AnyDaemon();
-  if (!daemon.empty()) {
-    Ask(daemon,
-        CancelJob{ JobId{ aJob } },
-        [this, aJob, answered](const CallerAnswer& aAnswer) {
-          if (std::holds_alternative<CancelAccepted>(aAnswer)) {
-            *answered = true;
-            oracle_.Cancelled(JobId{ aJob }, time_.Now());
-          }
-        });
-  }
-  time_.After(kDeadline, [this, aJob, answered] {
-    if (!*answered) {
-      CancelOnce(aJob);
-    }
-  });
-}
-
-void
-Installation::AskForAll()
-{
-  for (const std::string& daemon : Running()) {
-    for (const auto& [name, definition] : definitions_) {
-      Ask(daemon,
-          ReadJob{ JobId{ name } },
-          [this, job = JobId{ name }](const CallerAnswer& aAnswer) {
-            if (const auto* shown = std::get_if<JobShown>(&aAnswer)) {
-              oracle_.Shown(job, shown->state_);
-            }
-          });
-    }
-  }
-}
-
-std::optional<CallerAnswer>
-Installation::AskOnce(const std::string& aDaemon,
-                      CallerAction aAction,
-                      const std::string& aPath)
-{
-  const auto result = std::make_shared<std::optional<CallerAnswer>>();
-  Ask(
-    aDaemon,
-    std::move(aAction),
-    [result](const CallerAnswer& aAnswer) { *result = aAnswer; },
-    aPath);
-  RunFor(kDeadline);
-  return *result;
-}
-
-JobState
-Installation::StateOfJob(const std::string& aJob)
-{
-  const auto answer = AskOnce(AnyDaemon(), ReadJob{ JobId{ aJob } });
-  const auto* shown = answer ? std::get_if<JobShown>(&*answer) : nullptr;
-  return shown == nullptr ? JobState::Queued : shown->state_;
-}
-
-const JobDefinition*
-Installation::Definition(const std::string& aJob) const
-{
-  const auto found = definitions_.find(aJob);
-  return found == definitions_.end() ? nullptr : &found->second;
-}
-
 } // namespace verbenawell::jobs
--- a/tests/jobs/Installation.h
+++ b/tests/jobs/Installation.h
@@ -24,6 +24,8 @@
 inline const ServiceId kService{ "service" };
 inline const ServiceId kOtherService{ "other" };
 inline const ServiceId kSpare{ "spare" };
+inline constexpr const char* kCallerHost = "host.example";
+inline constexpr const char* kQueuePath = "/queue/";
 
 /// Daemons with a store, workers and VMs, in virtual time and from one seed.
 class Installation
@@ -166,6 +168,10 @@
   Size size_;
 };
 
+/// The time of day of the emulated platform.
+WallTime
+WallAt(TimePoint aTime);
+
 /// A job of equal tasks in one or more steps, each after the one before.
 JobDefinition
 MakeJob(std::uint32_t aTasks, std::uint32_t aSteps, Duration aRunTime);
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -13,17 +13,13 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <asio/io_context.hpp>
-#include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -251,40 +247,6 @@
   EXPECT_EQ(page.next_, "a");
 }
 
-// Guards against a call that waits for ever on a connection gone silent.
-TEST(HttpChannel, FailsACallWhoseServerStaysSilent)
-{
-  asio::io_context io;
-  const Endpoint address = FreeEndpoint();
-  const asio::ip::tcp::acceptor silent(
-    io, { asio::ip::make_address(address.host_), address.port_ });
-  const auto channel = std::make_shared<http::Channel>(io, address, 1000);
-  std::optional<http::Result> result;
-  channel->Call({ "GET", "/", {}, {} }, 200ms, [&](http::Result aResult) {
-    result = std::move(aResult);
-    io.stop();
-  });
-  io.run_for(5s);
-  ASSERT_TRUE(result.has_value());
-  EXPECT_TRUE(std::get<http::Failure>(*result).sent_);
-}
-
-// Guards against work that a refused connection reports as possibly done.
-TEST(HttpChannel, KnowsThatARequestWithoutAConnectionWasNotSent)
-{
-  asio::io_context io;
-  const auto channel =
-    std::make_shared<http::Channel>(io, FreeEndpoint(), 1000);
-  std::optional<http::Result> result;
-  channel->Call({ "GET", "/", {}, {} }, 1s, [&](http::Result aResult) {
-    result = std::move(aResult);
-    io.stop();
-  });
-  io.run_for(5s);
-  ASSERT_TRUE(result.has_value());
-  EXPECT_FALSE(std::get<http::Failure>(*result).sent_);
-}
-
 // Guards against tasks that wait for the lease of a worker whose address has
 // gone to another one (incident inc-1d10).
 TEST(WorkerCalls, TakesAnAnswerOfAnotherLifeForTheEndOfTheWorker)
