--- a/tests/jobs/OrderReviewTest.cpp
+++ b/tests/jobs/OrdersTest.cpp
@@ -43,7 +43,7 @@
 // Guards against a cancelled task that runs on in a new life of its worker: the
 // old life had answered its stop, and a late copy of its start reached the new
 // one.
-TEST(OrderReview, StopsARunThatBeginsInANewLifeAfterTheStopWasAnswered)
+TEST(Orders, StopsARunThatBeginsInANewLifeAfterTheStopWasAnswered)
 {
   Installation installation{ 71, { 3, 1, 1 } };
   installation.RunFor(kStartUp);
@@ -81,7 +81,7 @@
 
 // Guards against a cancelled task that runs on since its stop was answered but
 // had no effect.
-TEST(OrderReview, RepeatsAnAnsweredStopWhoseRunStaysListed)
+TEST(Orders, RepeatsAnAnsweredStopWhoseRunStaysListed)
 {
   Installation installation{ 75, { 3, 1, 1 } };
   installation.RunFor(kStartUp);
@@ -100,7 +100,7 @@
 
 // Guards against an outcome that was decided for a submission which was then
 // refused, and that ended the next submission of the same job.
-TEST(OrderReview, KeepsAJobThatIsSubmittedAgainAfterItsCancelAndRefusal)
+TEST(Orders, KeepsAJobThatIsSubmittedAgainAfterItsCancelAndRefusal)
 {
   Installation installation{ 72, {} };
   installation.RunFor(kStartUp);
@@ -136,7 +136,7 @@
 // Guards against a wave that never goes on after an owner was replaced: the
 // answer that the maintenance had been done before was taken for the end of the
 // worker that came after it.
-TEST(OrderReview, GoesOnWithAWaveWhoseOwnerIsKilledBehindAnOrder)
+TEST(Orders, GoesOnWithAWaveWhoseOwnerIsKilledBehindAnOrder)
 {
   Installation installation{ 73, { 3, 3, 2 } };
   installation.RunFor(kStartUp + 4s);
@@ -152,7 +152,7 @@
 
 // Guards against tasks that start a second time while they run: a worker whose
 // VM had its maintenance before counted as ended by a repeated order.
-TEST(OrderReview, KeepsTheRunsOfAVmWhoseMaintenanceWasDoneBefore)
+TEST(Orders, KeepsTheRunsOfAVmWhoseMaintenanceWasDoneBefore)
 {
   for (Duration offset = 0ms; offset < 2s; offset += 100ms) {
     Installation installation{ 74, { 3, 4, 2 } };
@@ -224,7 +224,7 @@
 
 // Guards against a task that stays at the low share that an earlier owner had
 // set: the new owner took it to work at its full share.
-TEST(OrderReview, RaisesTheShareOfATaskThatAnEarlierOwnerPaced)
+TEST(Orders, RaisesTheShareOfATaskThatAnEarlierOwnerPaced)
 {
   PacedTask paced;
   EXPECT_EQ(paced.SharesAt(20s, 0), std::vector{ Percent{ 100 } });
@@ -233,7 +233,7 @@
 
 // Guards against a task that works at a low share for good, since the order
 // that raised it was lost.
-TEST(OrderReview, RepeatsAFullShareForAWhile)
+TEST(Orders, RepeatsAFullShareForAWhile)
 {
   PacedTask paced;
   paced.Start();
@@ -248,7 +248,7 @@
 
 // Guards against a wave that is never shown as completed: the late answer to
 // its first status was taken for that to the last one.
-TEST(OrderReview, WritesTheLastStatusOfAWaveUntilItIsAnswered)
+TEST(Orders, WritesTheLastStatusOfAWaveUntilItIsAnswered)
 {
   const WaveNumber wave{ 1 };
   State state;
