Keep ended jobs known when the time of day is set

A cancelled job would start again.

Cause: the owner compared the time of day at which a job ended with the present one. Once the clocks were right again, a job that had ended while they were back seemed to have ended 170 s ago, more than the 150 s for which it is kept. A new owner compared its own clock with that of its predecessor.

A record is thus kept for up to 150 s longer after each take-over.

--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -50,6 +50,7 @@
   JobId job_;
   QueueId queue_;
   JobOutcome outcome_ = JobOutcome::Open;
+  /// By the clock of the owner that ended the job; for readers of the journal.
   WallTime endedAt_;
 };
 
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -111,7 +111,7 @@
         [&](const OutcomeStored& aStored) {
           aTasks.endedJobs_.emplace(
             aStored.job_,
-            EndedJob{ aStored.queue_, aStored.outcome_, aStored.endedAt_ });
+            EndedJob{ aStored.queue_, aStored.outcome_, aContext.now_ });
         },
         [](const auto&) {},
       },
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -19,7 +19,8 @@
 
 constexpr Duration kTickInterval = 250ms;
 // Time for which an ended job is stored. Callers may ask for its state for 120
-// s.
+// s. It is counted on the owner's monotonic clock, since the time of day may be
+// set, and begins anew with each owner.
 constexpr Duration kEndedJobRetention = 150s;
 
 class Reducer
@@ -156,7 +157,7 @@
   {
     for (auto entry = state_.endedJobs_.begin();
          entry != state_.endedJobs_.end();) {
-      if (context_.wallNow_ - entry->second.endedAt_ < kEndedJobRetention) {
+      if (context_.now_ - entry->second.knownSince_ < kEndedJobRetention) {
         ++entry;
         continue;
       }
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -13,7 +13,8 @@
 {
   QueueId queue_;
   JobOutcome outcome_ = JobOutcome::Completed;
-  WallTime endedAt_;
+  /// When this daemon ended the job or read its outcome.
+  TimePoint knownSince_;
 };
 
 /// The jobs of the owner. Empty on daemons that are not the owner.
--- a/src/verbenawell/jobs/tasks/internal/JobOutcomes.cpp
+++ b/src/verbenawell/jobs/tasks/internal/JobOutcomes.cpp
@@ -75,7 +75,7 @@
   StopRuns(job, aEffects);
   RespondToCancellers(aState, aJob, CancelAccepted{}, aEffects);
   aState.endedJobs_.insert_or_assign(
-    aJob, EndedJob{ job.queue_, job.outcome_, aContext.wallNow_ });
+    aJob, EndedJob{ job.queue_, job.outcome_, aContext.now_ });
   aState.jobs_.erase(found);
 }
 
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -219,7 +219,7 @@
 SimulatedDeployment::Apply(const std::string& aDaemon, const Event& aEvent)
 {
   const Context context{ time_.Now(),
-                         WallAt(time_.Now()),
+                         WallAt(time_.Now() + wallClockOffset_),
                          DaemonId{ aDaemon } };
   for (const Effect& effect :
        Reduce(daemons_.at(aDaemon).state_, aEvent, context)) {
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -107,6 +107,8 @@
   /// Number of starts that were rejected for lack of a valid ticket.
   int ticketRefusals_ = 0;
   std::set<VmId> maintenanceBegun_;
+  /// Added to the time of day of all daemons.
+  Duration wallClockOffset_{};
   /// Log lines of all daemons.
   std::vector<LoggedEvent> log_;
   /// Prints the log lines of the daemons.
