Let a former owner that workers refused claim the ownership again

Callers would see no response to any request, and tasks that end with their leases, once every remaining daemon had lost the ownership in this way: no daemon claims any more.

Cause: an owner that workers refuse while the result of a renewal is outstanding sets `readingSince_` to "not reading", so that the result starts the next read. Only a read after a failed call set it again. If the store refused or confirmed the renewal, reads went on, but `HasReadFor` was false for good and the daemon did not claim from a silent owner. A daemon that is paused for longer than the time-out gets into this state regularly: its renewal takes 4 ms to be refused by the store, a lease renewal 2 ms by the worker.

The test failed before: "deployment.Owner() Which is: "" / first Which is: d0".

Change: a read that succeeds begins the time of reading if there is none.

--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -61,6 +61,9 @@
   {
     const bool isFirst = !std::exchange(state_.hasRead_, true);
     state_.end_ = std::max(state_.end_, aRead.end_);
+    if (state_.readingSince_ == TimePoint::max()) {
+      state_.readingSince_ = now_;
+    }
     if (aRead.record_) {
       UpdateOwner(*aRead.record_, aRead.recordOffset_);
     } else if (isFirst) {
--- a/tests/jobs/OwnershipTest.cpp
+++ b/tests/jobs/OwnershipTest.cpp
@@ -128,6 +128,27 @@
   ExpectNoViolations(deployment);
 }
 
+// Guards against a former owner that never claims again because workers refused
+// it while the result of a renewal was outstanding. When the last other daemon
+// had ended, no daemon took the ownership any more.
+TEST(Ownership, ReturnsToADaemonThatWorkersRefusedDuringARenewal)
+{
+  SimulatedDeployment deployment{ 10, { 2, 4, 2, 0, 0 } };
+  deployment.RunFor(kStartUpTime);
+  deployment.Submit("0000000000000001", MakeJob(8, 1, 30s));
+  deployment.RunFor(1s);
+  const std::string first = deployment.Owner();
+  deployment.Freeze(first, 4s);
+  deployment.RunFor(kTakeoverTime);
+  const std::string second = deployment.Owner();
+  ASSERT_NE(second, first);
+  ASSERT_EQ(CountLogLines(deployment, "ownership_lost"), 1U);
+  deployment.Kill(second);
+  deployment.RunFor(kTakeoverTime);
+  EXPECT_EQ(deployment.Owner(), first);
+  ExpectNoViolations(deployment);
+}
+
 // Guards against an owner record of an earlier version that is treated as no
 // record. During an upgrade, daemons of the two versions would claim the
 // ownership in turns.
