Fuzz the job manager with newer disruptions and continuous stop checks

The fuzzer had nine kinds of faults and looked for runs of cancelled jobs twice at the end of a seed. It had no counterpart to a worker that only some of the daemons reach, a worker without its way to the store, a restart behind such a cut, workers that go down and up, a store that refuses the owner only, a slow store or VM service, a wave during cancels, an owner that is removed right after a start, a jump of the time of day, or series of a fault.

Half of the short jobs and 7 of 8 long-running jobs are cancelled, half of these within 50 ms of the accepted submission. Every 50 ms the oracle checks each listed run: one that goes on later than cancel_ms + stopMs (4 s + 0.9 s) after the acknowledged cancel is UNASKED if no fault has acted on its worker, on a link from the owner to it, on the owner or on the store for contactMs (4 s). A run that a delayed command started counts from its start. Long-running jobs that are not cancelled have to have all tasks at work in the end.

--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -26,7 +26,8 @@
 bool
 FakeStore::Reaches(const DaemonId& aFrom) const
 {
-  return !faults_.isDown_ && !faults_.unreachableFrom_.contains(aFrom);
+  return !faults_.isDown_ && !faults_.unreachableFrom_.contains(aFrom) &&
+         !faults_.refusedFrom_.contains(aFrom);
 }
 
 void
@@ -38,9 +39,10 @@
 }
 
 void
-FakeStore::Fail(const Reply& aReply, Event aEvent)
+FakeStore::Fail(const DaemonId& aFrom, const Reply& aReply, Event aEvent)
 {
-  time_.After(kCallTimeout,
+  time_.After(faults_.refusedFrom_.contains(aFrom) ? faults_.latency_
+                                                   : kCallTimeout,
               [reply = aReply, event = std::move(aEvent)] { reply(event); });
 }
 
@@ -51,7 +53,7 @@
                  std::function<Event()> aWrite)
 {
   if (!Reaches(aFrom)) {
-    Fail(aReply, std::move(aFailure));
+    Fail(aFrom, aReply, std::move(aFailure));
     return;
   }
   ++appends_;
@@ -59,13 +61,13 @@
       static_cast<std::uint64_t>(faults_.delayedWritePercent_)) {
     time_.After(1s + Duration(random_.Below(4'000'000)),
                 [write = std::move(aWrite)] { write(); });
-    Fail(aReply, std::move(aFailure));
+    Fail(aFrom, aReply, std::move(aFailure));
     return;
   }
   Event result = aWrite();
   if (random_.Below(100) <
       static_cast<std::uint64_t>(faults_.lostResponsePercent_)) {
-    Fail(aReply, std::move(aFailure));
+    Fail(aFrom, aReply, std::move(aFailure));
   } else {
     Respond(aFrom, aReply, std::move(result));
   }
@@ -91,7 +93,7 @@
   if (Reaches(aFrom)) {
     Respond(aFrom, aReply, OwnerSince(Offset{ 0 }));
   } else {
-    Fail(aReply, OwnerReadFailed{});
+    Fail(aFrom, aReply, OwnerReadFailed{});
   }
 }
 
@@ -101,7 +103,7 @@
                const Reply& aReply)
 {
   if (!Reaches(aFrom)) {
-    Fail(aReply, OwnerReadFailed{});
+    Fail(aFrom, aReply, OwnerReadFailed{});
     return;
   }
   if (aRead.from_ < Offset{ owners_.size() } || aRead.wait_ <= 0us) {
@@ -152,7 +154,7 @@
                const Reply& aReply)
 {
   if (!Reaches(aFrom)) {
-    Fail(aReply, JournalCallFailed{});
+    Fail(aFrom, aReply, JournalCallFailed{});
     return;
   }
   JournalPageRead page;
@@ -231,7 +233,7 @@
   if (Reaches(aFrom)) {
     Respond(aFrom, aReply, OperatorSince(Offset{ 0 }));
   } else {
-    Fail(aReply, OperatorReadFailed{});
+    Fail(aFrom, aReply, OperatorReadFailed{});
   }
 }
 
@@ -241,7 +243,7 @@
                const Reply& aReply)
 {
   if (!Reaches(aFrom)) {
-    Fail(aReply, OperatorReadFailed{});
+    Fail(aFrom, aReply, OperatorReadFailed{});
   } else if (aRead.from_ < Offset{ operators_.size() }) {
     Respond(aFrom, aReply, OperatorSince(aRead.from_));
   } else {
@@ -254,7 +256,7 @@
 FakeStore::Run(const DaemonId& aFrom, const ReadWorkers&, const Reply& aReply)
 {
   if (!Reaches(aFrom)) {
-    Fail(aReply, WorkersReadFailed{});
+    Fail(aFrom, aReply, WorkersReadFailed{});
     return;
   }
   WorkersRead read;
--- a/tests/jobs/FakeStore.h
+++ b/tests/jobs/FakeStore.h
@@ -19,6 +19,8 @@
 {
   /// Daemons whose calls get no response.
   std::set<DaemonId> unreachableFrom_;
+  /// Daemons whose calls are refused at once.
+  std::set<DaemonId> refusedFrom_;
   bool isDown_ = false;
   /// Percentage of writes that take effect but get no response.
   int lostResponsePercent_ = 0;
@@ -69,7 +71,7 @@
 
   [[nodiscard]] bool Reaches(const DaemonId& aFrom) const;
   void Respond(const DaemonId& aFrom, const Reply& aReply, Event aEvent);
-  void Fail(const Reply& aReply, Event aEvent);
+  void Fail(const DaemonId& aFrom, const Reply& aReply, Event aEvent);
   /// Executes a write, or loses or delays it, according to the faults.
   void Write(const DaemonId& aFrom,
              const Reply& aReply,
--- a/tests/jobs/JobFuzz.cpp
+++ b/tests/jobs/JobFuzz.cpp
@@ -1,7 +1,9 @@
 #include "JobFuzz.h"
 
+#include "Disruptions.h"
 #include "SimulatedDeployment.h"
 
+#include <algorithm>
 #include <functional>
 #include <iostream>
 #include <utility>
@@ -15,6 +17,9 @@
 constexpr int kJobCount = 40;
 constexpr int kLongRunningJobCount = 6;
 constexpr Duration kFaultTime = 20s;
+constexpr int kDisruptedLongRunningJobCount = 8;
+constexpr std::uint32_t kDisruptedTaskCount = 3;
+constexpr Duration kDisruptionTime = 30s;
 constexpr Duration kRecoveryTime = 40s;
 // The requirements allow about 7 s in total for reaching the worker, the cancel
 // and the stop.
@@ -223,11 +228,134 @@
   std::set<JobId> cancelled_;
 };
 
+/// Cancels most jobs, at any moment from their acceptance on, under the
+/// disruptions of a seed.
+class DisruptionFuzz
+{
+public:
+  DisruptionFuzz(std::uint64_t aSeed, FuzzOptions aOptions)
+    : random_(aSeed * 7919)
+    , deployment_(aSeed, { 4 + static_cast<int>(aSeed % 3), 6, 2 })
+    , disruptions_(deployment_, random_)
+  {
+    deployment_.isTraced_ = aOptions.isTraced_;
+    deployment_.jobAccepted_ = [this](const JobId& aJob) { OnAccepted(aJob); };
+  }
+
+  std::vector<std::string> Run()
+  {
+    deployment_.RunFor(3s);
+    for (int index = 0; index < kJobCount; ++index) {
+      PlanShortJob(std::to_string(1'000'000'000'000'000 + index));
+    }
+    for (int index = 0; index < kDisruptedLongRunningJobCount; ++index) {
+      PlanLongRunningJob(std::to_string(2'000'000'000'000'000 + index));
+    }
+    disruptions_.Plan(kDisruptionTime);
+    disruptions_.Watch();
+    deployment_.RunFor(kDisruptionTime);
+    disruptions_.EndAll();
+    deployment_.RunFor(kRecoveryTime);
+    deployment_.oracle_.CheckCancelledJobsStopped(deployment_.time_.Now());
+    deployment_.ReadAllJobs();
+    deployment_.RunFor(3s);
+    auto violations = deployment_.oracle_.Violations();
+    for (const JobId& job : deployment_.oracle_.AcceptedJobs()) {
+      if (!cancelDelays_.contains(job) && !IsSettled(job)) {
+        violations.push_back("LOST: " + job.Value() +
+                             " has not ended, or does not run");
+      }
+    }
+    return violations;
+  }
+
+private:
+  Duration RandomDuration(Duration aEnd)
+  {
+    return Duration(random_.Below(static_cast<std::uint64_t>(aEnd.count())));
+  }
+
+  void PlanShortJob(const std::string& aName)
+  {
+    JobDefinition job =
+      MakeJob(static_cast<std::uint32_t>(1 + random_.Below(5)),
+              static_cast<std::uint32_t>(1 + random_.Below(3)),
+              200ms + RandomDuration(1500ms));
+    job.steps_[0].maxPerWorker_ =
+      TaskCount{ static_cast<std::uint32_t>(random_.Below(3)) };
+    if (random_.Below(2) == 0) {
+      PlanCancel(aName, 2s);
+    }
+    PlanSubmission(aName, job);
+  }
+
+  void PlanLongRunningJob(const std::string& aName)
+  {
+    JobDefinition job = MakeJob(kDisruptedTaskCount, 1, 1s);
+    job.steps_[0].longRunning_ = true;
+    if (random_.Below(8) != 0) {
+      PlanCancel(aName, kDisruptionTime / 2);
+    } else {
+      longRunning_.insert(JobId{ aName });
+    }
+    PlanSubmission(aName, job);
+  }
+
+  // Half of the cancels follow the acceptance at once.
+  void PlanCancel(const std::string& aName, Duration aLatest)
+  {
+    cancelDelays_[JobId{ aName }] =
+      RandomDuration(random_.Below(2) == 0 ? Duration{ 50ms } : aLatest);
+  }
+
+  void PlanSubmission(const std::string& aName, const JobDefinition& aJob)
+  {
+    deployment_.time_.After(
+      RandomDuration(kDisruptionTime - 2s),
+      [this, aName, aJob] { deployment_.Submit(aName, aJob); });
+  }
+
+  void OnAccepted(const JobId& aJob)
+  {
+    if (const auto found = cancelDelays_.find(aJob);
+        found != cancelDelays_.end()) {
+      deployment_.time_.After(
+        found->second, [this, aJob] { deployment_.Cancel(aJob.Value()); });
+    }
+  }
+
+  // A long-running job that is not cancelled has to have all its tasks at work.
+  bool IsSettled(const JobId& aJob)
+  {
+    const std::string owner = deployment_.Owner();
+    if (!longRunning_.contains(aJob)) {
+      return !owner.empty() &&
+             deployment_.StateOf(owner).tasks_.endedJobs_.contains(aJob);
+    }
+    std::size_t running = 0;
+    for (std::size_t index = 0; index < deployment_.Workers(); ++index) {
+      running += static_cast<std::size_t>(std::ranges::count(
+        deployment_.WorkerAt(index).Running(), aJob, &TaskId::job_));
+    }
+    return running == kDisruptedTaskCount;
+  }
+
+  Random random_;
+  SimulatedDeployment deployment_;
+  Disruptions disruptions_;
+  std::map<JobId, Duration> cancelDelays_;
+  std::set<JobId> longRunning_;
+};
+
 } // namespace
 
 std::vector<std::string>
 FuzzJobs(std::uint64_t aSeed, FuzzOptions aOptions)
 {
+  if (aOptions.hasDisruptions_) {
+    DisruptionFuzz fuzz{ aSeed, aOptions };
+    return fuzz.Run();
+  }
   Fuzz fuzz{ aSeed, aOptions };
   return fuzz.Run();
 }
--- a/tests/jobs/JobFuzz.h
+++ b/tests/jobs/JobFuzz.h
@@ -11,6 +11,9 @@
   /// Adds jobs whose tasks run until the job is cancelled. Without the option,
   /// each seed produces the same run as before such jobs were added.
   bool hasLongRunningJobs_ = false;
+  /// Replaces the load and the faults by the ones of `Disruptions`, and checks
+  /// continuously that the runs of cancelled jobs stop in time.
+  bool hasDisruptions_ = false;
   /// Prints the log lines of the daemons.
   bool isTraced_ = false;
 };
--- a/tests/jobs/JobFuzzTest.cpp
+++ b/tests/jobs/JobFuzzTest.cpp
@@ -37,6 +37,18 @@
   }
 }
 
+// Guards against runs of cancelled jobs that go on while their worker is cut
+// off from some daemons or from the store, restarts behind the cut, or goes
+// down and up. Seed 1828 once left the deployment without an owner.
+TEST(JobFuzz, StopsRunsOfCancelledJobsInTimeUnderDisruptions)
+{
+  constexpr std::uint64_t kSeedCount = 60;
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    ExpectNoViolations(seed, { .hasDisruptions_ = true });
+  }
+  ExpectNoViolations(1828, { .hasDisruptions_ = true });
+}
+
 // Guards against the faults that these seeds once found: starts that reach a
 // restarted worker (33, 53, 58, 59, 233, 456, 457, 684, 999, 7480),
 // acknowledgements meant for an earlier incarnation (988), rejections of jobs
--- a/tests/jobs/JobOracle.cpp
+++ b/tests/jobs/JobOracle.cpp
@@ -1,5 +1,8 @@
 #include "JobOracle.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace verbenawell::jobs {
 
 namespace {
@@ -12,6 +15,12 @@
 // A worker takes at most this long to stop a run.
 constexpr Duration kMaxStopTime = 1s;
 constexpr std::uint32_t kMaxAttempts = 2;
+// `contactMs`, `cancel_ms` and `stopMs` of the requirements: a machine counts
+// as in touch after the first without a fault; a run of a cancelled job ends
+// within the sum of the other two.
+constexpr Duration kContactTime = 4s;
+constexpr Duration kCancelTime = 4s;
+constexpr Duration kStopTime = 900ms;
 
 } // namespace
 
@@ -144,6 +153,11 @@
     AddViolation("BUDGET", name);
   }
   ++task.running_;
+  task.delayedStartAt_.reset();
+  if (aTiming == CommandTiming::Delayed) {
+    task.delayedStartAt_ = aAt;
+  }
+  task.isReportedOverdue_ = false;
 }
 
 void
@@ -218,6 +232,34 @@
   }
 }
 
+void
+JobOracle::CheckListedRun(const TaskId& aTask,
+                          TimePoint aCalmSince,
+                          TimePoint aNow)
+{
+  const auto cancelled = cancelled_.find(aTask.job_);
+  if (cancelled == cancelled_.end() || aNow - aCalmSince < kContactTime) {
+    return;
+  }
+  TaskRecord& task = tasks_[aTask];
+  // The time to stop a run that a delayed command starts counts from its start.
+  const TimePoint from = std::max(
+    cancelled->second, task.delayedStartAt_.value_or(TimePoint::min()));
+  if (aNow - from > kCancelTime + kStopTime &&
+      !std::exchange(task.isReportedOverdue_, true)) {
+    const auto sinceFault =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aCalmSince);
+    const auto sinceCancel =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aNow -
+                                                            cancelled->second);
+    AddViolation(
+      "UNASKED",
+      ToString(aTask) + " runs on " + std::to_string(sinceCancel.count()) +
+        " ms after the cancel and " + std::to_string(sinceFault.count()) +
+        " ms after the last fault");
+  }
+}
+
 void
 JobOracle::WaveReportedCompleted(const Wave& aWave,
                                  const std::set<VmId>& aMaintenanceBegun)
--- a/tests/jobs/JobOracle.h
+++ b/tests/jobs/JobOracle.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,6 +59,12 @@
   /// There was no fault for as long as a stop takes. Jobs that were cancelled
   /// at least that long ago must have stopped.
   void CheckCancelledJobsStopped(TimePoint aNow);
+  /// A worker still lists a run of this task, and no fault has acted on the
+  /// worker, the owner or the store since `aCalmSince`. Checks that the run of
+  /// a cancelled job has been stopped in time.
+  void CheckListedRun(const TaskId& aTask,
+                      TimePoint aCalmSince,
+                      TimePoint aNow);
   void WaveReportedCompleted(const Wave& aWave,
                              const std::set<VmId>& aMaintenanceBegun);
 
@@ -77,6 +84,10 @@
     bool isDoneAcknowledged_ = false;
     std::uint32_t failures_ = 0;
     TimePoint notRunningSince_;
+    /// When the last run was started by a delayed command; empty if its command
+    /// was prompt.
+    std::optional<TimePoint> delayedStartAt_;
+    bool isReportedOverdue_ = false;
   };
 
   void AddViolation(const std::string& aRuleName, const std::string& aDetails);
--- a/tests/jobs/JobOracleTest.cpp
+++ b/tests/jobs/JobOracleTest.cpp
@@ -151,5 +151,42 @@
   ExpectViolation("MIXED");
 }
 
+// Guards against a check for runs of cancelled jobs that never fails, or that
+// fails before the time to start and to stop is over.
+TEST_F(JobOracleTest, ReportsAListedRunLongAfterTheCancelOnce)
+{
+  Start(Task(0, 0));
+  oracle_.Cancelled(kJob, TimePoint{ 1s });
+  oracle_.CheckListedRun(Task(0, 0), {}, TimePoint{ 5900ms });
+  EXPECT_TRUE(oracle_.Violations().empty());
+  oracle_.CheckListedRun(Task(0, 0), {}, TimePoint{ 5901ms });
+  oracle_.CheckListedRun(Task(0, 0), {}, TimePoint{ 6s });
+  ExpectViolation("UNASKED");
+}
+
+// Guards against a check that blames the job manager for a run whose worker it
+// has not been in touch with.
+TEST_F(JobOracleTest, AcceptsAListedRunUntilItsWorkerIsInTouch)
+{
+  Start(Task(0, 0));
+  oracle_.Cancelled(kJob, TimePoint{ 1s });
+  oracle_.CheckListedRun(Task(0, 0), TimePoint{ 5s }, TimePoint{ 8999ms });
+  EXPECT_TRUE(oracle_.Violations().empty());
+  oracle_.CheckListedRun(Task(0, 0), TimePoint{ 5s }, TimePoint{ 9s });
+  ExpectViolation("UNASKED");
+}
+
+// Guards against a check that counts the time to stop a run from before a
+// delayed command has started it.
+TEST_F(JobOracleTest, CountsTheTimeOfADelayedRunFromItsStart)
+{
+  oracle_.Cancelled(kJob, TimePoint{ 1s });
+  Start(Task(0, 0), TimePoint{ 6s }, CommandTiming::Delayed);
+  oracle_.CheckListedRun(Task(0, 0), {}, TimePoint{ 10900ms });
+  EXPECT_TRUE(oracle_.Violations().empty());
+  oracle_.CheckListedRun(Task(0, 0), {}, TimePoint{ 10901ms });
+  ExpectViolation("UNASKED");
+}
+
 } // namespace
 } // namespace verbenawell::jobs
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -181,6 +181,21 @@
   return {};
 }
 
+std::string
+SimulatedDeployment::NewestOwner() const
+{
+  std::string newest;
+  Epoch epoch;
+  for (const auto& [name, daemon] : daemons_) {
+    if (const Owning* owning = daemon.state_.ownership_.AsOwner();
+        daemon.isUp_ && owning != nullptr && owning->epoch_ >= epoch) {
+      newest = name;
+      epoch = owning->epoch_;
+    }
+  }
+  return newest;
+}
+
 std::vector<std::string>
 SimulatedDeployment::Running() const
 {
@@ -219,7 +234,7 @@
 SimulatedDeployment::Apply(const std::string& aDaemon, const Event& aEvent)
 {
   const Context context{ time_.Now(),
-                         WallAt(time_.Now()),
+                         WallAt(time_.Now()) + wallOffsets_[aDaemon],
                          DaemonId{ aDaemon } };
   for (const Effect& effect :
        Reduce(daemons_.at(aDaemon).state_, aEvent, context)) {
@@ -234,46 +249,6 @@
            Event aEvent) { Deliver(aDaemon, incarnation, std::move(aEvent)); };
 }
 
-FakeWorker*
-SimulatedDeployment::Find(const WorkerId& aWorker)
-{
-  const auto found = std::ranges::find_if(vms_, [&](const Vm& aVm) {
-    return aVm.worker_->Entry().worker_ == aWorker;
-  });
-  return found == vms_.end() ? nullptr : found->worker_.get();
-}
-
-template<typename Command>
-void
-SimulatedDeployment::SendToWorker(const std::string& aDaemon,
-                                  const Command& aCommand)
-{
-  if (FakeWorker* worker = Find(aCommand.worker_); worker != nullptr) {
-    worker->Run(aCommand, ReplyTo(aDaemon));
-  } else if constexpr (std::is_same_v<Command, RenewLease>) {
-    time_.After(1s, [reply = ReplyTo(aDaemon), aCommand] {
-      reply(LeaseRenewalFailed{ aCommand.worker_ });
-    });
-  }
-}
-
-void
-SimulatedDeployment::SendStart(const std::string& aDaemon,
-                               const StartTask& aCommand)
-{
-  if (!requiresTickets_ || advice_.Permits(aCommand)) {
-    SendToWorker(aDaemon, aCommand);
-    return;
-  }
-  ++ticketRefusals_;
-  time_.After(kNetworkLatency, [reply = ReplyTo(aDaemon), aCommand] {
-    reply(StartCommandCompleted{ aCommand.worker_,
-                                 aCommand.task_,
-                                 aCommand.run_,
-                                 StartRefusal::InvalidTicket });
-  });
-}
-
 void
 SimulatedDeployment::Execute(const std::string& aDaemon, const Effect& aEffect)
 {
@@ -288,9 +263,9 @@
         }
       },
       [&](const ForwardRequest& aForward) { Forward(aDaemon, aForward); },
-      [&](const RenewLease& aCommand) { SendToWorker(aDaemon, aCommand); },
-      [&](const StartTask& aCommand) { SendStart(aDaemon, aCommand); },
-      [&](const StopTask& aCommand) { SendToWorker(aDaemon, aCommand); },
+      [&](const RenewLease& aCommand) { Send(aDaemon, aCommand); },
+      [&](const StartTask& aCommand) { Send(aDaemon, aCommand); },
+      [&](const StopTask& aCommand) { Send(aDaemon, aCommand); },
       [](const ThrottleTask&) {},
       [](const DisconnectWorker&) {},
       [&](const RequestAdvice& aRequest) {
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -27,6 +27,22 @@
 inline constexpr const char* kCallerHost = "host.example";
 inline constexpr const char* kQueuePath = "/queue/";
 
+/// What a link from a daemon to a worker loses. Each value includes the ones
+/// before it.
+enum class LinkLoss : std::uint8_t
+{
+  Responses,
+  Calls,
+};
+
+/// Faults of the simulated VM service.
+struct VmServiceFaults
+{
+  Duration latency_ = std::chrono::milliseconds(1);
+  /// Calls get no response. Half of the commands are carried out.
+  bool isUnresponsive_ = false;
+};
+
 /// Simulates a deployment of daemons with a store, workers and VMs in virtual
 /// time. One seed determines all random choices.
 class SimulatedDeployment
@@ -83,6 +99,8 @@
   /// The name of the daemon that owns the jobs and has read the journal; empty
   /// if there is none.
   [[nodiscard]] std::string Owner() const;
+  /// The name of the daemon that took the ownership last; empty if it is down.
+  [[nodiscard]] std::string NewestOwner() const;
   [[nodiscard]] std::vector<std::string> Running() const;
   [[nodiscard]] const State& StateOf(const std::string& aDaemon) const;
 
@@ -92,6 +110,10 @@
   /// returns if the worker is restarted.
   void KillWorker(std::size_t aIndex);
   void RestartWorker(std::size_t aIndex);
+  /// Cuts a worker off from the store. Its entry leaves the list after its time
+  /// to live and returns when the worker reaches the store again.
+  void CutWorkerFromStore(std::size_t aIndex);
+  void ReconnectWorkerToStore(std::size_t aIndex);
   /// Kills the worker of a VM and removes the VM from the list of VMs for good.
   void RemoveVm(std::size_t aIndex);
   void BeginWave(int aLimit);
@@ -107,6 +129,13 @@
   /// Number of starts that were rejected for lack of a valid ticket.
   int ticketRefusals_ = 0;
   std::set<VmId> maintenanceBegun_;
+  /// Links that lose calls or responses. The others lose nothing.
+  std::map<std::pair<std::string, WorkerId>, LinkLoss> lossyLinks_;
+  VmServiceFaults vmServiceFaults_;
+  /// Error of each daemon's time of day.
+  std::map<std::string, std::chrono::milliseconds> wallOffsets_;
+  /// Called for each response that accepts a job.
+  std::function<void(const JobId&)> jobAccepted_ = [](const JobId&) {};
   /// Log lines of all daemons.
   std::vector<LoggedEvent> log_;
   /// Prints the log lines of the daemons.
@@ -131,6 +160,8 @@
     VmState state_ = VmState::Up;
     int incarnationCount_ = 1;
     bool isRemoved_ = false;
+    /// When the worker was cut off from the store; empty if it reaches it.
+    std::optional<TimePoint> cutFromStoreAt_;
   };
 
   using ResponseHandler = std::function<void(const CallerResponse&)>;
@@ -156,12 +187,22 @@
   FakeWorker* Find(const WorkerId& aWorker);
   template<typename Command>
   void SendToWorker(const std::string& aDaemon, const Command& aCommand);
-  void SendStart(const std::string& aDaemon, const StartTask& aCommand);
+  void Send(const std::string& aDaemon, const RenewLease& aCommand);
+  void Send(const std::string& aDaemon, const StartTask& aCommand);
+  void Send(const std::string& aDaemon, const StopTask& aCommand);
+  [[nodiscard]] bool Loses(const std::string& aDaemon,
+                           const WorkerId& aWorker,
+                           LinkLoss aLoss) const;
   void Forward(const std::string& aDaemon, const ForwardRequest& aForward);
   void ListVms(const std::string& aDaemon);
   void MoveToPool(const std::string& aDaemon, const MoveVm& aCommand);
   void BeginMaintenance(const std::string& aDaemon,
                         const StartMaintenance& aCommand);
+  [[nodiscard]] bool LosesVmCommand();
+  [[nodiscard]] Duration VmCommandTime() const;
+  /// The result that the sender of a VM command sees.
+  [[nodiscard]] VmCommandResult ResultReceived(
+    const VmCommandResult& aResult) const;
   void ListWorkers();
 
   std::map<std::string, Daemon> daemons_;
--- a/tests/jobs/SimulatedDeploymentCallers.cpp
+++ b/tests/jobs/SimulatedDeploymentCallers.cpp
@@ -82,6 +82,7 @@
         if (std::holds_alternative<JobAccepted>(aResponse)) {
           *isDecided = true;
           oracle_.Accepted(JobId{ aJob });
+          jobAccepted_(JobId{ aJob });
         } else if (const auto* rejected =
                      std::get_if<JobRejected>(&aResponse)) {
           *isDecided = true;
--- a/tests/jobs/SimulatedDeploymentVms.cpp
+++ b/tests/jobs/SimulatedDeploymentVms.cpp
@@ -9,7 +9,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kNetworkLatency = 1ms;
+// Time after which a daemon gives up a call to the VM service.
+constexpr Duration kVmCallTimeout = 2s;
 constexpr Duration kListInterval = 500ms;
 // An entry expires when three heartbeats, one each 1.5 s, are missing.
 constexpr Duration kEntryTimeToLive = 4500ms;
@@ -53,7 +54,7 @@
 {
   for (const Vm& vm : vms_) {
     if (vm.worker_->IsAlive() && vm.state_ == VmState::Up &&
-        vm.pool_ != kSpare) {
+        vm.pool_ != kSpare && !vm.cutFromStoreAt_) {
       store_.workers_[vm.worker_->Entry().worker_] = vm.worker_->Entry();
     }
   }
@@ -81,7 +82,29 @@
 void
 SimulatedDeployment::RestartWorker(std::size_t aIndex)
 {
-  WorkerAt(aIndex).Restart();
+  if (vms_.at(aIndex).state_ == VmState::Up) {
+    WorkerAt(aIndex).Restart();
+  }
+}
+
+void
+SimulatedDeployment::CutWorkerFromStore(std::size_t aIndex)
+{
+  Vm& vm = vms_.at(aIndex);
+  vm.cutFromStoreAt_ = time_.Now();
+  time_.After(
+    kEntryTimeToLive,
+    [this, &vm, worker = vm.worker_->Entry().worker_, cutAt = time_.Now()] {
+      if (vm.cutFromStoreAt_ == cutAt) {
+        store_.workers_.erase(worker);
+      }
+    });
+}
+
+void
+SimulatedDeployment::ReconnectWorkerToStore(std::size_t aIndex)
+{
+  vms_.at(aIndex).cutFromStoreAt_.reset();
 }
 
 void
@@ -108,6 +131,11 @@
 void
 SimulatedDeployment::ListVms(const std::string& aDaemon)
 {
+  if (vmServiceFaults_.isUnresponsive_) {
+    time_.After(kVmCallTimeout,
+                [reply = ReplyTo(aDaemon)] { reply(VmsReadFailed{}); });
+    return;
+  }
   VmsRead read;
   for (const Vm& vm : vms_) {
     if (!vm.isRemoved_) {
@@ -115,21 +143,46 @@
         { vm.id_, vm.pool_, vm.state_, vm.worker_->Entry().worker_ });
     }
   }
-  time_.After(kNetworkLatency,
+  time_.After(vmServiceFaults_.latency_,
               [reply = ReplyTo(aDaemon), read] { reply(read); });
 }
 
+bool
+SimulatedDeployment::LosesVmCommand()
+{
+  return vmServiceFaults_.isUnresponsive_ && random_.Below(2) == 0;
+}
+
+Duration
+SimulatedDeployment::VmCommandTime() const
+{
+  return vmServiceFaults_.isUnresponsive_ ? kVmCallTimeout
+                                          : vmServiceFaults_.latency_;
+}
+
+VmCommandResult
+SimulatedDeployment::ResultReceived(const VmCommandResult& aResult) const
+{
+  return vmServiceFaults_.isUnresponsive_ ? VmCommandUnconfirmed{} : aResult;
+}
+
 void
 SimulatedDeployment::BeginMaintenance(const std::string& aDaemon,
                                       const StartMaintenance& aCommand)
 {
   const auto vm = std::ranges::find(vms_, aCommand.vm_, &Vm::id_);
   const auto respond = [&](VmCommandResult aResult) {
-    time_.After(kNetworkLatency, [reply = ReplyTo(aDaemon), aCommand, aResult] {
-      reply(
-        MaintenanceCommandCompleted{ aCommand.vm_, aCommand.wave_, aResult });
-    });
+    time_.After(
+      VmCommandTime(),
+      [reply = ReplyTo(aDaemon), aCommand, result = ResultReceived(aResult)] {
+        reply(
+          MaintenanceCommandCompleted{ aCommand.vm_, aCommand.wave_, result });
+      });
   };
+  if (LosesVmCommand()) {
+    respond(VmCommandUnconfirmed{});
+    return;
+  }
   if (maintenanceBegun_.contains(aCommand.vm_)) {
     respond(VmCommandAccepted{});
     return;
@@ -155,10 +208,16 @@
 {
   const auto vm = std::ranges::find(vms_, aCommand.vm_, &Vm::id_);
   const auto respond = [&](VmCommandResult aResult) {
-    time_.After(kNetworkLatency, [reply = ReplyTo(aDaemon), aCommand, aResult] {
-      reply(VmMoveCompleted{ aCommand.vm_, aResult });
-    });
+    time_.After(
+      VmCommandTime(),
+      [reply = ReplyTo(aDaemon), aCommand, result = ResultReceived(aResult)] {
+        reply(VmMoveCompleted{ aCommand.vm_, result });
+      });
   };
+  if (LosesVmCommand()) {
+    respond(VmCommandUnconfirmed{});
+    return;
+  }
   if (vm->pool_ == aCommand.pool_) {
     respond(VmCommandAccepted{});
     return;
--- a/tests/jobs/fuzz_jobs_main.cpp
+++ b/tests/jobs/fuzz_jobs_main.cpp
@@ -9,18 +9,25 @@
 DEFINE_bool(lasting,
             false,
             "add jobs whose tasks run until they are cancelled");
+DEFINE_bool(disruptions,
+            false,
+            "replace load and faults by series of disruptions and cancels");
 DEFINE_bool(trace, false, "print what the daemons log");
 DEFINE_uint64(last, 100, "last seed");
 
 int
 main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("[--first SEED] [--last SEED] [--lasting]");
+  gflags::SetUsageMessage("[--first SEED] [--last SEED] [--lasting] "
+                          "[--disruptions]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   int failed = 0;
   for (std::uint64_t seed = FLAGS_first; seed <= FLAGS_last; ++seed) {
-    const auto violations = verbenawell::jobs::FuzzJobs(
-      seed, { .hasLongRunningJobs_ = FLAGS_lasting, .isTraced_ = FLAGS_trace });
+    const auto violations =
+      verbenawell::jobs::FuzzJobs(seed,
+                                  { .hasLongRunningJobs_ = FLAGS_lasting,
+                                    .hasDisruptions_ = FLAGS_disruptions,
+                                    .isTraced_ = FLAGS_trace });
     for (const std::string& violation : violations) {
       std::cout << "seed " << seed << ": " << violation << '\n';
     }
