--- a/tests/jobs/SimulatedDeploymentCommands.cpp
+++ b/tests/jobs/SimulatedDeploymentCommands.cpp
@@ -1,5 +1,3 @@
-#include "verbenawell/core/Overloaded.h"
-
 #include "SimulatedDeployment.h"
 
 #include <algorithm>
