--- a/tests/jobs/ClockStepTest.cpp
+++ b/tests/jobs/ClockStepTest.cpp
@@ -1,6 +1,8 @@
 #include "ExpectNoViolations.h"
 
+#include <chrono>
 #include <string>
+#include <variant>
 
 #include <gtest/gtest.h>
 
@@ -18,12 +20,19 @@
   ClockStep()
   {
     deployment_.RunFor(kStartUpTime);
-    deployment_.wallClockOffset_ = -200s;
+    SetClocksBy(-200s);
   }
 
-  void StepBack()
+  void SetClocksBy(std::chrono::seconds aOffset)
   {
-    deployment_.wallClockOffset_ = {};
+    for (const std::string& daemon : deployment_.Running()) {
+      deployment_.wallOffsets_[daemon] = aOffset;
+    }
+  }
+
+  void CorrectClocks()
+  {
+    SetClocksBy(0s);
     deployment_.RunFor(2s);
   }
 
@@ -44,7 +53,7 @@
   deployment_.Submit(kJob, job);
   deployment_.RunFor(2s);
   ASSERT_EQ(deployment_.StateOfJob(kJob), JobState::Completed);
-  StepBack();
+  CorrectClocks();
   const auto response =
     deployment_.SendAndWait(deployment_.Owner(), ReadJob{ JobId{ kJob } });
   ASSERT_TRUE(response);
@@ -62,7 +71,7 @@
   deployment_.RunFor(2s);
   deployment_.Cancel(kJob);
   deployment_.RunFor(5s);
-  StepBack();
+  CorrectClocks();
   SubmitAgain(job);
   EXPECT_TRUE(deployment_.WorkerAt(0).Running().empty());
   EXPECT_TRUE(deployment_.WorkerAt(1).Running().empty());
@@ -77,7 +86,7 @@
   deployment_.Submit(kJob, job);
   deployment_.RunFor(2s);
   deployment_.Kill(deployment_.Owner());
-  deployment_.wallClockOffset_ = {};
+  SetClocksBy(0s);
   deployment_.RunFor(6s);
   EXPECT_EQ(deployment_.StateOfJob(kJob), JobState::Completed);
   SubmitAgain(job);
