Send start commands only while the ownership is confirmed

Callers would see a task that starts after the cancel of its job was acknowledged (UNASKED). An owner that is cut off from the store, or that continues after a pause, sent and repeated start commands that were stored before the cancel until its lease of 8 s ended. A worker that its successor has not reached accepts them, since it has not seen the newer epoch. The successor has accepted the cancel meanwhile.

Cause: the record of a start counted as evidence for the whole lease that the start is still wanted. It only holds while no successor can have decided otherwise.

Start commands, first or repeated, now go out only while the newest confirmed renewal is younger than kOwnerTimeout (2.5 s); no daemon claims from an unresponsive owner before. A daemon on a larger VM may claim earlier, but the start is then still sent less than 2.5 s after the confirmed renewal, which precedes the claim and thus any cancel that the successor accepts; starts are allowed for 3 s after it. Lease renewals and stops are not restricted.

Cost: while the store is down, a stored start without a response waits. The counter starts_repeated no longer counts delayed first commands.

The simulator can make a worker unreachable from single daemons.

--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -13,9 +13,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kRenewalInterval = 1s;
-// Time after its last renewal at which an owner is replaced. Two consecutive
-// renewals may be lost or late.
-constexpr Duration kOwnerTimeout = 2500ms;
 // Followers delay their claims by a random time below this limit, so that most
 // of them read the first claim before they send their own.
 constexpr Duration kMaxClaimJitter = 400ms;
--- a/src/verbenawell/jobs/ownership/OwnershipState.h
+++ b/src/verbenawell/jobs/ownership/OwnershipState.h
@@ -4,12 +4,17 @@
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/ownership/OwnerRecord.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <variant>
 
 namespace verbenawell::jobs {
 
+/// Time after its last renewal at which an owner is replaced. Two consecutive
+/// renewals may be lost or late.
+inline constexpr Duration kOwnerTimeout = std::chrono::milliseconds(2500);
+
 /// Another daemon is the owner, or there is none.
 struct Following
 {};
@@ -25,6 +30,13 @@
   /// Send time of the newest renewal that the store confirmed.
   TimePoint renewalSentAt_;
   TimePoint takenAt_;
+
+  /// Returns whether the newest confirmed renewal is so young that no daemon
+  /// has taken this one for unresponsive.
+  [[nodiscard]] bool IsConfirmed(TimePoint aNow) const
+  {
+    return aNow - renewalSentAt_ < kOwnerTimeout;
+  }
 };
 
 using OwnerRole = std::variant<Following, Claiming, Owning>;
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -62,6 +62,15 @@
                                                  : owning->renewalSentAt_);
 }
 
+// A successor may have accepted the cancel of a job whose start this daemon has
+// stored, and the worker accepts the start if the successor has not reached it.
+bool
+WorkerCommands::IsOwnershipConfirmed() const
+{
+  const Owning* owning = views_.ownership_.AsOwner();
+  return owning != nullptr && owning->IsConfirmed(context_.now_);
+}
+
 void
 WorkerCommands::SendStart(Worker& aWorker,
                           const TaskId& aTask,
@@ -70,11 +79,14 @@
 {
   const Job* job = views_.tasks_.Find(aTask.job_);
   const Task* task = job == nullptr ? nullptr : job->Find(aTask);
-  if (task == nullptr || !aWorker.lease_.reading_) {
+  if (task == nullptr || !aWorker.lease_.reading_ || !IsOwnershipConfirmed()) {
     effects_.push_back(
       SetTimer{ CommandRetry{ aWorker.entry_.worker_ }, kWorkerRetryDelay });
     return;
   }
+  if (aStarting.hasUnconfirmedStart_) {
+    effects_.push_back(Count{ Counter::StartsRepeated });
+  }
   aStarting.isInFlight_ = true;
   aRun.startSentAt_ = context_.now_;
   const WorkerTime leaseEnd = LeaseEnd(aWorker);
@@ -123,7 +135,6 @@
   for (auto& [task, run] : found->second.runs_) {
     if (auto* starting = std::get_if<Starting>(&run.phase_);
         starting != nullptr && run.isStored_ && !starting->isInFlight_) {
-      effects_.push_back(Count{ Counter::StartsRepeated });
       SendStart(found->second, task, run, *starting);
     } else if (auto* stopping = std::get_if<Stopping>(&run.phase_);
                stopping != nullptr && !stopping->respondedAt_ &&
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.h
@@ -29,6 +29,7 @@
   /// of its runs and ends.
   void SendRenewal(const WorkerId& aId);
 
+  /// Sends or repeats a start command, later if it may not be sent now.
   void SendStart(Worker& aWorker,
                  const TaskId& aTask,
                  Assignment& aRun,
@@ -43,6 +44,7 @@
   void Resend(const WorkerId& aId);
 
 private:
+  [[nodiscard]] bool IsOwnershipConfirmed() const;
   [[nodiscard]] WorkerTime LeaseEnd(const Worker& aWorker) const;
 
   WorkersState& state_;
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -126,23 +126,47 @@
   return StartAccepted{};
 }
 
+void
+FakeWorker::Lose(const RenewLease& aRenewal, const Reply& aReply)
+{
+  time_.After(kCallTimeout + aRenewal.wait_, [aReply, aRenewal] {
+    aReply(LeaseRenewalFailed{ aRenewal.worker_ });
+  });
+}
+
+void
+FakeWorker::Lose(const StartTask& aStart, const Reply& aReply)
+{
+  time_.After(kCallTimeout, [aReply, aStart] {
+    aReply(StartCommandCompleted{
+      aStart.worker_, aStart.task_, aStart.run_, StartUnconfirmed{} });
+  });
+}
+
+void
+FakeWorker::Lose(const StopTask& aStop, const Reply& aReply)
+{
+  time_.After(kCallTimeout, [aReply, aStop] {
+    aReply(
+      StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, false });
+  });
+}
+
 void
 FakeWorker::Run(const StartTask& aStart, const Reply& aReply)
 {
-  const auto respond = [&](StartResult aResult, Duration aDelay) {
-    time_.After(aDelay, [aReply, aStart, aResult] {
-      aReply(StartCommandCompleted{
-        aStart.worker_, aStart.task_, aStart.run_, aResult });
-    });
-  };
   if (!isAlive_ || faults_.isUnreachable_) {
-    respond(StartUnconfirmed{}, kCallTimeout);
+    Lose(aStart, aReply);
   } else if (random_.Below(100) <
              static_cast<std::uint64_t>(faults_.delayedCommandPercent_)) {
     RunDelayed([this, aStart] { Handle(aStart, CommandTiming::Delayed); });
-    respond(StartUnconfirmed{}, kCallTimeout);
+    Lose(aStart, aReply);
   } else {
-    respond(Handle(aStart, CommandTiming::Prompt), kLatency);
+    const StartResult result = Handle(aStart, CommandTiming::Prompt);
+    time_.After(kLatency, [aReply, aStart, result] {
+      aReply(StartCommandCompleted{
+        aStart.worker_, aStart.task_, aStart.run_, result });
+    });
   }
 }
 
@@ -183,9 +207,13 @@
   } else if (arrives && !responds) {
     RunDelayed([this, aStop] { Handle(aStop); });
   }
-  time_.After(responds ? kLatency : kCallTimeout, [aReply, aStop, responds] {
+  if (!responds) {
+    Lose(aStop, aReply);
+    return;
+  }
+  time_.After(kLatency, [aReply, aStop] {
     aReply(
-      StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, responds });
+      StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, true });
   });
 }
 
@@ -194,9 +222,7 @@
 {
   const TimePoint sentAt = time_.Now();
   if (!isAlive_ || faults_.isUnreachable_) {
-    time_.After(kCallTimeout + aRenewal.wait_, [aReply, aRenewal] {
-      aReply(LeaseRenewalFailed{ aRenewal.worker_ });
-    });
+    Lose(aRenewal, aReply);
     return;
   }
   if (!RaiseFence(aRenewal.epoch_)) {
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
 {
   /// Commands get no response and are not executed.
   bool isUnreachable_ = false;
+  /// Daemons whose commands get no response and are not executed.
+  std::set<DaemonId> unreachableFrom_;
   /// Percentage of commands that get no response and are executed seconds
   /// later.
   int delayedCommandPercent_ = 0;
@@ -56,6 +59,19 @@
   void Run(const StartTask& aStart, const Reply& aReply);
   void Run(const StopTask& aStop, const Reply& aReply);
 
+  /// Runs a command unless the worker is unreachable from this daemon.
+  template<typename Command>
+  void RunFrom(const DaemonId& aFrom,
+               const Command& aCommand,
+               const Reply& aReply)
+  {
+    if (faults_.unreachableFrom_.contains(aFrom)) {
+      Lose(aCommand, aReply);
+    } else {
+      Run(aCommand, aReply);
+    }
+  }
+
   /// Ends the incarnation: nothing runs, and calls get no response.
   void Crash();
   /// Begins a new incarnation with the same id.
@@ -79,6 +95,10 @@
     Duration duration_{};
   };
 
+  /// Gives no response to a command and does not execute it.
+  void Lose(const RenewLease& aRenewal, const Reply& aReply);
+  void Lose(const StartTask& aStart, const Reply& aReply);
+  void Lose(const StopTask& aStop, const Reply& aReply);
   void RunDelayed(std::function<void()> aCommand);
   StartResult Handle(const StartTask& aStart, CommandTiming aTiming);
   void Handle(const StopTask& aStop);
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -249,7 +249,7 @@
                                   const Command& aCommand)
 {
   if (FakeWorker* worker = Find(aCommand.worker_); worker != nullptr) {
-    worker->Run(aCommand, ReplyTo(aDaemon));
+    worker->RunFrom(DaemonId{ aDaemon }, aCommand, ReplyTo(aDaemon));
   } else if constexpr (std::is_same_v<Command, RenewLease>) {
     time_.After(1s, [reply = ReplyTo(aDaemon), aCommand] {
       reply(LeaseRenewalFailed{ aCommand.worker_ });
