--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -24,8 +24,11 @@
 {
   const auto [found, isNew] = aState.workers_.try_emplace(aEntry.worker_);
   Worker& worker = found->second;
-  if (!isNew && aEntry.incarnation_ > worker.incarnation_ &&
-      worker.incarnation_ != WorkerIncarnation{}) {
+  if (worker.incarnation_ == WorkerIncarnation{}) {
+    // A worker known from the journal may have a new incarnation before it
+    // responds, whose leases may have any permitted length.
+    worker.incarnation_ = aEntry.incarnation_;
+  } else if (aEntry.incarnation_ > worker.incarnation_) {
     StartNewIncarnation(worker, aEntry.incarnation_, aContext, aEffects);
   }
   const bool wasDraining = worker.entry_.draining_;
@@ -33,7 +36,6 @@
   worker.isListed_ = true;
   worker.listedAt_ = aContext.now_;
   if (isNew) {
-    worker.incarnation_ = aEntry.incarnation_;
     // An entry that outlasts its worker, or that names the address of another
     // worker, is added again after each proof that its worker has ended; it is
     // not logged again.
