Test who stops the runs of a cancelled job after a take-over

No test killed the owner between the record of a cancel and its stop commands, nor left the worker of a cancelled task unreachable for every successor.

StopCommands.AreSentByASuccessorIfOnlyTheOutcomeWasStored: the successor stops the run, which only the worker's list shows, within 4.5 s of the owner's end.

--- a/tests/jobs/StopCommandsTest.cpp
+++ b/tests/jobs/StopCommandsTest.cpp
@@ -101,6 +101,41 @@
   ExpectNoViolations(deployment_);
 }
 
+// Guards against a cancelled task that keeps running when its owner is killed
+// between the record of the cancel and the stop commands. The successor has
+// neither the job nor its runs.
+TEST_F(StopCommands, AreSentByASuccessorIfOnlyTheOutcomeWasStored)
+{
+  ASSERT_TRUE(IsRunning());
+  const std::string owner = deployment_.Owner();
+  const auto appends = deployment_.store_.appends_;
+  deployment_.CancelAt(owner, kJob);
+  ASSERT_GT(deployment_.store_.appends_, appends);
+  deployment_.Kill(owner);
+  ASSERT_TRUE(LinesOf("task_stop").empty());
+  // The take-over, the first list of the worker, and the stop.
+  deployment_.RunFor(4500ms);
+  EXPECT_FALSE(IsRunning());
+  EXPECT_EQ(deployment_.StateOfJob(kJob), JobState::Cancelled);
+  ExpectNoViolations(deployment_);
+}
+
+// Guards against a cancelled task that keeps running for longer than its lease
+// when its owner is killed and no other daemon reaches its worker.
+TEST_F(StopCommands, AreReplacedByTheEndOfTheLeaseAtAnUnreachableWorker)
+{
+  ASSERT_TRUE(IsRunning());
+  const std::string owner = deployment_.Owner();
+  for (const std::string& daemon : deployment_.Running()) {
+    deployment_.WorkerAt(0).faults_.unreachableFrom_.insert(DaemonId{ daemon });
+  }
+  deployment_.Cancel(kJob);
+  deployment_.Kill(owner);
+  deployment_.RunFor(kMaxLeaseDuration);
+  EXPECT_FALSE(IsRunning());
+  ExpectNoViolations(deployment_);
+}
+
 // Guards against a wave that never ends because the stop commands for its
 // maintenance were lost and are not repeated.
 TEST(WaveStopCommands, AreRepeatedUntilTheVmIsFree)
