Take a newer report as proof of an incarnation with a lower number

Cause: `born` is a time of day, and ApplyReport ignored every report with a lower one for good. It wrote and counted nothing. Runs of the former incarnation stayed, each renewal extended their lease, and neither the listed runs nor the ends were read.

Evidence: FakeWorker can step its clock back now.

Change: lease renewals to a worker follow each other, so a report that was requested after the current incarnation became known is newer, whatever its number. An entry of the list may be old: it begins an incarnation only if its number is above all known ones. A report that is ignored is logged as report_outdated, counted as reports_outdated, and the next one is requested at once; as one renewal is in flight, this is at most one line for each change.

--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -44,6 +44,8 @@
       return "holds_sent";
     case Counter::LeaseRenewalsFailed:
       return "holds_failed";
+    case Counter::ReportsOutdated:
+      return "reports_outdated";
     case Counter::RecordsInvalid:
       return "records_invalid";
     case Counter::OwnershipsTaken:
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -32,6 +32,8 @@
   ThrottleCommandsSent,
   LeaseRenewalsSent,
   LeaseRenewalsFailed,
+  /// A worker's report was ignored, since it shows an earlier state.
+  ReportsOutdated,
   RecordsInvalid,
   OwnershipsTaken,
   OwnershipsLost,
--- a/src/verbenawell/jobs/model/Ids.h
+++ b/src/verbenawell/jobs/model/Ids.h
@@ -40,7 +40,8 @@
 using WorkerTime = Quantity<struct WorkerTimeTag, std::int64_t>;
 
 /// Start time of a worker incarnation. A different value at the same worker
-/// proves that the earlier incarnation has ended.
+/// proves that the earlier incarnation has ended. A later incarnation may have
+/// a lower value, since the clock may be stepped back.
 using WorkerIncarnation = Quantity<struct IncarnationTag, std::int64_t>;
 
 /// 0 is the most urgent.
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -107,7 +107,10 @@
     const Worker* before = state_.Find(aReport.worker_);
     const RunEndNumber previous =
       before == nullptr ? RunEndNumber{} : before->lastEnd_;
-    ApplyReport(state_, aReport, context_, effects_);
+    if (!ApplyReport(state_, aReport, context_, effects_)) {
+      effects_.push_back(SetTimer{ LeaseRenewal{ aReport.worker_ }, {} });
+      return;
+    }
     if (const Worker* worker = state_.Find(aReport.worker_);
         worker != nullptr) {
       const bool hasEnds = worker->lastEnd_ != previous;
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -87,6 +87,10 @@
   /// The last lease renewal failed or was rejected.
   bool isUnresponsive_ = false;
   WorkerIncarnation incarnation_;
+  /// When the current incarnation became known.
+  TimePoint incarnationKnownSince_;
+  /// The highest of all incarnations that were known.
+  WorkerIncarnation highestIncarnation_;
   Lease lease_;
   /// A lease renewal is in flight.
   bool isRenewing_ = false;
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -24,7 +24,9 @@
 {
   const auto [found, isNew] = aState.workers_.try_emplace(aEntry.worker_);
   Worker& worker = found->second;
-  if (!isNew && aEntry.incarnation_ > worker.incarnation_ &&
+  // The list may be seconds old, so an incarnation that may be a former one
+  // needs the proof of a report.
+  if (!isNew && aEntry.incarnation_ > worker.highestIncarnation_ &&
       worker.incarnation_ != WorkerIncarnation{}) {
     StartNewIncarnation(worker, aEntry.incarnation_, aContext, aEffects);
   }
@@ -33,7 +35,7 @@
   worker.isListed_ = true;
   worker.listedAt_ = aContext.now_;
   if (isNew) {
-    worker.incarnation_ = aEntry.incarnation_;
+    SetIncarnation(worker, aEntry.incarnation_, aContext.now_);
     // An entry that outlasts its worker, or that names the address of another
     // worker, is added again after each proof that its worker has ended; it is
     // not logged again.
@@ -119,13 +121,22 @@
   StoreNewWorkers(aState, aEffects);
 }
 
+void
+SetIncarnation(Worker& aWorker, WorkerIncarnation aIncarnation, TimePoint aNow)
+{
+  aWorker.incarnation_ = aIncarnation;
+  aWorker.incarnationKnownSince_ = aNow;
+  aWorker.highestIncarnation_ =
+    std::max(aWorker.highestIncarnation_, aIncarnation);
+}
+
 void
 StartNewIncarnation(Worker& aWorker,
                     WorkerIncarnation aIncarnation,
                     const Context& aContext,
                     Effects& aEffects)
 {
-  aWorker.incarnation_ = aIncarnation;
+  SetIncarnation(aWorker, aIncarnation, aContext.now_);
   LogWorker("worker_reborn", aWorker, aEffects);
   // An unconfirmed start command may have reached the new incarnation or may
   // still reach it, even if a repetition was confirmed, so the run is stopped.
--- a/src/verbenawell/jobs/workers/internal/WorkerList.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.h
@@ -19,6 +19,10 @@
 void
 LogWorker(const char* aEvent, const Worker& aWorker, Effects& aEffects);
 
+/// Records which incarnation of a worker is the current one.
+void
+SetIncarnation(Worker& aWorker, WorkerIncarnation aIncarnation, TimePoint aNow);
+
 /// Handles a new incarnation of a worker, which knows nothing of the runs and
 /// ends of the old one.
 void
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -180,6 +180,36 @@
   }
 }
 
+// A worker's clock may be stepped back before its start, so an incarnation may
+// have a lower number than the one before. A report that was requested after
+// the current incarnation was known is newer, whatever its number.
+bool
+IsOfFormerIncarnation(const Worker& aWorker, const WorkerReported& aReport)
+{
+  return aReport.incarnation_ != WorkerIncarnation{} &&
+         aReport.incarnation_ != aWorker.incarnation_ &&
+         aReport.incarnation_ <= aWorker.highestIncarnation_ &&
+         aReport.sentAt_ <= aWorker.incarnationKnownSince_;
+}
+
+// Only one lease renewal is in flight, so each new incarnation or ownership
+// causes at most one such line for a worker.
+void
+LogOutdatedReport(const Worker& aWorker,
+                  const WorkerReported& aReport,
+                  const char* aReason,
+                  Effects& aEffects)
+{
+  aEffects.push_back(Count{ Counter::ReportsOutdated });
+  aEffects.push_back(
+    LogLine{ LogLevel::Info,
+             "report_outdated",
+             { { "worker", aReport.worker_.Value() },
+               { "born", std::to_string(aReport.incarnation_.Value()) },
+               { "known_born", std::to_string(aWorker.incarnation_.Value()) },
+               { "reason", aReason } } });
+}
+
 // Handles a start command that the worker rejected.
 void
 HandleStartRefusal(Worker& aWorker,
@@ -216,28 +246,33 @@
 
 } // namespace
 
-void
+bool
 ApplyReport(WorkersState& aState,
             const WorkerReported& aReport,
             const Context& aContext,
             Effects& aEffects)
 {
   const auto found = aState.workers_.find(aReport.worker_);
-  if (found == aState.workers_.end() || aReport.sentAt_ < aState.takenAt_) {
-    return;
+  if (found == aState.workers_.end()) {
+    return true;
   }
   Worker& worker = found->second;
+  if (aReport.sentAt_ < aState.takenAt_) {
+    LogOutdatedReport(worker, aReport, "former ownership", aEffects);
+    return false;
+  }
   worker.isRenewing_ = false;
-  if (worker.incarnation_ != WorkerIncarnation{} &&
-      aReport.incarnation_ != WorkerIncarnation{} &&
+  if (IsOfFormerIncarnation(worker, aReport)) {
+    LogOutdatedReport(worker, aReport, "former incarnation", aEffects);
+    return false;
+  }
+  if (aReport.incarnation_ != WorkerIncarnation{} &&
       aReport.incarnation_ != worker.incarnation_) {
-    if (aReport.incarnation_ < worker.incarnation_) {
-      return;
+    if (worker.incarnation_ == WorkerIncarnation{}) {
+      SetIncarnation(worker, aReport.incarnation_, aContext.now_);
+    } else {
+      StartNewIncarnation(worker, aReport.incarnation_, aContext, aEffects);
     }
-    StartNewIncarnation(worker, aReport.incarnation_, aContext, aEffects);
-  }
-  if (aReport.incarnation_ != WorkerIncarnation{}) {
-    worker.incarnation_ = aReport.incarnation_;
   }
   worker.lease_.reading_ = ClockReading{ aReport.clock_, aContext.now_ };
   worker.lastResponseAt_ = aContext.now_;
@@ -254,6 +289,7 @@
   aEffects.push_back(
     Raise{ RunsReported{ aReport.worker_, aReport.running_ } });
   ApplyListedEnds(worker, aReport, aContext.now_, aEffects);
+  return true;
 }
 
 void
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.h
@@ -7,8 +7,9 @@
 
 struct WorkersState;
 
-/// Compares a worker's report with the commands that were sent to it.
-void
+/// Compares a worker's report with the commands that were sent to it. Returns
+/// false if the report is outdated and was ignored.
+bool
 ApplyReport(WorkersState& aState,
             const WorkerReported& aReport,
             const Context& aContext,
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -146,6 +146,12 @@
   }
 }
 
+void
+FakeWorker::RunDelayedCopy(const StartTask& aStart)
+{
+  Handle(aStart, CommandTiming::Delayed);
+}
+
 void
 FakeWorker::Handle(const StopTask& aStop)
 {
@@ -308,11 +314,12 @@
   leaseEnd_ = WorkerTime{};
   lastEnd_ = RunEndNumber{};
   incarnationStart_ = time_.Now();
-  entry_.incarnation_ =
-    WorkerIncarnation{ entry_.incarnation_.Value() + 1 +
-                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                         time_.Now().time_since_epoch())
-                         .count() };
+  entry_.incarnation_ = WorkerIncarnation{
+    entry_.incarnation_.Value() + 1 +
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      time_.Now().time_since_epoch() + std::exchange(clockStep_, {}))
+      .count()
+  };
 }
 
 std::vector<TaskId>
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -56,10 +56,16 @@
   void Run(const StartTask& aStart, const Reply& aReply);
   void Run(const StopTask& aStop, const Reply& aReply);
 
+  /// Executes a copy of a command that was delayed.
+  void RunDelayedCopy(const StartTask& aStart);
+
   /// Ends the incarnation: nothing runs, and calls get no response.
   void Crash();
   /// Begins a new incarnation with the same id.
   void Restart();
+  /// Sets back the time of day from which the next incarnation takes its
+  /// number.
+  void StepClockBack(Duration aTime) { clockStep_ -= aTime; }
 
   [[nodiscard]] bool IsAlive() const { return isAlive_; }
   [[nodiscard]] const WorkerEntry& Entry() const { return entry_; }
@@ -105,6 +111,8 @@
   Epoch fence_;
   WorkerTime leaseEnd_;
   TimePoint incarnationStart_;
+  /// Offset of the time of day at the next start.
+  Duration clockStep_{};
   std::map<TaskId, ActiveRun> runs_;
   std::map<TaskId, RunNumber> highestRefusedRun_;
   std::vector<ListedEnd> ended_;
