--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -27,8 +27,10 @@
   if (worker.incarnation_ == WorkerIncarnation{}) {
     // A worker known from the journal may have a new incarnation before it
     // responds, whose leases may have any permitted length.
-    worker.incarnation_ = aEntry.incarnation_;
-  } else if (aEntry.incarnation_ > worker.incarnation_) {
+    SetIncarnation(worker, aEntry.incarnation_, aContext.now_);
+  } else if (aEntry.incarnation_ > worker.highestIncarnation_) {
+    // The list may be seconds old, so an incarnation that may be a former one
+    // needs the proof of a report.
     StartNewIncarnation(worker, aEntry.incarnation_, aContext, aEffects);
   }
   const bool wasDraining = worker.entry_.draining_;
@@ -121,13 +123,22 @@
   StoreNewWorkers(aState, aEffects);
 }
 
+void
+SetIncarnation(Worker& aWorker, WorkerIncarnation aIncarnation, TimePoint aNow)
+{
+  aWorker.incarnation_ = aIncarnation;
+  aWorker.incarnationKnownSince_ = aNow;
+  aWorker.highestIncarnation_ =
+    std::max(aWorker.highestIncarnation_, aIncarnation);
+}
+
 void
 StartNewIncarnation(Worker& aWorker,
                     WorkerIncarnation aIncarnation,
                     const Context& aContext,
                     Effects& aEffects)
 {
-  aWorker.incarnation_ = aIncarnation;
+  SetIncarnation(aWorker, aIncarnation, aContext.now_);
   LogWorker("worker_reborn", aWorker, aEffects);
   // An unconfirmed start command may have reached the new incarnation or may
   // still reach it, even if a repetition was confirmed, so the run is stopped.
