Count the time-out of commands to a worker from when they are sent

Cause: commands to a worker share a connection, one at a time, and each counted its 250 ms from when it was queued. Behind the first one or two, all others expired unsent at the same moment, and the command in flight was often sent too late for its response: it was repeated and its connection closed. The retry went through the runs in the order of their ids, so the first ones were repeated while the last ones waited.

Change: a call has a limit for its wait in the queue and one from sending to the response. The channels to other servers keep their total limit.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -40,6 +40,19 @@
 {
   calls_.push_back({ std::move(aRequest),
                      std::chrono::steady_clock::now() + aLimit,
+                     std::nullopt,
+                     std::move(aHandler) });
+  StartNextCall();
+}
+
+void
+Channel::Call(Request aRequest, CallLimits aLimits, ResultHandler aHandler)
+{
+  using Clock = std::chrono::steady_clock;
+  calls_.push_back({ std::move(aRequest),
+                     aLimits.queue_ ? Clock::now() + *aLimits.queue_
+                                    : Clock::time_point::max(),
+                     aLimits.response_,
                      std::move(aHandler) });
   StartNextCall();
 }
@@ -74,6 +87,9 @@
   }
   isBusy_ = true;
   isSent_ = false;
+  if (PendingCall& call = calls_.front(); call.responseLimit_) {
+    call.deadline_ = std::chrono::steady_clock::now() + *call.responseLimit_;
+  }
   ArmTimer();
   if (isConnected_) {
     Send();
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -21,17 +22,30 @@
 
 using ResultHandler = std::function<void(Result)>;
 
+/// Time limits of a call that may wait behind others.
+struct CallLimits
+{
+  /// From sending, or from connecting for it, to the response.
+  Duration response_;
+  /// Longest wait before that; unlimited if empty.
+  std::optional<Duration> queue_;
+};
+
 /// One persistent connection to a server. It carries one call at a time;
 /// further calls are queued. Every call gets exactly one result, at the latest
-/// when its time limit expires. The limit is extended while the event loop is
+/// when its time limit expires. An unlimited wait in the queue ends with the
+/// calls before it. The limit is extended while the event loop is
 /// late, because responses that have arrived are then read late too.
 class Channel : public std::enable_shared_from_this<Channel>
 {
 public:
   Channel(asio::io_context& aIo, Endpoint aServer, std::size_t aMaxBodyBytes);
 
+  /// Limits the time from now to the response.
   void Call(Request aRequest, Duration aLimit, ResultHandler aHandler);
 
+  void Call(Request aRequest, CallLimits aLimits, ResultHandler aHandler);
+
   /// Fails all pending calls and closes the connection.
   void Close();
 
@@ -42,6 +56,8 @@
   {
     Request request_;
     std::chrono::steady_clock::time_point deadline_;
+    /// Sets the deadline anew when the wait in the queue ends.
+    std::optional<Duration> responseLimit_;
     ResultHandler handler_;
     /// How often the deadline was extended because its timer fired late.
     int extensions_ = 0;
--- a/tests/jobs/ChannelTest.cpp
+++ b/tests/jobs/ChannelTest.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/adapters/http/HttpChannel.h"
 #include "verbenawell/adapters/http/HttpListener.h"
 
+#include "SlowServer.h"
 #include "StubServer.h"
 
 #include <functional>
@@ -14,7 +15,6 @@
 #include <vector>
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
 namespace verbenawell::platform {
@@ -58,43 +58,6 @@
   EXPECT_FALSE(std::get<http::Failure>(*result).mayHaveArrived_);
 }
 
-/// Responds to each request after the delay, and to `/now` at once.
-class SlowServer
-{
-public:
-  SlowServer(asio::io_context& aIo, std::chrono::milliseconds aDelay)
-    : address_(FreeEndpoint())
-    , io_(aIo)
-    , listener_(
-        aIo,
-        address_,
-        1'000'000,
-        { [this, aDelay](http::ExchangeId aExchange,
-                         const http::Request& aRequest) {
-           ++requests_;
-           if (aRequest.target_ == "/now") {
-             listener_.Respond(aExchange, { 200, {}, {} });
-             return;
-           }
-           auto timer = std::make_shared<asio::steady_timer>(io_, aDelay);
-           timer->async_wait([this, timer, aExchange](const std::error_code&) {
-             listener_.Respond(aExchange, { 200, {}, {} });
-           });
-         },
-          [this](http::ExchangeId) { ++disconnected_; } })
-  {
-  }
-
-  Endpoint address_;
-  int requests_ = 0;
-  /// Number of exchanges whose caller disconnected before the response.
-  int disconnected_ = 0;
-
-private:
-  asio::io_context& io_;
-  http::Listener listener_;
-};
-
 // Guards against a queued call that times out before it is sent and then closes
 // the connection, although a slower call still uses it. An owner with too
 // little CPU opened 41,856 connections in a minute in this way and had little
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -28,6 +28,7 @@
   , lookup_(std::move(aLookup))
   , entry_(std::move(aEntry))
   , incarnationStart_(aTime.Now())
+  , commands_(aTime)
 {
   time_.After(kLeaseCheckInterval, [this] { CheckLease(); });
 }
@@ -128,6 +129,22 @@
 
 void
 FakeWorker::Run(const StartTask& aStart, const Reply& aReply)
+{
+  if (faults_.commandTime_ == Duration{}) {
+    Execute(aStart, aReply);
+    return;
+  }
+  commands_.Call(
+    FakeChannel::kTimeout,
+    faults_.commandTime_,
+    [this, aStart](const Reply& aRespond) { Execute(aStart, aRespond); },
+    StartCommandCompleted{
+      aStart.worker_, aStart.task_, aStart.run_, StartUnconfirmed{} },
+    aReply);
+}
+
+void
+FakeWorker::Execute(const StartTask& aStart, const Reply& aReply)
 {
   const auto respond = [&](StartResult aResult, Duration aDelay) {
     time_.After(aDelay, [aReply, aStart, aResult] {
@@ -172,6 +189,21 @@
 
 void
 FakeWorker::Run(const StopTask& aStop, const Reply& aReply)
+{
+  if (faults_.commandTime_ == Duration{}) {
+    Execute(aStop, aReply);
+    return;
+  }
+  commands_.Call(
+    std::nullopt,
+    faults_.commandTime_,
+    [this, aStop](const Reply& aRespond) { Execute(aStop, aRespond); },
+    StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, false },
+    aReply);
+}
+
+void
+FakeWorker::Execute(const StopTask& aStop, const Reply& aReply)
 {
   const bool arrives =
     isAlive_ && !faults_.isUnreachable_ && !faults_.losesStops_;
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Random.h"
 #include "verbenawell/jobs/core/Effect.h"
 
+#include "FakeChannel.h"
 #include "JobOracle.h"
 #include "VirtualTime.h"
 
@@ -27,6 +28,9 @@
   bool losesStops_ = false;
   /// Stop commands get a response but are not executed.
   bool ignoresStops_ = false;
+  /// Time that the worker takes for each start or stop command, one after the
+  /// other; zero if it handles all of them at once.
+  Duration commandTime_{};
   /// Delayed commands are also executed by the next incarnation with the same
   /// id.
   bool delayedCommandsSurviveRestart_ = false;
@@ -79,6 +83,8 @@
     Duration duration_{};
   };
 
+  void Execute(const StartTask& aStart, const Reply& aReply);
+  void Execute(const StopTask& aStop, const Reply& aReply);
   void RunDelayed(std::function<void()> aCommand);
   StartResult Handle(const StartTask& aStart, CommandTiming aTiming);
   void Handle(const StopTask& aStop);
@@ -111,6 +117,7 @@
   RunEndNumber lastEnd_;
   Resources used_;
   std::uint64_t lastSerial_ = 0;
+  FakeChannel commands_;
 };
 
 } // namespace verbenawell::jobs
