Keep idle workers that respond from counting as unresponsive

What callers would see: borrowed VMs do not return to their home pools and are not lent while their workers take some 0.1 s and more to respond, and pools with idle workers count too few VMs now and then.

Cause: an idle worker is asked every 2 s, and a worker whose last response is 2 s old counts as unresponsive. So each idle worker is unresponsive from the end of the 2 s until the next response. A tick of the pools in that time restarts the idle time of the VM, which has to reach 3 s for a return.

Pools.ReturnIdleVmsWhoseWorkersRespondSlowly (400 ms) failed.

Change: the limit is the interval of idle renewals and one second, within which a renewal has a response or has failed (700 ms without a wait). A worker that does not respond is found by the failure of its renewal, as before, at most 1.7 s after it was sent.

--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -28,9 +28,6 @@
 // Delay of the next lease renewal. It lets several ends share one renewal,
 // since each renewal costs a call.
 constexpr Duration kRenewalDelay = 80ms;
-// Delay of the next lease renewal of an idle worker, of which only the clock
-// and the incarnation matter.
-constexpr Duration kIdleRenewalDelay = 2s;
 // Longest wait for reported ends to be written before the next lease renewal.
 constexpr Duration kMaxRenewalDelay = 1s;
 
--- a/src/verbenawell/jobs/workers/WorkersState.cpp
+++ b/src/verbenawell/jobs/workers/WorkersState.cpp
@@ -15,9 +15,10 @@
 // responded for longer may have ended, and a task started there would have to
 // wait until the lease expires.
 constexpr Duration kMaxResponseAgeForStarts = 4s;
-// A worker counts as unresponsive when its last response is this old: twice the
-// longest wait of a lease renewal, which is one second.
-constexpr Duration kUnresponsiveAfter = 2s;
+// A worker counts as unresponsive when its last response is this old: an idle
+// worker is asked every `kIdleRenewalDelay`, and its lease renewal has a
+// response or has failed within a second.
+constexpr Duration kUnresponsiveAfter = kIdleRenewalDelay + 1s;
 
 } // namespace
 
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -13,6 +13,10 @@
 
 namespace verbenawell::jobs {
 
+/// Delay of the next lease renewal of an idle worker, of which only the clock
+/// and the incarnation matter.
+constexpr Duration kIdleRenewalDelay = std::chrono::seconds(2);
+
 /// The start command has not been sent yet or has no response yet.
 struct Starting
 {
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -245,7 +245,8 @@
     lists.running_.push_back({ task, run.run_, {}, Progress(run), 0 });
   }
   lists.ended_ = ended_;
-  time_.After(kLatency, [aReply, lists = std::move(lists)] { aReply(lists); });
+  time_.After(kLatency + faults_.renewalDelay_,
+              [aReply, lists = std::move(lists)] { aReply(lists); });
 }
 
 Percent
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -30,6 +30,8 @@
   /// Delayed commands are also executed by the next incarnation with the same
   /// id.
   bool delayedCommandsSurviveRestart_ = false;
+  /// Additional time until the response to a lease renewal arrives.
+  Duration renewalDelay_{};
   /// Percentage of runs that fail.
   int failurePercent_ = 0;
   /// Factor by which new runs take longer than their estimate.
--- a/tests/jobs/PoolsTest.cpp
+++ b/tests/jobs/PoolsTest.cpp
@@ -135,5 +135,22 @@
   ExpectNoViolations(deployment);
 }
 
+// Guards against borrowed VMs that never return to their home pool because
+// their idle workers, which respond slowly, count as unresponsive at times.
+TEST(Pools, ReturnIdleVmsWhoseWorkersRespondSlowly)
+{
+  SimulatedDeployment deployment{ 45, { 3, 6, 2, 4 } };
+  deployment.RunFor(kFirstMovesTime);
+  SubmitBurst(deployment, 10, 20, "/queue/");
+  deployment.RunFor(10s);
+  ASSERT_LT(CountVmsIn(deployment, kSpare), 4U);
+  for (std::size_t index = 0; index < deployment.Workers(); ++index) {
+    deployment.WorkerAt(index).faults_.renewalDelay_ = 400ms;
+  }
+  deployment.RunFor(30s);
+  EXPECT_EQ(CountVmsIn(deployment, kSpare), 4U);
+  ExpectNoViolations(deployment);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
