Test the stop of a run that is older than the owner's

A worker lists an older run of a task for which the owner has a newer run on the same worker, and the job is cancelled.

On(StopDecided) ignores the older run as long as the newer one is known. The newer run is missing from the list, so it is lost at the first report that was requested after its start was confirmed or its stop had a response; the same report raises the stop of the older run, which is then repeated until it has a response.

--- a/tests/jobs/StopCommandsTest.cpp
+++ b/tests/jobs/StopCommandsTest.cpp
@@ -101,6 +101,31 @@
   ExpectNoViolations(deployment_);
 }
 
+// Guards against a cancelled task that keeps running because a run of the same
+// task that the owner does not know of was listed in its place.
+TEST_F(StopCommands, ReachAnOlderRunOfTheTask)
+{
+  ASSERT_TRUE(IsRunning());
+  FakeWorker& worker = deployment_.WorkerAt(0);
+  const TaskId task = worker.Running().front();
+  deployment_.KillWorker(0);
+  deployment_.RestartWorker(0);
+  worker.Run(
+    StartTask{ worker.Entry().worker_,
+               {},
+               task,
+               RunNumber{ 0 },
+               deployment_.StateOf(deployment_.Owner()).workers_.epoch_,
+               WorkerTime{ 8000 },
+               deployment_.Definition(kJob)->specification_,
+               {},
+               {} },
+    [](const Event&) {});
+  deployment_.Cancel(kJob);
+  deployment_.RunFor(4s);
+  EXPECT_FALSE(IsRunning());
+}
+
 // Guards against a wave that never ends because the stop commands for its
 // maintenance were lost and are not repeated.
 TEST(WaveStopCommands, AreRepeatedUntilTheVmIsFree)
