Keep a VM in its wave that an earlier list of VMs does not show yet

Cause: a VM that is missing from a list counts as one that has left, also if the list was requested before the wave. A VM that joins between the request and the wave is then done for good.

Evidence before: WaveOfTwoVms.KeepsAVmThatAnEarlierListDoesNotShowYet failed, the phase of the missing VM was Done (4) after a list requested 100 ms before the wave.

Change: only a list that was requested after the VM's last change of phase shows that it has left, as for the VMs that are down.

--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/maintenance/DisruptionBudget.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
+#include "verbenawell/jobs/maintenance/WaveRecords.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -237,19 +238,22 @@
     CompleteIfDone(aWave);
   }
 
-  // A VM that has left the list needs no maintenance any more. The platform
-  // also accepts a command if the maintenance was done before, for example
-  // after a lost response; the worker of the VM then keeps running. Only a list
-  // that was requested after the response shows whether the worker has ended.
+  // A VM that has left the list needs no maintenance any more, but a list that
+  // was requested before the wave may lack a new VM. The platform also accepts
+  // a command if the maintenance was done before, for example after a lost
+  // response; the worker of the VM then keeps running. Only a list that was
+  // requested after the response shows whether the worker has ended.
   void ObserveVm(const VmId& aVm, VmProgress& aProgress)
   {
     const auto found = state_.vms_.find(aVm);
+    if (state_.readAt_ <= aProgress.since_) {
+      return;
+    }
     if (found == state_.vms_.end()) {
       SetPhase(aProgress, VmPhase::Done);
       return;
     }
-    if (aProgress.phase_ != VmPhase::Down ||
-        state_.readAt_ <= aProgress.since_) {
+    if (aProgress.phase_ != VmPhase::Down) {
       return;
     }
     const ListedVm& vm = found->second;
@@ -277,11 +281,11 @@
 
   bool StartDrain(const VmId& aVm, VmProgress& aProgress)
   {
-    const ListedVm& vm = state_.vms_.at(aVm);
-    if (vm.state_ != VmState::Up) {
+    const auto vm = state_.vms_.find(aVm);
+    if (vm == state_.vms_.end() || vm->second.state_ != VmState::Up) {
       return false;
     }
-    aProgress.worker_ = vm.worker_;
+    aProgress.worker_ = vm->second.worker_;
     SetPhase(aProgress, VmPhase::Draining);
     return true;
   }
@@ -346,15 +350,8 @@
 
   void PersistProgress(const WaveProgress& aWave)
   {
-    WaveStored stored{ aWave.wave_.number_, {} };
-    for (const auto& [id, progress] : aWave.vms_) {
-      if (progress.phase_ == VmPhase::Down ||
-          progress.phase_ == VmPhase::Done) {
-        stored.begun_.push_back(id);
-      }
-    }
     effects_.push_back(Raise{ JournalWriteRequested{
-      { std::move(stored) }, WavePersisted{ aWave.wave_.number_ } } });
+      { StoredWave(aWave) }, WavePersisted{ aWave.wave_.number_ } } });
   }
 
   // A wave is completed once the maintenance of all its VMs has begun.
--- a/tests/jobs/MaintenanceCommandsTest.cpp
+++ b/tests/jobs/MaintenanceCommandsTest.cpp
@@ -1,5 +1,10 @@
+#include "verbenawell/jobs/maintenance/MaintenanceReducer.h"
+
 #include "ExpectNoViolations.h"
 
+#include <algorithm>
+#include <variant>
+
 #include <gtest/gtest.h>
 
 namespace verbenawell::jobs {
@@ -97,5 +102,72 @@
                          DelayedStartCommands,
                          testing::Values(60, 67, 68, 78));
 
+/// Has an owner with a wave of two VMs, of which one may be down at a time.
+class WaveOfTwoVms : public testing::Test
+{
+protected:
+  WaveOfTwoVms()
+  {
+    Owning owning;
+    owning.renewalSentAt_ = TimePoint{} + 10s;
+    state_.ownership_.role_ = owning;
+    state_.maintenance_.isActive_ = true;
+  }
+
+  Effects Apply(const Event& aEvent, Duration aAt)
+  {
+    Effects effects;
+    ReduceMaintenance(state_.maintenance_,
+                      state_.View(),
+                      aEvent,
+                      { TimePoint{} + aAt, {}, {} },
+                      effects);
+    return effects;
+  }
+
+  Effects BeginWave(Duration aAt)
+  {
+    return Apply(
+      WaveRequested{ { wave_, { first_, second_ }, 30s, VmCount{ 1 } } }, aAt);
+  }
+
+  /// Requests the list of VMs at one moment and reads it at another.
+  Effects ReadList(std::vector<ListedVm> aVms,
+                   Duration aRequestedAt,
+                   Duration aReadAt)
+  {
+    Apply(TimerDue{ MaintenanceTick{} }, aRequestedAt);
+    return Apply(VmsRead{ std::move(aVms) }, aReadAt);
+  }
+
+  static std::ptrdiff_t CountCommands(const Effects& aEffects)
+  {
+    return std::ranges::count_if(aEffects, [](const Effect& aEffect) {
+      return std::holds_alternative<StartMaintenance>(aEffect);
+    });
+  }
+
+  const VmId first_{ "vm0" };
+  const VmId second_{ "vm1" };
+  const WaveNumber wave_{ 1 };
+  const ListedVm firstUp_{ first_, kService, VmState::Up, WorkerId{ "w0" } };
+  const ListedVm secondUp_{ second_, kService, VmState::Up, WorkerId{ "w1" } };
+  State state_;
+};
+
+// Guards against a VM of a wave that never has its maintenance. A list that was
+// requested before the wave did not show the VM yet, and the VM counted as one
+// that had left.
+TEST_F(WaveOfTwoVms, KeepsAVmThatAnEarlierListDoesNotShowYet)
+{
+  Apply(TimerDue{ MaintenanceTick{} }, 10s);
+  BeginWave(10100ms);
+  Apply(VmsRead{ { firstUp_ } }, 10200ms);
+  const auto& vms = state_.maintenance_.waves_.at(wave_).vms_;
+  EXPECT_NE(vms.at(second_).phase_, VmPhase::Done);
+  ReadList({ firstUp_ }, 10500ms, 10600ms);
+  EXPECT_EQ(vms.at(second_).phase_, VmPhase::Done);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
