Count VMs that the list shows in maintenance as down

What callers would see: more VMs of a wave down at once than its limit (LIMIT).

Cause: VMs counted as down by the owner's own commands only. Two commands are not covered by that: one that got no response and took its VM down, so that its repetition is rejected as busy and the VM goes back to draining; and one of an earlier owner that ended before it stored the acceptance. The rejection was taken for the result of the first command.

Evidence before: WaveOfTwoVms.CountsAVmAsDownWhoseRepeatedCommandIsRejected and WaveOfTwoVms.CountsAVmAsDownThatAnEarlierOwnerTookDown failed; with a limit of 1 the other VM got its command while one was listed in maintenance.

Change: a VM of the wave that the list shows in maintenance counts as down, whatever its phase. A repetition is sent while a list is applied, so the next list was requested after the first command was carried out.

--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -201,10 +201,7 @@
     std::uint32_t down = 0;
     for (auto& [id, progress] : aWave.vms_) {
       ObserveVm(id, progress);
-      if (progress.phase_ == VmPhase::CommandSent ||
-          progress.phase_ == VmPhase::Down) {
-        ++down;
-      }
+      down += CountsAsDown(id, progress) ? 1 : 0;
       if (progress.phase_ != VmPhase::Pending &&
           progress.phase_ != VmPhase::Done) {
         ++inProgress;
@@ -271,6 +268,18 @@
     }
   }
 
+  // The list also shows a VM that went down by a command without a response or
+  // by a command of an earlier owner.
+  [[nodiscard]] bool CountsAsDown(const VmId& aVm,
+                                  const VmProgress& aProgress) const
+  {
+    const auto listed = state_.vms_.find(aVm);
+    return aProgress.phase_ == VmPhase::CommandSent ||
+           aProgress.phase_ == VmPhase::Down ||
+           (listed != state_.vms_.end() &&
+            listed->second.state_ == VmState::Maintenance);
+  }
+
   void RaiseWorkerEnded(const VmProgress& aProgress)
   {
     if (views_.workers_.Find(aProgress.worker_) != nullptr &&
@@ -357,11 +366,7 @@
   // A wave is completed once the maintenance of all its VMs has begun.
   void CompleteIfDone(WaveProgress& aWave)
   {
-    const bool isDone = std::ranges::all_of(aWave.vms_, [](const auto& aVm) {
-      return aVm.second.phase_ == VmPhase::Down ||
-             aVm.second.phase_ == VmPhase::Done;
-    });
-    if (isDone) {
+    if (StoredWave(aWave).begun_.size() == aWave.vms_.size()) {
       aWave.isCompleted_ = true;
       aWave.isStatusWritten_ = false;
       effects_.push_back(
--- a/tests/jobs/MaintenanceCommandsTest.cpp
+++ b/tests/jobs/MaintenanceCommandsTest.cpp
@@ -169,5 +169,42 @@
   EXPECT_EQ(vms.at(second_).phase_, VmPhase::Done);
 }
 
+// Guards against a second VM that goes down beyond the limit of its wave. The
+// other VM was already down after a command without a response; the repeated
+// command was rejected because of that, and the VM no longer counted as down.
+TEST_F(WaveOfTwoVms, CountsAVmAsDownWhoseRepeatedCommandIsRejected)
+{
+  BeginWave(10s);
+  ListedVm firstMoving = firstUp_;
+  firstMoving.state_ = VmState::Moving;
+  EXPECT_EQ(
+    CountCommands(ReadList({ firstMoving, secondUp_ }, 10250ms, 10260ms)), 1);
+  Apply(MaintenanceCommandCompleted{ second_, wave_, VmCommandUnconfirmed{} },
+        10300ms);
+  ListedVm secondDown = secondUp_;
+  secondDown.state_ = VmState::Maintenance;
+  EXPECT_EQ(
+    CountCommands(ReadList({ firstMoving, secondDown }, 10500ms, 10510ms)), 1);
+  Apply(MaintenanceCommandCompleted{ second_, wave_, VmCommandBusy{} },
+        10520ms);
+  const Effects effects = ReadList({ firstUp_, secondDown }, 10750ms, 10760ms);
+  EXPECT_TRUE(std::ranges::none_of(effects, [&](const Effect& aEffect) {
+    const auto* command = std::get_if<StartMaintenance>(&aEffect);
+    return command != nullptr && command->vm_ == first_;
+  }));
+}
+
+// Guards against a new owner that takes a second VM down beyond the limit of
+// the wave. The earlier owner's command was not stored, and the list alone
+// shows that its VM is down.
+TEST_F(WaveOfTwoVms, CountsAVmAsDownThatAnEarlierOwnerTookDown)
+{
+  BeginWave(10s);
+  ListedVm secondDown = secondUp_;
+  secondDown.state_ = VmState::Maintenance;
+  EXPECT_EQ(CountCommands(ReadList({ firstUp_, secondDown }, 10250ms, 10260ms)),
+            0);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
