--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/maintenance/DisruptionBudget.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
+#include "verbenawell/jobs/maintenance/WaveRecords.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -200,10 +201,7 @@
     std::uint32_t down = 0;
     for (auto& [id, progress] : aWave.vms_) {
       ObserveVm(id, progress);
-      if (progress.phase_ == VmPhase::CommandSent ||
-          progress.phase_ == VmPhase::Down) {
-        ++down;
-      }
+      down += CountsAsDown(id, progress) ? 1 : 0;
       if (progress.phase_ != VmPhase::Pending &&
           progress.phase_ != VmPhase::Done) {
         ++inProgress;
@@ -237,19 +235,22 @@
     CompleteIfDone(aWave);
   }
 
-  // A VM that has left the list needs no maintenance any more. The platform
-  // also accepts a command if the maintenance was done before, for example
-  // after a lost response; the worker of the VM then keeps running. Only a list
-  // that was requested after the response shows whether the worker has ended.
+  // A VM that has left the list needs no maintenance any more, but a list that
+  // was requested before the wave may lack a new VM. The platform also accepts
+  // a command if the maintenance was done before, for example after a lost
+  // response; the worker of the VM then keeps running. Only a list that was
+  // requested after the response shows whether the worker has ended.
   void ObserveVm(const VmId& aVm, VmProgress& aProgress)
   {
     const auto found = state_.vms_.find(aVm);
+    if (state_.readAt_ <= aProgress.since_) {
+      return;
+    }
     if (found == state_.vms_.end()) {
       SetPhase(aProgress, VmPhase::Done);
       return;
     }
-    if (aProgress.phase_ != VmPhase::Down ||
-        state_.readAt_ <= aProgress.since_) {
+    if (aProgress.phase_ != VmPhase::Down) {
       return;
     }
     const ListedVm& vm = found->second;
@@ -267,6 +268,18 @@
     }
   }
 
+  // The list also shows a VM that went down by a command without a response or
+  // by a command of an earlier owner.
+  [[nodiscard]] bool CountsAsDown(const VmId& aVm,
+                                  const VmProgress& aProgress) const
+  {
+    const auto listed = state_.vms_.find(aVm);
+    return aProgress.phase_ == VmPhase::CommandSent ||
+           aProgress.phase_ == VmPhase::Down ||
+           (listed != state_.vms_.end() &&
+            listed->second.state_ == VmState::Maintenance);
+  }
+
   void RaiseWorkerEnded(const VmProgress& aProgress)
   {
     if (views_.workers_.Find(aProgress.worker_) != nullptr &&
@@ -277,11 +290,11 @@
 
   bool StartDrain(const VmId& aVm, VmProgress& aProgress)
   {
-    const ListedVm& vm = state_.vms_.at(aVm);
-    if (vm.state_ != VmState::Up) {
+    const auto vm = state_.vms_.find(aVm);
+    if (vm == state_.vms_.end() || vm->second.state_ != VmState::Up) {
       return false;
     }
-    aProgress.worker_ = vm.worker_;
+    aProgress.worker_ = vm->second.worker_;
     SetPhase(aProgress, VmPhase::Draining);
     return true;
   }
@@ -346,25 +359,14 @@
 
   void PersistProgress(const WaveProgress& aWave)
   {
-    WaveStored stored{ aWave.wave_.number_, {} };
-    for (const auto& [id, progress] : aWave.vms_) {
-      if (progress.phase_ == VmPhase::Down ||
-          progress.phase_ == VmPhase::Done) {
-        stored.begun_.push_back(id);
-      }
-    }
     effects_.push_back(Raise{ JournalWriteRequested{
-      { std::move(stored) }, WavePersisted{ aWave.wave_.number_ } } });
+      { StoredWave(aWave) }, WavePersisted{ aWave.wave_.number_ } } });
   }
 
   // A wave is completed once the maintenance of all its VMs has begun.
   void CompleteIfDone(WaveProgress& aWave)
   {
-    const bool isDone = std::ranges::all_of(aWave.vms_, [](const auto& aVm) {
-      return aVm.second.phase_ == VmPhase::Down ||
-             aVm.second.phase_ == VmPhase::Done;
-    });
-    if (isDone) {
+    if (StoredWave(aWave).begun_.size() == aWave.vms_.size()) {
       aWave.isCompleted_ = true;
       aWave.isStatusWritten_ = false;
       effects_.push_back(
