Confirm the ownership before a cancelled job is called unknown

Callers would see a lost cancel: DELETE is answered 410 although the job was accepted, and its tasks run on.

Cause: an owner calls a job unknown while its last renewal is younger than 1.8 s, since an unresponsive owner is replaced after 2.5 s at the earliest. A daemon on a larger VM claims from a responsive owner too, which learns it from its next renewal up to 1 s later. Until then it lacks the successor's jobs.

Evidence, before the change: JobManager.DoesNotCallAJobOfALargerSuccessor- UnknownToItsCanceller failed, the response to the cancel was JobUnknown for a job that the successor had stored 10 ms before.

It costs one append for each cancel of an unknown job. While the store is down, such a cancel gets no decision before its deadline. Reads are unchanged: they may be late by more than this window.

JobManager.RespondsToEveryCancelWhileTheOwnerIsReplaced holds that each cancel gets a response; it passed before this change.

--- a/src/verbenawell/jobs/journal/JournalEvents.h
+++ b/src/verbenawell/jobs/journal/JournalEvents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Ids.h"
+#include "verbenawell/jobs/callers/CallerEvents.h"
 #include "verbenawell/jobs/journal/JournalRecord.h"
 #include "verbenawell/jobs/placement/PlacementEvents.h"
 
@@ -104,7 +105,8 @@
                                      OutcomePersisted,
                                      WorkersPersisted,
                                      StartsPersisted,
-                                     WavePersisted>;
+                                     WavePersisted,
+                                     RequestDecided>;
 
 /// Asks the journal to persist records.
 struct JournalWriteRequested
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -147,7 +147,7 @@
       if (state_.endedJobs_.contains(aCancel.job_)) {
         Respond(CancelAccepted{});
       } else {
-        RespondUnknown();
+        RespondUnknownToCanceller(aCancel.job_);
       }
       return;
     }
@@ -210,6 +210,20 @@
     state_.jobs_.emplace(id, std::move(job));
   }
 
+  // A daemon on a larger VM may have claimed the ownership since the last
+  // renewal and may have accepted the job. The store refuses the write then,
+  // and the request goes to the successor. Nothing is stored under this job.
+  void RespondUnknownToCanceller(const JobId& aJob)
+  {
+    const CallerResponse response = UnknownJobResponse(views_, context_);
+    if (std::holds_alternative<JobUnknown>(response)) {
+      effects_.push_back(Raise{ JournalWriteRequested{
+        { JobRemoved{ aJob } }, RequestDecided{ request_.key_, response } } });
+    } else {
+      Respond(response);
+    }
+  }
+
   void RespondUnknown() { Respond(UnknownJobResponse(views_, context_)); }
 
   void Respond(const CallerResponse& aResponse)
--- a/tests/jobs/OwnerRequestsTest.cpp
+++ b/tests/jobs/OwnerRequestsTest.cpp
@@ -28,6 +28,56 @@
   }
 }
 
+// Guards against a lost cancel. The owner was replaced by a daemon on a larger
+// VM, did not know that yet, and reported a job of its successor as unknown.
+TEST(JobManager, DoesNotCallAJobOfALargerSuccessorUnknownToItsCanceller)
+{
+  SimulatedDeployment deployment{ 26, { 2, 1, 1 } };
+  deployment.SetVmCpu("d0", MilliCores{ 120 });
+  deployment.SetVmCpu("d1", MilliCores{ 500 });
+  deployment.Kill("d1");
+  deployment.Kill("d0");
+  deployment.Start("d0");
+  deployment.RunFor(kStartUpTime);
+  ASSERT_EQ(deployment.Owner(), "d0");
+  deployment.Start("d1");
+  const auto isReady = [&] {
+    return deployment.StateOf("d1").journal_.IsReady();
+  };
+  for (int waited = 0; waited < 6000 && !isReady(); ++waited) {
+    deployment.RunFor(1ms);
+  }
+  ASSERT_TRUE(isReady());
+  const JobId job{ "0000000000000001" };
+  deployment.SubmitAt("d1", job.Value(), MakeJob(1, 1, 20s), 3s);
+  deployment.RunFor(10ms);
+  const Job* accepted = deployment.StateOf("d1").tasks_.Find(job);
+  ASSERT_NE(accepted, nullptr);
+  ASSERT_TRUE(accepted->stored_);
+  const auto response = deployment.SendAndWait("d0", CancelJob{ job });
+  ASSERT_TRUE(response);
+  EXPECT_FALSE(std::holds_alternative<JobUnknown>(*response));
+}
+
+// Guards against a request to cancel that gets no response while its owner is
+// replaced.
+TEST(JobManager, RespondsToEveryCancelWhileTheOwnerIsReplaced)
+{
+  for (Duration offset = 0ms; offset <= 3s; offset += 100ms) {
+    SimulatedDeployment deployment{ 27, {} };
+    deployment.RunFor(kStartUpTime);
+    const JobId job{ "0000000000000001" };
+    deployment.Submit(job.Value(), MakeJob(2, 1, 20s));
+    deployment.RunFor(1s);
+    const std::string owner = deployment.Owner();
+    const std::string other = owner == "d0" ? "d1" : "d0";
+    deployment.store_.faults_.unreachableFrom_.insert(DaemonId{ owner });
+    deployment.RunFor(offset);
+    EXPECT_TRUE(deployment.SendAndWait(owner, CancelJob{ job }));
+    EXPECT_TRUE(deployment.SendAndWait(other, CancelJob{ job }));
+  }
+}
+
 // Guards against requests to an owner that was replaced. They ended with an
 // unknown outcome although the next owner could have responded.
 TEST(JobManager, SendsOpenRequestsToTheNextOwner)
