Take no result of a stop to an earlier incarnation for the current one

What callers would see: a task runs twice (TWICE).

Cause: a new incarnation clears the stop in flight and has it sent again, but the completion of the first one named only task and run. Its response settled the second stop, the next report lacked the run, and the run counted as lost while a delayed start command could still reach the new incarnation.

Evidence, before the change, CommandHandling. TakesNoResponseOfAnEarlierIncarnationForAStop (first form, same events): Value of: worker.runs_.contains(task) Actual: false Expected: true

Change: the stop command carries the incarnation that it is meant for, its completion returns it, and the completion of another incarnation's stop is ignored. A stop that was sent before the incarnation was known still counts; otherwise it would stay in flight for good, which RepeatsAStopThatWasSentBeforeTheFirstReport guards (the state before this change was not run with it).

--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -114,6 +114,8 @@
   TaskId task_;
   RunNumber run_;
   Epoch epoch_;
+  /// The worker's incarnation as known now; returned with the completion.
+  WorkerIncarnation incarnation_;
 };
 
 /// Throttles a best-effort task to a percentage of its full speed.
--- a/src/verbenawell/jobs/workers/WorkerEvents.h
+++ b/src/verbenawell/jobs/workers/WorkerEvents.h
@@ -147,6 +147,8 @@
   WorkerId worker_;
   TaskId task_;
   RunNumber run_;
+  /// The incarnation that the command was meant for.
+  WorkerIncarnation incarnation_;
   bool hasResponse_ = false;
 };
 
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -102,7 +102,8 @@
                                aWorker.entry_.address_,
                                aTask,
                                aRun,
-                               state_.epoch_ });
+                               state_.epoch_,
+                               aWorker.incarnation_ });
 }
 
 // A command without a response may still be carried out, so it is repeated with
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -214,6 +214,18 @@
               aEffects);
 }
 
+// The result of a stop that was meant for an earlier incarnation tells nothing
+// about the stop to the current one. A stop that was sent before the
+// incarnation was known counts, as the first report does not reset the commands
+// in flight.
+bool
+IsForEarlierIncarnation(const StopCommandCompleted& aCompletion,
+                        const Worker& aWorker)
+{
+  return aCompletion.incarnation_ != WorkerIncarnation{} &&
+         aCompletion.incarnation_ != aWorker.incarnation_;
+}
+
 } // namespace
 
 void
@@ -299,7 +311,8 @@
                     Effects& aEffects)
 {
   const auto worker = aState.workers_.find(aCompletion.worker_);
-  if (worker == aState.workers_.end()) {
+  if (worker == aState.workers_.end() ||
+      IsForEarlierIncarnation(aCompletion, worker->second)) {
     return;
   }
   Assignment* run =
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -198,7 +198,8 @@
     std::nullopt,
     faults_.commandTime_,
     [this, aStop](const Reply& aRespond) { Execute(aStop, aRespond); },
-    StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, false },
+    StopCommandCompleted{
+      aStop.worker_, aStop.task_, aStop.run_, aStop.incarnation_, false },
     aReply);
 }
 
@@ -216,8 +217,8 @@
     RunDelayed([this, aStop] { Handle(aStop); });
   }
   time_.After(responds ? kLatency : kCallTimeout, [aReply, aStop, responds] {
-    aReply(
-      StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, responds });
+    aReply(StopCommandCompleted{
+      aStop.worker_, aStop.task_, aStop.run_, aStop.incarnation_, responds });
   });
 }
 
