Write the status of a wave only if no newer one was written

What callers would see: a wave that has ended is shown as running for good.

Cause: the first status is written once and without a condition. The store may execute a write without a response seconds later, after the last status, whose own response then says nothing about what the store shows.

Change: each write names the offset at which the statuses end. One write is in flight at a time, and what the operator has to see is written until it is appended. A late write, also that of an earlier owner, finds another end and is refused. The store's refusal now carries the end. A new owner has one refused write, from which it learns the end.

WritesTheLastStatusOfAWaveUntilItIsConfirmed checks the new results; it holds each of them to the number of writes that follow.

--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -160,10 +160,12 @@
   Epoch epoch_;
 };
 
+/// Writes the status of a wave if the statuses end at the expected offset.
 struct WriteWaveStatus
 {
   WaveNumber wave_;
   bool completed_ = false;
+  Offset expectedEnd_;
 };
 
 struct SetTimer
--- a/src/verbenawell/jobs/maintenance/MaintenanceEvents.h
+++ b/src/verbenawell/jobs/maintenance/MaintenanceEvents.h
@@ -72,13 +72,31 @@
   VmCommandResult result_;
 };
 
+struct WaveStatusAppended
+{
+  Offset offset_;
+};
+
+/// Another status was written first; the statuses end at this offset.
+struct WaveStatusEndMismatch
+{
+  Offset end_;
+};
+
+/// The write failed or got no response; it may still be carried out if the
+/// statuses still end at the expected offset.
+struct WaveStatusUnconfirmed
+{};
+
+using WaveStatusResult = std::
+  variant<WaveStatusAppended, WaveStatusEndMismatch, WaveStatusUnconfirmed>;
+
 struct WaveStatusWritten
 {
   WaveNumber wave_;
   /// Whether the status was "completed"; otherwise it was "running".
   bool completed_ = false;
-  /// Whether the write succeeded.
-  bool written_ = false;
+  WaveStatusResult result_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
 #include "verbenawell/jobs/maintenance/WaveRecords.h"
+#include "verbenawell/jobs/maintenance/WaveStatusWrites.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -54,6 +55,7 @@
         RestoreWave(*stored);
       }
     }
+    WriteNextStatus(state_, effects_);
     effects_.push_back(SetTimer{ MaintenanceTick{}, kTickInterval });
   }
 
@@ -61,6 +63,7 @@
   {
     if (state_.isActive_) {
       StartWave(aRequested.wave_);
+      WriteNextStatus(state_, effects_);
     }
   }
 
@@ -112,10 +115,7 @@
 
   void On(const WaveStatusWritten& aWritten)
   {
-    if (const auto found = state_.waves_.find(aWritten.wave_);
-        found != state_.waves_.end() && aWritten.completed_) {
-      found->second.isStatusWritten_ = aWritten.written_;
-    }
+    ApplyStatusResult(state_, aWritten, effects_);
   }
 
   void On(const TimerDue& aDue)
@@ -126,7 +126,7 @@
     }
     const bool hasOpenWave =
       std::ranges::any_of(state_.waves_, [](const auto& aWave) {
-        return !aWave.second.isCompleted_ || !aWave.second.isStatusWritten_;
+        return !aWave.second.isCompleted_ || HasUnwrittenStatus(aWave.second);
       });
     const Duration interval = hasOpenWave ? kTickInterval : kIdleReadInterval;
     if (!state_.isReading_ && now_ - state_.readAt_ >= interval) {
@@ -160,7 +160,6 @@
                { { "wave", std::to_string(aWave.number_.Value()) },
                  { "vms", std::to_string(aWave.vms_.size()) },
                  { "limit", std::to_string(aWave.maxVmsDown_.Value()) } } });
-    effects_.push_back(WriteWaveStatus{ aWave.number_, false });
   }
 
   void RestoreWave(const WaveStored& aStored)
@@ -189,10 +188,9 @@
     for (auto& [number, wave] : state_.waves_) {
       if (!wave.isCompleted_) {
         AdvanceWave(wave);
-      } else if (!wave.isStatusWritten_) {
-        effects_.push_back(WriteWaveStatus{ number, true });
       }
     }
+    WriteNextStatus(state_, effects_);
   }
 
   void AdvanceWave(WaveProgress& aWave)
@@ -368,12 +366,10 @@
   {
     if (StoredWave(aWave).begun_.size() == aWave.vms_.size()) {
       aWave.isCompleted_ = true;
-      aWave.isStatusWritten_ = false;
       effects_.push_back(
         LogLine{ LogLevel::Info,
                  "wave_completed",
                  { { "wave", std::to_string(aWave.wave_.number_.Value()) } } });
-      effects_.push_back(WriteWaveStatus{ aWave.wave_.number_, true });
     }
   }
 
--- a/src/verbenawell/jobs/maintenance/MaintenanceState.h
+++ b/src/verbenawell/jobs/maintenance/MaintenanceState.h
@@ -34,13 +34,21 @@
   bool lacksResponse_ = false;
 };
 
+/// The status of a wave that the operator sees.
+enum class WaveStatus : std::uint8_t
+{
+  Unwritten,
+  Running,
+  Completed,
+};
+
 struct WaveProgress
 {
   Wave wave_;
   TimePoint startedAt_;
   std::map<VmId, VmProgress> vms_;
   bool isCompleted_ = false;
-  bool isStatusWritten_ = false;
+  WaveStatus writtenStatus_ = WaveStatus::Unwritten;
 };
 
 /// The waves that an owner carries out. Empty on other daemons.
@@ -54,6 +62,9 @@
   TimePoint readAt_;
   bool isActive_ = false;
   bool isReading_ = false;
+  /// Where the statuses of all waves end, as far as this owner knows.
+  Offset statusEnd_;
+  bool isWritingStatus_ = false;
 };
 
 } // namespace verbenawell::jobs
--- /dev/null
+++ b/src/verbenawell/jobs/maintenance/WaveStatusWrites.cpp
@@ -0,0 +1,63 @@
+#include "verbenawell/jobs/maintenance/WaveStatusWrites.h"
+
+#include "verbenawell/core/Overloaded.h"
+#include "verbenawell/jobs/maintenance/MaintenanceState.h"
+
+#include <algorithm>
+
+namespace verbenawell::jobs {
+
+bool
+HasUnwrittenStatus(const WaveProgress& aWave)
+{
+  return aWave.writtenStatus_ !=
+         (aWave.isCompleted_ ? WaveStatus::Completed : WaveStatus::Running);
+}
+
+// The store may execute a write without a response seconds later. Each write
+// holds only if nothing was written since, so a late one, also that of an
+// earlier owner, cannot replace a newer status.
+void
+WriteNextStatus(MaintenanceState& aState, Effects& aEffects)
+{
+  if (aState.isWritingStatus_) {
+    return;
+  }
+  const auto next = std::ranges::find_if(aState.waves_, [](const auto& aWave) {
+    return HasUnwrittenStatus(aWave.second);
+  });
+  if (next != aState.waves_.end()) {
+    aState.isWritingStatus_ = true;
+    aEffects.push_back(WriteWaveStatus{
+      next->first, next->second.isCompleted_, aState.statusEnd_ });
+  }
+}
+
+void
+ApplyStatusResult(MaintenanceState& aState,
+                  const WaveStatusWritten& aWritten,
+                  Effects& aEffects)
+{
+  aState.isWritingStatus_ = false;
+  const auto wave = aState.waves_.find(aWritten.wave_);
+  if (wave == aState.waves_.end()) {
+    return;
+  }
+  std::visit(Overloaded{ [&](const WaveStatusAppended& aAppended) {
+                          aState.statusEnd_ =
+                            Offset{ aAppended.offset_.Value() + 1 };
+                          wave->second.writtenStatus_ =
+                            aWritten.completed_ ? WaveStatus::Completed
+                                                : WaveStatus::Running;
+                          WriteNextStatus(aState, aEffects);
+                        },
+                         [&](const WaveStatusEndMismatch& aMismatch) {
+                           aState.statusEnd_ = aMismatch.end_;
+                           WriteNextStatus(aState, aEffects);
+                         },
+                         // The next list of VMs repeats it.
+                         [](WaveStatusUnconfirmed) {} },
+             aWritten.result_);
+}
+
+} // namespace verbenawell::jobs
--- a/tests/jobs/CommandHandlingTest.cpp
+++ b/tests/jobs/CommandHandlingTest.cpp
@@ -267,13 +267,40 @@
       return std::holds_alternative<WriteWaveStatus>(aEffect);
     });
   };
+  // Each result but the last one leaves the last status to be written.
   EXPECT_EQ(writes(VmsRead{}), 1);
-  writes(WaveStatusWritten{ wave, true, false });
-  writes(WaveStatusWritten{ wave, false, true });
+  writes(WaveStatusWritten{ wave, true, WaveStatusUnconfirmed{} });
   EXPECT_EQ(writes(VmsRead{}), 1);
-  writes(WaveStatusWritten{ wave, true, true });
+  EXPECT_EQ(
+    writes(WaveStatusWritten{ wave, false, WaveStatusAppended{ Offset{ 0 } } }),
+    1);
+  EXPECT_EQ(writes(WaveStatusWritten{
+              wave, true, WaveStatusEndMismatch{ Offset{ 3 } } }),
+            1);
+  writes(WaveStatusWritten{ wave, true, WaveStatusAppended{ Offset{ 3 } } });
   EXPECT_EQ(writes(VmsRead{}), 0);
 }
 
+// Guards against a wave that is shown as running for good after it has ended.
+// The write of its first status got no response and was executed after the
+// write of the last one.
+TEST(CommandHandling, ShowsAWaveAsCompletedAfterALateFirstStatus)
+{
+  SimulatedDeployment deployment{ 76, { 3, 1, 1 } };
+  deployment.RunFor(kStartUpTime + 4s);
+  deployment.BeginWave(1);
+  const auto hasBegun = [&] {
+    deployment.store_.faults_.delayedWritePercent_ = 100;
+    return std::ranges::any_of(deployment.log_, [](const auto& aLine) {
+      return aLine.event_ == "wave_begun";
+    });
+  };
+  ASSERT_TRUE(RunUntil(deployment, 1s, hasBegun));
+  deployment.store_.faults_.delayedWritePercent_ = 0;
+  deployment.RunFor(30s);
+  ASSERT_EQ(deployment.maintenanceBegun_.size(), 1U);
+  EXPECT_TRUE(deployment.store_.waveStatus_[WaveNumber{ 1 }]);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -271,10 +271,18 @@
 {
   Write(aFrom,
         aReply,
-        WaveStatusWritten{ aStatus.wave_, aStatus.completed_, false },
+        WaveStatusWritten{
+          aStatus.wave_, aStatus.completed_, WaveStatusUnconfirmed{} },
         [this, aStatus]() -> Event {
+          WaveStatusWritten written{ aStatus.wave_, aStatus.completed_, {} };
+          if (aStatus.expectedEnd_ != statusEnd_) {
+            written.result_ = WaveStatusEndMismatch{ statusEnd_ };
+            return written;
+          }
           waveStatus_[aStatus.wave_] = aStatus.completed_;
-          return WaveStatusWritten{ aStatus.wave_, aStatus.completed_, true };
+          written.result_ = WaveStatusAppended{ statusEnd_ };
+          statusEnd_ = Offset{ statusEnd_.Value() + 1 };
+          return written;
         });
 }
 
--- a/tests/jobs/FakeStore.h
+++ b/tests/jobs/FakeStore.h
@@ -87,6 +87,7 @@
   std::uint64_t epoch_ = 0;
   std::uint64_t lastSequence_ = 0;
   bool hasSequence_ = false;
+  Offset statusEnd_;
 };
 
 } // namespace verbenawell::jobs
