--- a/tests/jobs/SimulatedDeploymentCommands.cpp
+++ b/tests/jobs/SimulatedDeploymentCommands.cpp
@@ -30,9 +30,11 @@
 Event
 FailureOf(const StopTask& aCommand)
 {
-  return StopCommandCompleted{
-    aCommand.worker_, aCommand.task_, aCommand.run_, false
-  };
+  return StopCommandCompleted{ aCommand.worker_,
+                               aCommand.task_,
+                               aCommand.run_,
+                               aCommand.incarnation_,
+                               false };
 }
 
 } // namespace
