--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -114,6 +114,8 @@
   TaskId task_;
   RunNumber run_;
   Epoch epoch_;
+  /// The worker's incarnation as known now; returned with the completion.
+  WorkerIncarnation incarnation_;
 };
 
 /// Throttles a best-effort task to a percentage of its full speed.
@@ -160,10 +162,12 @@
   Epoch epoch_;
 };
 
+/// Writes the status of a wave if the statuses end at the expected offset.
 struct WriteWaveStatus
 {
   WaveNumber wave_;
   bool completed_ = false;
+  Offset expectedEnd_;
 };
 
 struct SetTimer
--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -5,6 +5,8 @@
 #include "verbenawell/jobs/maintenance/DisruptionBudget.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
+#include "verbenawell/jobs/maintenance/WaveRecords.h"
+#include "verbenawell/jobs/maintenance/WaveStatusWrites.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -53,6 +55,7 @@
         RestoreWave(*stored);
       }
     }
+    WriteNextStatus(state_, effects_);
     effects_.push_back(SetTimer{ MaintenanceTick{}, kTickInterval });
   }
 
@@ -60,6 +63,7 @@
   {
     if (state_.isActive_) {
       StartWave(aRequested.wave_);
+      WriteNextStatus(state_, effects_);
     }
   }
 
@@ -111,10 +115,7 @@
 
   void On(const WaveStatusWritten& aWritten)
   {
-    if (const auto found = state_.waves_.find(aWritten.wave_);
-        found != state_.waves_.end() && aWritten.completed_) {
-      found->second.isStatusWritten_ = aWritten.written_;
-    }
+    ApplyStatusResult(state_, aWritten, effects_);
   }
 
   void On(const TimerDue& aDue)
@@ -125,7 +126,7 @@
     }
     const bool hasOpenWave =
       std::ranges::any_of(state_.waves_, [](const auto& aWave) {
-        return !aWave.second.isCompleted_ || !aWave.second.isStatusWritten_;
+        return !aWave.second.isCompleted_ || HasUnwrittenStatus(aWave.second);
       });
     const Duration interval = hasOpenWave ? kTickInterval : kIdleReadInterval;
     if (!state_.isReading_ && now_ - state_.readAt_ >= interval) {
@@ -159,7 +160,6 @@
                { { "wave", std::to_string(aWave.number_.Value()) },
                  { "vms", std::to_string(aWave.vms_.size()) },
                  { "limit", std::to_string(aWave.maxVmsDown_.Value()) } } });
-    effects_.push_back(WriteWaveStatus{ aWave.number_, false });
   }
 
   void RestoreWave(const WaveStored& aStored)
@@ -188,10 +188,9 @@
     for (auto& [number, wave] : state_.waves_) {
       if (!wave.isCompleted_) {
         AdvanceWave(wave);
-      } else if (!wave.isStatusWritten_) {
-        effects_.push_back(WriteWaveStatus{ number, true });
       }
     }
+    WriteNextStatus(state_, effects_);
   }
 
   void AdvanceWave(WaveProgress& aWave)
@@ -200,10 +199,7 @@
     std::uint32_t down = 0;
     for (auto& [id, progress] : aWave.vms_) {
       ObserveVm(id, progress);
-      if (progress.phase_ == VmPhase::CommandSent ||
-          progress.phase_ == VmPhase::Down) {
-        ++down;
-      }
+      down += CountsAsDown(id, progress) ? 1 : 0;
       if (progress.phase_ != VmPhase::Pending &&
           progress.phase_ != VmPhase::Done) {
         ++inProgress;
@@ -237,19 +233,22 @@
     CompleteIfDone(aWave);
   }
 
-  // A VM that has left the list needs no maintenance any more. The platform
-  // also accepts a command if the maintenance was done before, for example
-  // after a lost response; the worker of the VM then keeps running. Only a list
-  // that was requested after the response shows whether the worker has ended.
+  // A VM that has left the list needs no maintenance any more, but a list that
+  // was requested before the wave may lack a new VM. The platform also accepts
+  // a command if the maintenance was done before, for example after a lost
+  // response; the worker of the VM then keeps running. Only a list that was
+  // requested after the response shows whether the worker has ended.
   void ObserveVm(const VmId& aVm, VmProgress& aProgress)
   {
     const auto found = state_.vms_.find(aVm);
+    if (state_.readAt_ <= aProgress.since_) {
+      return;
+    }
     if (found == state_.vms_.end()) {
       SetPhase(aProgress, VmPhase::Done);
       return;
     }
-    if (aProgress.phase_ != VmPhase::Down ||
-        state_.readAt_ <= aProgress.since_) {
+    if (aProgress.phase_ != VmPhase::Down) {
       return;
     }
     const ListedVm& vm = found->second;
@@ -267,6 +266,18 @@
     }
   }
 
+  // The list also shows a VM that went down by a command without a response or
+  // by a command of an earlier owner.
+  [[nodiscard]] bool CountsAsDown(const VmId& aVm,
+                                  const VmProgress& aProgress) const
+  {
+    const auto listed = state_.vms_.find(aVm);
+    return aProgress.phase_ == VmPhase::CommandSent ||
+           aProgress.phase_ == VmPhase::Down ||
+           (listed != state_.vms_.end() &&
+            listed->second.state_ == VmState::Maintenance);
+  }
+
   void RaiseWorkerEnded(const VmProgress& aProgress)
   {
     if (views_.workers_.Find(aProgress.worker_) != nullptr &&
@@ -277,11 +288,11 @@
 
   bool StartDrain(const VmId& aVm, VmProgress& aProgress)
   {
-    const ListedVm& vm = state_.vms_.at(aVm);
-    if (vm.state_ != VmState::Up) {
+    const auto vm = state_.vms_.find(aVm);
+    if (vm == state_.vms_.end() || vm->second.state_ != VmState::Up) {
       return false;
     }
-    aProgress.worker_ = vm.worker_;
+    aProgress.worker_ = vm->second.worker_;
     SetPhase(aProgress, VmPhase::Draining);
     return true;
   }
@@ -346,32 +357,19 @@
 
   void PersistProgress(const WaveProgress& aWave)
   {
-    WaveStored stored{ aWave.wave_.number_, {} };
-    for (const auto& [id, progress] : aWave.vms_) {
-      if (progress.phase_ == VmPhase::Down ||
-          progress.phase_ == VmPhase::Done) {
-        stored.begun_.push_back(id);
-      }
-    }
     effects_.push_back(Raise{ JournalWriteRequested{
-      { std::move(stored) }, WavePersisted{ aWave.wave_.number_ } } });
+      { StoredWave(aWave) }, WavePersisted{ aWave.wave_.number_ } } });
   }
 
   // A wave is completed once the maintenance of all its VMs has begun.
   void CompleteIfDone(WaveProgress& aWave)
   {
-    const bool isDone = std::ranges::all_of(aWave.vms_, [](const auto& aVm) {
-      return aVm.second.phase_ == VmPhase::Down ||
-             aVm.second.phase_ == VmPhase::Done;
-    });
-    if (isDone) {
+    if (StoredWave(aWave).begun_.size() == aWave.vms_.size()) {
       aWave.isCompleted_ = true;
-      aWave.isStatusWritten_ = false;
       effects_.push_back(
         LogLine{ LogLevel::Info,
                  "wave_completed",
                  { { "wave", std::to_string(aWave.wave_.number_.Value()) } } });
-      effects_.push_back(WriteWaveStatus{ aWave.wave_.number_, true });
     }
   }
 
--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -13,9 +13,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kRenewalInterval = 1s;
-// Time after its last renewal at which an owner is replaced. Two consecutive
-// renewals may be lost or late.
-constexpr Duration kOwnerTimeout = 2500ms;
 // Followers delay their claims by a random time below this limit, so that most
 // of them read the first claim before they send their own.
 constexpr Duration kMaxClaimJitter = 400ms;
@@ -61,6 +58,9 @@
   {
     const bool isFirst = !std::exchange(state_.hasRead_, true);
     state_.end_ = std::max(state_.end_, aRead.end_);
+    if (state_.readingSince_ == TimePoint::max()) {
+      state_.readingSince_ = now_;
+    }
     if (aRead.record_) {
       UpdateOwner(*aRead.record_, aRead.recordOffset_);
     } else if (isFirst) {
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -13,6 +13,10 @@
 
 namespace verbenawell::jobs {
 
+/// Delay of the next lease renewal of an idle worker, of which only the clock
+/// and the incarnation matter.
+constexpr Duration kIdleRenewalDelay = std::chrono::seconds(2);
+
 /// The start command has not been sent yet or has no response yet.
 struct Starting
 {
@@ -87,6 +91,10 @@
   /// The last lease renewal failed or was rejected.
   bool isUnresponsive_ = false;
   WorkerIncarnation incarnation_;
+  /// When the current incarnation became known.
+  TimePoint incarnationKnownSince_;
+  /// The highest of all incarnations that were known.
+  WorkerIncarnation highestIncarnation_;
   Lease lease_;
   /// A lease renewal is in flight.
   bool isRenewing_ = false;
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -24,8 +24,13 @@
 {
   const auto [found, isNew] = aState.workers_.try_emplace(aEntry.worker_);
   Worker& worker = found->second;
-  if (!isNew && aEntry.incarnation_ > worker.incarnation_ &&
-      worker.incarnation_ != WorkerIncarnation{}) {
+  if (worker.incarnation_ == WorkerIncarnation{}) {
+    // A worker known from the journal may have a new incarnation before it
+    // responds, whose leases may have any permitted length.
+    SetIncarnation(worker, aEntry.incarnation_, aContext.now_);
+  } else if (aEntry.incarnation_ > worker.highestIncarnation_) {
+    // The list may be seconds old, so an incarnation that may be a former one
+    // needs the proof of a report.
     StartNewIncarnation(worker, aEntry.incarnation_, aContext, aEffects);
   }
   const bool wasDraining = worker.entry_.draining_;
@@ -33,7 +38,6 @@
   worker.isListed_ = true;
   worker.listedAt_ = aContext.now_;
   if (isNew) {
-    worker.incarnation_ = aEntry.incarnation_;
     // An entry that outlasts its worker, or that names the address of another
     // worker, is added again after each proof that its worker has ended; it is
     // not logged again.
@@ -119,13 +123,22 @@
   StoreNewWorkers(aState, aEffects);
 }
 
+void
+SetIncarnation(Worker& aWorker, WorkerIncarnation aIncarnation, TimePoint aNow)
+{
+  aWorker.incarnation_ = aIncarnation;
+  aWorker.incarnationKnownSince_ = aNow;
+  aWorker.highestIncarnation_ =
+    std::max(aWorker.highestIncarnation_, aIncarnation);
+}
+
 void
 StartNewIncarnation(Worker& aWorker,
                     WorkerIncarnation aIncarnation,
                     const Context& aContext,
                     Effects& aEffects)
 {
-  aWorker.incarnation_ = aIncarnation;
+  SetIncarnation(aWorker, aIncarnation, aContext.now_);
   LogWorker("worker_reborn", aWorker, aEffects);
   // An unconfirmed start command may have reached the new incarnation or may
   // still reach it, even if a repetition was confirmed, so the run is stopped.
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -28,6 +28,7 @@
   , lookup_(std::move(aLookup))
   , entry_(std::move(aEntry))
   , incarnationStart_(aTime.Now())
+  , commands_(aTime)
 {
   time_.After(kLeaseCheckInterval, [this] { CheckLease(); });
 }
@@ -128,6 +129,22 @@
 
 void
 FakeWorker::Run(const StartTask& aStart, const Reply& aReply)
+{
+  if (faults_.commandTime_ == Duration{}) {
+    Execute(aStart, aReply);
+    return;
+  }
+  commands_.Call(
+    FakeChannel::kTimeout,
+    faults_.commandTime_,
+    [this, aStart](const Reply& aRespond) { Execute(aStart, aRespond); },
+    StartCommandCompleted{
+      aStart.worker_, aStart.task_, aStart.run_, StartUnconfirmed{} },
+    aReply);
+}
+
+void
+FakeWorker::Execute(const StartTask& aStart, const Reply& aReply)
 {
   const auto respond = [&](StartResult aResult, Duration aDelay) {
     time_.After(aDelay, [aReply, aStart, aResult] {
@@ -146,6 +163,12 @@
   }
 }
 
+void
+FakeWorker::RunDelayedCopy(const StartTask& aStart)
+{
+  Handle(aStart, CommandTiming::Delayed);
+}
+
 void
 FakeWorker::Handle(const StopTask& aStop)
 {
@@ -172,6 +195,22 @@
 
 void
 FakeWorker::Run(const StopTask& aStop, const Reply& aReply)
+{
+  if (faults_.commandTime_ == Duration{}) {
+    Execute(aStop, aReply);
+    return;
+  }
+  commands_.Call(
+    std::nullopt,
+    faults_.commandTime_,
+    [this, aStop](const Reply& aRespond) { Execute(aStop, aRespond); },
+    StopCommandCompleted{
+      aStop.worker_, aStop.task_, aStop.run_, aStop.incarnation_, false },
+    aReply);
+}
+
+void
+FakeWorker::Execute(const StopTask& aStop, const Reply& aReply)
 {
   const bool arrives =
     isAlive_ && !faults_.isUnreachable_ && !faults_.losesStops_;
@@ -184,8 +223,8 @@
     RunDelayed([this, aStop] { Handle(aStop); });
   }
   time_.After(responds ? kLatency : kCallTimeout, [aReply, aStop, responds] {
-    aReply(
-      StopCommandCompleted{ aStop.worker_, aStop.task_, aStop.run_, responds });
+    aReply(StopCommandCompleted{
+      aStop.worker_, aStop.task_, aStop.run_, aStop.incarnation_, responds });
   });
 }
 
@@ -245,7 +284,8 @@
     lists.running_.push_back({ task, run.run_, {}, Progress(run), 0 });
   }
   lists.ended_ = ended_;
-  time_.After(kLatency, [aReply, lists = std::move(lists)] { aReply(lists); });
+  time_.After(kLatency + faults_.renewalDelay_,
+              [aReply, lists = std::move(lists)] { aReply(lists); });
 }
 
 Percent
@@ -308,11 +348,12 @@
   leaseEnd_ = WorkerTime{};
   lastEnd_ = RunEndNumber{};
   incarnationStart_ = time_.Now();
-  entry_.incarnation_ =
-    WorkerIncarnation{ entry_.incarnation_.Value() + 1 +
-                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                         time_.Now().time_since_epoch())
-                         .count() };
+  entry_.incarnation_ = WorkerIncarnation{
+    entry_.incarnation_.Value() + 1 +
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      time_.Now().time_since_epoch() + std::exchange(clockStep_, {}))
+      .count()
+  };
 }
 
 std::vector<TaskId>
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Random.h"
 #include "verbenawell/jobs/core/Effect.h"
 
+#include "FakeChannel.h"
 #include "JobOracle.h"
 #include "VirtualTime.h"
 
@@ -27,9 +28,14 @@
   bool losesStops_ = false;
   /// Stop commands get a response but are not executed.
   bool ignoresStops_ = false;
+  /// Time that the worker takes for each start or stop command, one after the
+  /// other; zero if it handles all of them at once.
+  Duration commandTime_{};
   /// Delayed commands are also executed by the next incarnation with the same
   /// id.
   bool delayedCommandsSurviveRestart_ = false;
+  /// Additional time until the response to a lease renewal arrives.
+  Duration renewalDelay_{};
   /// Percentage of runs that fail.
   int failurePercent_ = 0;
   /// Factor by which new runs take longer than their estimate.
@@ -56,10 +62,16 @@
   void Run(const StartTask& aStart, const Reply& aReply);
   void Run(const StopTask& aStop, const Reply& aReply);
 
+  /// Executes a copy of a command that was delayed.
+  void RunDelayedCopy(const StartTask& aStart);
+
   /// Ends the incarnation: nothing runs, and calls get no response.
   void Crash();
   /// Begins a new incarnation with the same id.
   void Restart();
+  /// Sets back the time of day from which the next incarnation takes its
+  /// number.
+  void StepClockBack(Duration aTime) { clockStep_ -= aTime; }
 
   [[nodiscard]] bool IsAlive() const { return isAlive_; }
   [[nodiscard]] const WorkerEntry& Entry() const { return entry_; }
@@ -79,6 +91,8 @@
     Duration duration_{};
   };
 
+  void Execute(const StartTask& aStart, const Reply& aReply);
+  void Execute(const StopTask& aStop, const Reply& aReply);
   void RunDelayed(std::function<void()> aCommand);
   StartResult Handle(const StartTask& aStart, CommandTiming aTiming);
   void Handle(const StopTask& aStop);
@@ -105,12 +119,15 @@
   Epoch fence_;
   WorkerTime leaseEnd_;
   TimePoint incarnationStart_;
+  /// Offset of the time of day at the next start.
+  Duration clockStep_{};
   std::map<TaskId, ActiveRun> runs_;
   std::map<TaskId, RunNumber> highestRefusedRun_;
   std::vector<ListedEnd> ended_;
   RunEndNumber lastEnd_;
   Resources used_;
   std::uint64_t lastSerial_ = 0;
+  FakeChannel commands_;
 };
 
 } // namespace verbenawell::jobs
