Say why a confirmed renewal is enough, and list two open faults

Comments only in the product: what the two ages of a renewal guarantee beside a daemon on a larger VM that claims from a responsive owner, and what the record does that confirms an unknown job.

WaveOfTwoVms.ShowsThatAWorkerHasEndedWhileItsVmMoves fails: 0 events where 1 is expected.

--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -19,8 +19,9 @@
 
 constexpr Duration kStoreRetryAfter = 2s;
 // The owner reports a job as unknown only while its last renewal is younger
-// than this. A successor claims the ownership 2.5 s after the last renewal at
-// the earliest, so a younger renewal proves that this daemon is the owner.
+// than this. An unresponsive owner is replaced 2.5 s after its last renewal at
+// the earliest. A daemon on a larger VM may claim before, so the response to a
+// read may be late by a second; a cancel is confirmed by a write.
 constexpr Duration kMaxConfirmationAge = 1800ms;
 // The objective of a job includes, for each step, one call to the advice
 // service about this many workers.
@@ -212,7 +213,8 @@
 
   // A daemon on a larger VM may have claimed the ownership since the last
   // renewal and may have accepted the job. The store refuses the write then,
-  // and the request goes to the successor. Nothing is stored under this job.
+  // and the request goes to the successor. The record changes nothing, since no
+  // job is stored under this id.
   void RespondUnknownToCanceller(const JobId& aJob)
   {
     const CallerResponse response = UnknownJobResponse(views_, context_);
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -64,6 +64,8 @@
 
 // A successor may have accepted the cancel of a job whose start this daemon has
 // stored, and the worker accepts the start if the successor has not reached it.
+// A daemon on a larger VM may claim before the confirmation expires, but after
+// the renewal, so a start is sent at most 2.5 s after any cancel it accepts.
 bool
 WorkerCommands::IsOwnershipConfirmed() const
 {
--- a/tests/jobs/FormerOwnerTest.cpp
+++ b/tests/jobs/FormerOwnerTest.cpp
@@ -55,8 +55,8 @@
     Worker().faults_.isUnreachable_ = false;
   }
 
-  /// Cancels the job at the successor as soon as there is one. Returns after
-  /// the time within which tasks of a cancelled job may start.
+  /// Cancels the job at the successor as soon as there is one, and returns when
+  /// the cancel has a response.
   void CancelAtSuccessor()
   {
     std::string successor;
--- a/tests/jobs/MaintenanceCommandsTest.cpp
+++ b/tests/jobs/MaintenanceCommandsTest.cpp
@@ -147,6 +147,15 @@
     });
   }
 
+  static std::ptrdiff_t CountEndedWorkers(const Effects& aEffects)
+  {
+    return std::ranges::count_if(aEffects, [](const Effect& aEffect) {
+      const auto* raise = std::get_if<Raise>(&aEffect);
+      return raise != nullptr &&
+             std::holds_alternative<WorkerEnded>(raise->event_);
+    });
+  }
+
   const VmId first_{ "vm0" };
   const VmId second_{ "vm1" };
   const WaveNumber wave_{ 1 };
@@ -206,5 +215,18 @@
             0);
 }
 
+// Guards against tasks that wait for the lease of a worker whose VM was moved
+// by a command of an earlier owner. A VM that moves names no worker in the
+// list, so its next worker did not show that the one before had ended.
+TEST_F(WaveOfTwoVms, ShowsThatAWorkerHasEndedWhileItsVmMoves)
+{
+  ReadList({ firstUp_, secondUp_ }, 10s, 10010ms);
+  ListedVm firstMoving{ first_, kOtherService, VmState::Moving, {} };
+  const Effects effects = ReadList({ firstMoving, secondUp_ }, 11s, 11010ms);
+  EXPECT_EQ(CountEndedWorkers(effects), 1);
+  EXPECT_EQ(
+    CountEndedWorkers(ReadList({ firstMoving, secondUp_ }, 12s, 12010ms)), 0);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
