Take the worker of a VM that moves for ended

Callers saw: a task waited 8 s and more for a lease after its VM was moved or taken to maintenance by a command of an earlier owner.

Cause: a VM that moves or is in maintenance names no worker in the list of VMs. The end of its worker showed only when two lists that follow each other named different workers.

Change: a list that shows a VM moving or in maintenance, after one that named its worker, shows that the worker has ended.

--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/maintenance/DisruptionBudget.h"
+#include "verbenawell/jobs/maintenance/EndedWorkers.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
 #include "verbenawell/jobs/maintenance/WaveRecords.h"
@@ -73,10 +74,8 @@
     std::map<VmId, ListedVm> vms;
     for (const ListedVm& vm : aRead.vms_) {
       if (const auto known = state_.vms_.find(vm.vm_);
-          known != state_.vms_.end() && !known->second.worker_.IsEmpty() &&
-          !vm.worker_.IsEmpty() && known->second.worker_ != vm.worker_ &&
-          // A delayed list may show a worker that has already ended.
-          !views_.workers_.endedWorkers_.contains(vm.worker_)) {
+          known != state_.vms_.end() &&
+          HasEndedWorker(known->second, vm, views_.workers_)) {
         effects_.push_back(Raise{ WorkerEnded{ known->second.worker_ } });
       }
       vms.emplace(vm.vm_, vm);
