--- a/src/verbenawell/jobs/configuration/ConfigurationReducer.cpp
+++ b/src/verbenawell/jobs/configuration/ConfigurationReducer.cpp
@@ -42,9 +42,9 @@
   void On(const RecordInvalid& aInvalid)
   {
     effects_.push_back(Count{ Counter::RecordsInvalid });
-    // Lists are read twice a second and report the same malformed records each
-    // time. If old entries were dropped at the limit, they would be logged
-    // again with every read. Records beyond the limit are only counted.
+    // A list that is read again reports the same malformed records. If old
+    // entries were dropped at the limit, they would be logged again with every
+    // read. Records beyond the limit are only counted.
     if (state_.loggedErrors_.size() >= kMaxLoggedRecords &&
         !state_.loggedErrors_.contains(aInvalid.key_)) {
       return;
