Keep an index of the open jobs for placement and admission

Each job that arrived made the ones before it slower.

Cause: each placement pass, up to 200 a second, looked at the workers of all services and ranked all open jobs, also those with nothing to start. Each submission summed up the work of all open jobs, and each count of pending jobs looked at all jobs.

Change: OpenJobIndex holds, per service and queue, the jobs with a task to start, the remaining work and the number of pending jobs; each change of a job updates it. A pass looks only at services with a task to start, and passes become rarer the more jobs wait.

--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -1,7 +1,6 @@
 #include "verbenawell/jobs/placement/Admission.h"
 
 #include "verbenawell/core/Saturating.h"
-#include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
@@ -40,19 +39,6 @@
   return cpu;
 }
 
-std::uint64_t
-RemainingCpuTime(const TasksState& aTasks, const ServiceId& aService)
-{
-  std::uint64_t work = 0;
-  for (const auto& [id, job] : aTasks.jobs_) {
-    if (job.service_ == aService && job.outcome_ == JobOutcome::Open &&
-        !job.IsLongRunning()) {
-      work = SaturatingAdd(work, Remaining(job).cpu_);
-    }
-  }
-  return work;
-}
-
 } // namespace
 
 std::optional<JobRejected>
@@ -67,7 +53,7 @@
     return std::nullopt;
   }
   const Duration wait{ static_cast<Duration::rep>(
-    std::min(RemainingCpuTime(aViews.tasks_, aJob.service_) / cpu,
+    std::min(aViews.tasks_.openJobs_.RemainingCpuTime(aJob.service_) / cpu,
              kMaxWaitMicroseconds)) };
   const Duration maxWait = kMaxObjectives * aJob.policy_.objective_ -
                            CriticalPathTime(aJob.definition_);
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,10 @@
 
 // Changes within this time are handled by one pass.
 constexpr Duration kPassDelay = 5ms;
+// A pass ranks all jobs that wait, which takes less than a microsecond for
+// each. This delay bounds the share of the processor that passes take during a
+// backlog.
+constexpr Duration kPassDelayPerJob = 10us;
 // Finds workers that may get start commands again after a rejection or after a
 // time without responses.
 constexpr Duration kIdlePassInterval = 200ms;
@@ -39,10 +44,10 @@
   void Run()
   {
     CollectCapacity();
-    for (const Job* job : OrderedJobs()) {
-      if (const auto capacity = capacities_.find(job->service_);
-          capacity != capacities_.end()) {
-        Place(*job, capacity->second);
+    for (auto& [service, capacity] : capacities_) {
+      for (const Job* job :
+           OrderedJobs(views_.tasks_.openJobs_.Waiting().at(service))) {
+        Place(*job, capacity);
       }
     }
   }
@@ -53,7 +58,14 @@
 private:
   void CollectCapacity()
   {
+    const auto& waiting = views_.tasks_.openJobs_.Waiting();
+    if (waiting.empty()) {
+      return;
+    }
     for (const auto& [id, worker] : views_.workers_.workers_) {
+      if (!waiting.contains(worker.entry_.service_)) {
+        continue;
+      }
       const HealthStatus status = views_.health_.HealthOf(id, now_);
       const bool isEligible =
         status == HealthStatus::Healthy ||
@@ -66,15 +78,17 @@
     }
   }
 
-  [[nodiscard]] std::vector<const Job*> OrderedJobs() const
+  [[nodiscard]] std::vector<const Job*> OrderedJobs(
+    const std::set<JobId>& aWaiting) const
   {
     std::vector<std::pair<JobRank, const Job*>> ranked;
-    for (const auto& [id, job] : views_.tasks_.jobs_) {
-      if (job.stored_ && job.outcome_ == JobOutcome::Open) {
-        ranked.emplace_back(Rank(job, now_), &job);
-      }
+    ranked.reserve(aWaiting.size());
+    for (const JobId& id : aWaiting) {
+      const Job& job = views_.tasks_.jobs_.at(id);
+      ranked.emplace_back(Rank(job, now_), &job);
     }
-    std::ranges::sort(ranked, [](const auto& aLeft, const auto& aRight) {
+    // Jobs of equal rank keep the order of their ids.
+    std::ranges::stable_sort(ranked, [](const auto& aLeft, const auto& aRight) {
       return aLeft.first < aRight.first;
     });
     std::vector<const Job*> jobs;
@@ -241,7 +255,10 @@
   void SchedulePass()
   {
     if (!std::exchange(state_.isPassScheduled_, true)) {
-      effects_.push_back(SetTimer{ PlacementPass{}, kPassDelay });
+      effects_.push_back(
+        SetTimer{ PlacementPass{},
+                  kPassDelay + kPassDelayPerJob *
+                                 views_.tasks_.openJobs_.WaitingCount() });
     }
   }
 
--- /dev/null
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
@@ -0,0 +1,98 @@
+#include "verbenawell/jobs/tasks/OpenJobIndex.h"
+
+#include "verbenawell/core/Saturating.h"
+#include "verbenawell/jobs/placement/JobOrder.h"
+
+namespace verbenawell::jobs {
+
+namespace {
+
+constexpr std::uint64_t kMicrosecondsPerSecond = 1'000'000;
+
+std::uint64_t
+CpuSeconds(const Job& aJob)
+{
+  const std::uint64_t cpuTime = Remaining(aJob).cpu_;
+  return cpuTime / kMicrosecondsPerSecond +
+         (cpuTime % kMicrosecondsPerSecond == 0 ? 0 : 1);
+}
+
+bool
+HasTaskToStart(const Job& aJob)
+{
+  for (const auto& [occurrence, tasks] : aJob.occurrences_) {
+    for (std::uint32_t step = 0; step < tasks.steps_.size(); ++step) {
+      if (tasks.steps_[step].waiting_ > TaskCount{} &&
+          aJob.IsReady(occurrence, StepIndex{ step })) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+void
+OpenJobIndex::Update(const Job& aJob)
+{
+  Remove(aJob.id_);
+  if (aJob.outcome_ != JobOutcome::Open) {
+    return;
+  }
+  const Entry entry{ aJob.service_,
+                     aJob.queue_,
+                     aJob.IsLongRunning() ? 0 : CpuSeconds(aJob),
+                     aJob.stored_ && HasTaskToStart(aJob),
+                     aJob.stored_ && !aJob.started_ };
+  cpuSeconds_[entry.service_] += entry.cpuSeconds_;
+  if (entry.isWaiting_) {
+    waiting_[entry.service_].insert(aJob.id_);
+    ++waitingCount_;
+  }
+  if (entry.isPending_) {
+    ++pending_[entry.queue_];
+  }
+  entries_.emplace(aJob.id_, entry);
+}
+
+void
+OpenJobIndex::Remove(const JobId& aJob)
+{
+  const auto found = entries_.find(aJob);
+  if (found == entries_.end()) {
+    return;
+  }
+  const Entry& entry = found->second;
+  cpuSeconds_[entry.service_] -= entry.cpuSeconds_;
+  if (entry.isWaiting_) {
+    const auto waiting = waiting_.find(entry.service_);
+    waiting->second.erase(aJob);
+    --waitingCount_;
+    if (waiting->second.empty()) {
+      waiting_.erase(waiting);
+    }
+  }
+  if (entry.isPending_) {
+    --pending_[entry.queue_];
+  }
+  entries_.erase(found);
+}
+
+std::uint64_t
+OpenJobIndex::RemainingCpuTime(const ServiceId& aService) const
+{
+  const auto found = cpuSeconds_.find(aService);
+  return found == cpuSeconds_.end()
+           ? 0
+           : SaturatingMultiply(found->second, kMicrosecondsPerSecond);
+}
+
+std::uint64_t
+OpenJobIndex::Pending(const QueueId& aQueue) const
+{
+  const auto found = pending_.find(aQueue);
+  return found == pending_.end() ? 0 : found->second;
+}
+
+} // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -43,6 +43,9 @@
   void On(const JournalLoaded& aLoaded)
   {
     Restore(state_, aLoaded.records_, context_);
+    for (const auto& [id, job] : state_.jobs_) {
+      state_.openJobs_.Update(job);
+    }
     effects_.push_back(
       LogLine{ LogLevel::Info,
                "jobs_restored",
@@ -63,6 +66,7 @@
       return;
     }
     found->second.stored_ = true;
+    state_.openJobs_.Update(found->second);
     effects_.push_back(Count{ Counter::JobsAccepted });
     RespondToSubmitters(state_, aStored.job_, JobAccepted{}, effects_);
     effects_.push_back(Raise{ CapacityChanged{} });
@@ -71,6 +75,7 @@
   void On(const SubmissionDropped& aDropped)
   {
     state_.jobs_.erase(aDropped.job_);
+    state_.openJobs_.Remove(aDropped.job_);
     RespondToSubmitters(
       state_, aDropped.job_, StoreUnavailableResponse(), effects_);
     RespondToCancellers(
@@ -111,7 +116,9 @@
     }
     JournalWriteRequested write{ {}, StartsPersisted{ aDecided.starts_ } };
     for (const JobId& id : changed) {
-      write.records_.emplace_back(StoredProgress(state_.jobs_.at(id)));
+      const Job& job = state_.jobs_.at(id);
+      state_.openJobs_.Update(job);
+      write.records_.emplace_back(StoredProgress(job));
     }
     effects_.push_back(Raise{ std::move(write) });
   }
@@ -148,6 +155,7 @@
                  std::chrono::duration_cast<std::chrono::milliseconds>(
                    schedule->interval_ * job.nextOccurrence_.Value())) {
         AddOccurrence(job);
+        state_.openJobs_.Update(job);
         effects_.push_back(Raise{ CapacityChanged{} });
       }
     }
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Job.h"
+#include "verbenawell/jobs/tasks/OpenJobIndex.h"
 
 #include <map>
 #include <vector>
@@ -21,6 +22,7 @@
 struct TasksState
 {
   std::map<JobId, Job> jobs_;
+  OpenJobIndex openJobs_;
   std::map<JobId, EndedJob> endedJobs_;
   /// Requests to respond to once the submission is in the journal.
   std::multimap<JobId, RequestKey> submitters_;
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -155,19 +155,13 @@
     Job& job = found->second;
     state_.cancellers_.emplace(job.id_, request_.key_);
     if (job.outcome_ == JobOutcome::Open) {
-      DecideOutcome(job, JobOutcome::Cancelled, context_, effects_);
+      DecideOutcome(state_, job, JobOutcome::Cancelled, context_, effects_);
     }
   }
 
   void operator()(const CountPending&)
   {
-    const auto pending =
-      std::ranges::count_if(state_.jobs_, [&](const auto& aEntry) {
-        const Job& job = aEntry.second;
-        return job.queue_ == request_.queue_ && job.stored_ && !job.started_ &&
-               job.outcome_ == JobOutcome::Open;
-      });
-    Respond(PendingJobsReported{ static_cast<std::uint64_t>(pending) });
+    Respond(PendingJobsReported{ state_.openJobs_.Pending(request_.queue_) });
   }
 
 private:
@@ -208,7 +202,8 @@
       { StoredJob(job, context_) }, SubmissionPersisted{ job.id_ } } });
     state_.submitters_.emplace(job.id_, request_.key_);
     const JobId id = job.id_;
-    state_.jobs_.emplace(id, std::move(job));
+    state_.openJobs_.Update(
+      state_.jobs_.emplace(id, std::move(job)).first->second);
   }
 
   // A daemon on a larger VM may have claimed the ownership since the last
--- a/src/verbenawell/jobs/tasks/internal/JobOutcomes.cpp
+++ b/src/verbenawell/jobs/tasks/internal/JobOutcomes.cpp
@@ -38,13 +38,15 @@
 } // namespace
 
 void
-DecideOutcome(Job& aJob,
+DecideOutcome(TasksState& aState,
+              Job& aJob,
               JobOutcome aOutcome,
               const Context& aContext,
               Effects& aEffects)
 {
   aJob.outcome_ = aOutcome;
   aJob.endedAt_ = aContext.now_;
+  aState.openJobs_.Update(aJob);
   aEffects.push_back(Raise{ JournalWriteRequested{
     { StoredOutcome(aJob, aContext) }, OutcomePersisted{ aJob.id_ } } });
 }
@@ -76,6 +78,7 @@
   RespondToCancellers(aState, aJob, CancelAccepted{}, aEffects);
   aState.endedJobs_.insert_or_assign(
     aJob, EndedJob{ job.queue_, job.outcome_, aContext.now_ });
+  aState.openJobs_.Remove(aJob);
   aState.jobs_.erase(found);
 }
 
--- a/src/verbenawell/jobs/tasks/internal/JobOutcomes.h
+++ b/src/verbenawell/jobs/tasks/internal/JobOutcomes.h
@@ -11,7 +11,8 @@
 /// Sets the outcome of an open job and requests that it is written to the
 /// journal.
 void
-DecideOutcome(Job& aJob,
+DecideOutcome(TasksState& aState,
+              Job& aJob,
               JobOutcome aOutcome,
               const Context& aContext,
               Effects& aEffects);
--- a/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
+++ b/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace verbenawell::jobs {
 
@@ -56,8 +57,12 @@
       }
       if (Task* task = found->second.Find(end.task_); task != nullptr) {
         ApplyEnd(found->second, *task, end);
+        touched_.insert(end.task_.job_);
       }
     }
+    for (const JobId& id : touched_) {
+      state_.openJobs_.Update(state_.jobs_.at(id));
+    }
     JournalWriteRequested write{
       {}, EndsPersisted{ ended_.worker_, ended_.incarnation_, ended_.through_ }
     };
@@ -96,7 +101,7 @@
     Requeue(aJob, aTask, aEnd);
     const Step& step = aJob.definition_.steps_[aEnd.task_.step_.Value()];
     if (!step.longRunning_ && aTask.failures_ >= aJob.policy_.maxAttempts_) {
-      DecideOutcome(aJob, JobOutcome::Failed, context_, effects_);
+      DecideOutcome(state_, aJob, JobOutcome::Failed, context_, effects_);
     }
   }
 
@@ -127,7 +132,7 @@
     }
     changed_.insert(aJob.id_);
     if (aJob.IsDone()) {
-      DecideOutcome(aJob, JobOutcome::Completed, context_, effects_);
+      DecideOutcome(state_, aJob, JobOutcome::Completed, context_, effects_);
     }
   }
 
@@ -146,6 +151,9 @@
   const RunsEnded& ended_;
   const Context& context_;
   Effects& effects_;
+  /// Jobs of which a run has ended.
+  std::set<JobId> touched_;
+  /// Jobs whose progress has to be stored.
   std::set<JobId> changed_;
 };
 
@@ -161,7 +169,9 @@
     Job* job = found == aState.jobs_.end() ? nullptr : &found->second;
     Task* task = job == nullptr ? nullptr : job->Find(run.task_);
     if (task != nullptr && IsPlacedAt(*task, aReported.worker_, run.run_)) {
-      job->started_ = true;
+      if (!std::exchange(job->started_, true)) {
+        aState.openJobs_.Update(*job);
+      }
       task->percent_ = run.percent_;
       if (!run.checkpoint_.empty()) {
         task->checkpoint_ = run.checkpoint_;
@@ -206,8 +216,9 @@
 {
   const auto found = aState.jobs_.find(aCompletion.task_.job_);
   if (found != aState.jobs_.end() &&
-      std::holds_alternative<StartAccepted>(aCompletion.result_)) {
-    found->second.started_ = true;
+      std::holds_alternative<StartAccepted>(aCompletion.result_) &&
+      !std::exchange(found->second.started_, true)) {
+    aState.openJobs_.Update(found->second);
   }
 }
 
@@ -224,6 +235,7 @@
   }
   task->percent_ = Percent{ 0 };
   SetStatus(found->second, aLost.task_, Waiting{});
+  aState.openJobs_.Update(found->second);
   // A successor that took the run for present would wait for its lease again,
   // so the loss is written to the journal. No command follows the write. After
   // an outcome nothing is written, since the progress would replace it.
--- a/tests/jobs/MalformedRecordsTest.cpp
+++ b/tests/jobs/MalformedRecordsTest.cpp
@@ -65,7 +65,9 @@
   step.resources_.cpu_ = MilliCores{ aCpu };
   step.estimatedRunTime_ = aRunTime;
   AddOccurrence(job);
-  return aState.tasks_.jobs_[job.id_] = job;
+  Job& added = aState.tasks_.jobs_[job.id_] = job;
+  aState.tasks_.openJobs_.Update(added);
+  return added;
 }
 
 // Guards against a log that grows with each reading of the list, twice a
