Avoid work that grows with the fleet in event handling and pool plans

Cause: the plan of VM moves counted the home VMs of a pool anew for each idle VM, and each event allocated a queue for the events that it raises.

Change: the counts are made once a plan; the queue is allocated when an event is raised.

No behaviour changes.

--- a/src/verbenawell/core/EventLoop.h
+++ b/src/verbenawell/core/EventLoop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <deque>
+#include <cstddef>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -16,17 +16,21 @@
 ReduceAll(const Event& aEvent, Reduce aReduce, FollowUp aFollowUp)
 {
   std::vector<Effect> result;
-  std::deque<Event> pending{ aEvent };
-  while (!pending.empty()) {
-    const Event event = std::move(pending.front());
-    pending.pop_front();
-    for (Effect& effect : aReduce(event)) {
+  // Empty for most events, so that these allocate no queue.
+  std::vector<Event> pending;
+  const auto collect = [&](std::vector<Effect> aEffects) {
+    for (Effect& effect : aEffects) {
       if (auto next = aFollowUp(effect); next) {
         pending.push_back(std::move(*next));
       } else {
         result.push_back(std::move(effect));
       }
     }
+  };
+  collect(aReduce(aEvent));
+  for (std::size_t next = 0; next < pending.size(); ++next) {
+    const Event event = std::move(pending[next]);
+    collect(aReduce(event));
   }
   return result;
 }
--- a/src/verbenawell/jobs/pools/internal/MovePlan.cpp
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -51,6 +51,9 @@
     , demand_(aDemand)
     , now_(aContext.now_)
   {
+    for (const auto& [vm, pool] : state_.homePools_) {
+      ++ownVms_[pool];
+    }
   }
 
   std::vector<PlannedMove> PlanAll()
@@ -130,14 +133,11 @@
 
   [[nodiscard]] bool MayLend(const ServiceId& aPool) const
   {
-    const auto ownVms =
-      std::ranges::count_if(state_.homePools_, [&](const auto& aHomePool) {
-        return aHomePool.second == aPool;
-      });
+    const auto ownVms = ownVms_.find(aPool);
     const PoolDemand& pool = demand_.at(aPool);
     return pool.activeVms_ > pool.minVms_ &&
            std::uint64_t{ pool.activeVms_ } * 100 >
-             static_cast<std::uint64_t>(ownVms) * kMinOwnVmsPercent;
+             (ownVms == ownVms_.end() ? 0 : ownVms->second) * kMinOwnVmsPercent;
   }
 
   /// Prefers a VM of a spare pool, then a borrowed VM, then one of its pool's
@@ -215,6 +215,8 @@
   const Views& views_;
   std::map<ServiceId, PoolDemand> demand_;
   TimePoint now_;
+  /// Number of VMs whose home pool is the pool.
+  std::map<ServiceId, std::uint64_t> ownVms_;
   std::set<VmId> plannedVms_;
   std::vector<PlannedMove> moves_;
 };
