--- a/src/verbenawell/jobs/core/Event.h
+++ b/src/verbenawell/jobs/core/Event.h
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/core/TimerKey.h"
 #include "verbenawell/jobs/journal/JournalEvents.h"
 #include "verbenawell/jobs/maintenance/MaintenanceEvents.h"
+#include "verbenawell/jobs/overload/OverloadEvents.h"
 #include "verbenawell/jobs/ownership/OwnershipEvents.h"
 #include "verbenawell/jobs/placement/PlacementEvents.h"
 #include "verbenawell/jobs/workers/WorkerEvents.h"
@@ -33,6 +34,7 @@
 using Event = std::variant<Started,
                            StopRequested,
                            TimerDue,
+                           LoopDelayMeasured,
                            CallerRequested,
                            CallerDisconnected,
                            ForwardCompleted,
--- a/src/verbenawell/jobs/journal/JournalReducer.cpp
+++ b/src/verbenawell/jobs/journal/JournalReducer.cpp
@@ -218,11 +218,19 @@
   void SendAppend()
   {
     AppendJournal append{ state_.epoch_, state_.sequence_, {} };
-    for (std::size_t index = 0; index < state_.inFlight_; ++index) {
-      const auto& records = state_.queue_[index].records_;
-      append.records_.insert(
-        append.records_.end(), records.begin(), records.end());
+    // The store appends all records of a call or none, so of the progress
+    // records of a job only the last one counts.
+    std::set<JobId> written;
+    for (std::size_t index = state_.inFlight_; index > 0; --index) {
+      const auto& records = state_.queue_[index - 1].records_;
+      for (auto record = records.rbegin(); record != records.rend(); ++record) {
+        if (const auto* progress = std::get_if<ProgressStored>(&*record);
+            progress == nullptr || written.insert(progress->job_).second) {
+          append.records_.push_back(*record);
+        }
+      }
     }
+    std::ranges::reverse(append.records_);
     effects_.push_back(std::move(append));
   }
 
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -24,10 +24,11 @@
 
 // Changes within this time are handled by one pass.
 constexpr Duration kPassDelay = 5ms;
-// A pass ranks all jobs that wait, which takes less than a microsecond for
-// each. This delay bounds the share of the processor that passes take during a
-// backlog.
+// A pass looks at all workers and ranks all jobs with a task to start, which
+// takes less than a microsecond for each. These delays bound the share of the
+// processor that passes take on large deployments and during a backlog.
 constexpr Duration kPassDelayPerJob = 10us;
+constexpr Duration kPassDelayPerWorker = 10us;
 // Finds workers that may get start commands again after a rejection or after a
 // time without responses.
 constexpr Duration kIdlePassInterval = 200ms;
@@ -255,10 +256,10 @@
   void SchedulePass()
   {
     if (!std::exchange(state_.isPassScheduled_, true)) {
-      effects_.push_back(
-        SetTimer{ PlacementPass{},
-                  kPassDelay + kPassDelayPerJob *
-                                 views_.tasks_.openJobs_.WaitingCount() });
+      effects_.push_back(SetTimer{
+        PlacementPass{},
+        kPassDelay + kPassDelayPerJob * views_.tasks_.openJobs_.WaitingCount() +
+          kPassDelayPerWorker * views_.workers_.workers_.size() });
     }
   }
 
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -59,6 +59,11 @@
     HandleCallerRequest(state_, views_, aRequest, context_, effects_);
   }
 
+  void On(const LoopDelayMeasured& aMeasured)
+  {
+    state_.shedding_.Add(aMeasured.delay_);
+  }
+
   void On(const SubmissionPersisted& aStored)
   {
     const auto found = state_.jobs_.find(aStored.job_);
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Job.h"
+#include "verbenawell/jobs/overload/LoadShedding.h"
 #include "verbenawell/jobs/tasks/OpenJobIndex.h"
 
 #include <map>
@@ -23,6 +24,7 @@
 {
   std::map<JobId, Job> jobs_;
   OpenJobIndex openJobs_;
+  LoadShedding shedding_;
   std::map<JobId, EndedJob> endedJobs_;
   /// Requests to respond to once the submission is in the journal.
   std::multimap<JobId, RequestKey> submitters_;
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -174,7 +174,7 @@
       return;
     }
     Job job = NewJob(aSubmit, *queue, context_);
-    if (const auto refusal = Admit(job, views_, context_); refusal) {
+    if (const auto refusal = RefusalOf(job); refusal) {
       effects_.push_back(
         LogLine{ LogLevel::Info,
                  "job_rejected",
@@ -206,6 +206,16 @@
       state_.jobs_.emplace(id, std::move(job)).first->second);
   }
 
+  std::optional<JobRejected> RefusalOf(const Job& aJob)
+  {
+    const bool mayReject = !aJob.IsLongRunning() && !aJob.definition_.schedule_;
+    if (mayReject && state_.shedding_.RejectNext()) {
+      return JobRejected{ RejectReason::Overload,
+                          state_.shedding_.RetryAfter() };
+    }
+    return Admit(aJob, views_, context_);
+  }
+
   // A daemon on a larger VM may have claimed the ownership since the last
   // renewal and may have accepted the job. The store refuses the write then,
   // and the request goes to the successor. The record changes nothing, since no
