--- a/src/verbenawell/jobs/overload/LoadShedding.cpp
+++ b/src/verbenawell/jobs/overload/LoadShedding.cpp
@@ -29,6 +29,12 @@
   delay_ += kNewestWeight * (static_cast<double>(aLoopDelay.count()) - delay_);
 }
 
+Duration
+LoadShedding::LoopDelay() const
+{
+  return Duration{ static_cast<Duration::rep>(delay_) };
+}
+
 double
 LoadShedding::RejectedShare() const
 {
@@ -56,10 +62,7 @@
 Duration
 LoadShedding::RetryAfter() const
 {
-  return std::clamp(
-    Duration{ static_cast<Duration::rep>(kStepsOfJob * delay_) },
-    kMinRetryAfter,
-    kMaxRetryAfter);
+  return std::clamp(kStepsOfJob * LoopDelay(), kMinRetryAfter, kMaxRetryAfter);
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/overload/LoadShedding.h
+++ b/src/verbenawell/jobs/overload/LoadShedding.h
@@ -13,6 +13,9 @@
 public:
   void Add(Duration aLoopDelay);
 
+  /// Moving average of the loop delay.
+  [[nodiscard]] Duration LoopDelay() const;
+
   /// Share of the submissions to reject, from 0 to 1.
   [[nodiscard]] double RejectedShare() const;
 
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -86,6 +86,13 @@
   return job;
 }
 
+std::string
+Milliseconds(Duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
 class RequestHandler
 {
 public:
@@ -175,17 +182,14 @@
     }
     Job job = NewJob(aSubmit, *queue, context_);
     if (const auto refusal = RefusalOf(job); refusal) {
-      effects_.push_back(
-        LogLine{ LogLevel::Info,
-                 "job_rejected",
-                 { { "job", job.id_.Value() },
-                   { "queue", queue->id_.Value() },
-                   { "reason", std::string(ToString(refusal->reason_)) },
-                   { "retry_after_ms",
-                     std::to_string(
-                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                         refusal->retryAfter_)
-                         .count()) } } });
+      effects_.push_back(LogLine{
+        LogLevel::Info,
+        "job_rejected",
+        { { "job", job.id_.Value() },
+          { "queue", queue->id_.Value() },
+          { "reason", std::string(ToString(refusal->reason_)) },
+          { "loop_delay_ms", Milliseconds(state_.shedding_.LoopDelay()) },
+          { "retry_after_ms", Milliseconds(refusal->retryAfter_) } } });
       Respond(*refusal);
       return;
     }
