--- a/src/verbenawell/jobs/journal/JournalReducer.cpp
+++ b/src/verbenawell/jobs/journal/JournalReducer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -222,11 +223,11 @@
     // records of a job only the last one counts.
     std::set<JobId> written;
     for (std::size_t index = state_.inFlight_; index > 0; --index) {
-      const auto& records = state_.queue_[index - 1].records_;
-      for (auto record = records.rbegin(); record != records.rend(); ++record) {
-        if (const auto* progress = std::get_if<ProgressStored>(&*record);
+      for (const JournalRecord& record :
+           std::ranges::reverse_view(state_.queue_[index - 1].records_)) {
+        if (const auto* progress = std::get_if<ProgressStored>(&record);
             progress == nullptr || written.insert(progress->job_).second) {
-          append.records_.push_back(*record);
+          append.records_.push_back(record);
         }
       }
     }
