--- /dev/null
+++ b/bench/JobDecisionsBench.cpp
@@ -0,0 +1,164 @@
+#include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/placement/Admission.h"
+#include "verbenawell/jobs/placement/JobOrder.h"
+#include "verbenawell/jobs/placement/PlacementReducer.h"
+
+#include "Row.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include <gflags/gflags.h>
+
+DEFINE_uint64(seed, 1, "printed with each row; the decisions are not random");
+
+namespace verbenawell::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace jobs;
+
+constexpr std::uint32_t kServices = 5;
+constexpr std::uint32_t kTasksOfStep = 8;
+constexpr int kDecisions = 50;
+const TimePoint kNow = TimePoint{} + 1000s;
+
+ServiceId
+MakeServiceId(std::uint32_t aNumber)
+{
+  return ServiceId{ "service" + std::to_string(aNumber % kServices) };
+}
+
+Job
+MakeJob(std::uint32_t aNumber)
+{
+  Job job;
+  job.id_ = JobId{ "job" + std::to_string(aNumber) };
+  job.service_ = MakeServiceId(aNumber);
+  job.policy_.objective_ = 1h;
+  job.acceptedAt_ = kNow;
+  job.stored_ = true;
+  for (std::uint32_t index = 0; index < 2; ++index) {
+    Step& step = job.definition_.steps_.emplace_back();
+    step.count_ = TaskCount{ kTasksOfStep };
+    step.resources_.cpu_ = MilliCores{ 8900 };
+    step.estimatedRunTime_ = 800ms;
+    if (index > 0) {
+      step.dependencies_.emplace_back(0U);
+    }
+  }
+  AddOccurrence(job);
+  return job;
+}
+
+/// An owner whose jobs all run, but for one with a step to start.
+void
+Fill(State& aState, std::uint32_t aWorkers, std::uint32_t aJobs)
+{
+  aState.journal_.phase_ = JournalReady{};
+  for (std::uint32_t number = 0; number < aWorkers; ++number) {
+    const WorkerId id{ "worker" + std::to_string(number) };
+    Worker& worker = aState.workers_.workers_[id];
+    worker.entry_.worker_ = id;
+    worker.entry_.service_ = MakeServiceId(number);
+    worker.entry_.capacity_ = { MilliCores{ 64'000 }, {}, {} };
+    worker.isListed_ = true;
+    worker.isStored_ = true;
+    worker.hasResponded_ = true;
+    worker.lease_.reading_ = ClockReading{ {}, kNow };
+    worker.lastResponseAt_ = kNow;
+  }
+  for (std::uint32_t number = 0; number < aJobs; ++number) {
+    Job job = MakeJob(number);
+    for (std::uint32_t task = 0; number > 0 && task < kTasksOfStep; ++task) {
+      SetStatus(job,
+                { job.id_, {}, StepIndex{ 0 }, TaskIndex{ task } },
+                Placed{ WorkerId{ "worker0" }, RunNumber{ 1 }, kNow });
+    }
+    aState.tasks_.openJobs_.Update(
+      aState.tasks_.jobs_.emplace(job.id_, std::move(job)).first->second);
+  }
+}
+
+/// Mean nanoseconds of one decision.
+template<typename Decide>
+double
+MeasureNanoseconds(Decide aDecide)
+{
+  const auto start = std::chrono::steady_clock::now();
+  for (int decision = 0; decision < kDecisions; ++decision) {
+    aDecide();
+  }
+  const std::chrono::duration<double, std::nano> elapsed =
+    std::chrono::steady_clock::now() - start;
+  return elapsed.count() / kDecisions;
+}
+
+/// The version before: a look at all open jobs for each decision.
+double
+MeasureLookAtAllJobs(const State& aState)
+{
+  JobRank lowest;
+  return MeasureNanoseconds([&] {
+    for (const auto& [id, job] : aState.tasks_.jobs_) {
+      lowest = std::max(lowest, Rank(job, kNow));
+    }
+  });
+}
+
+void
+Measure(std::uint32_t aWorkers, std::uint32_t aJobs)
+{
+  State state;
+  Fill(state, aWorkers, aJobs);
+  const Context context{ kNow, {}, {} };
+  const Job submitted = MakeJob(aJobs);
+  const double admission = MeasureNanoseconds(
+    [&] { static_cast<void>(Admit(submitted, state.View(), context)); });
+  const double pass = MeasureNanoseconds([&] {
+    Effects effects;
+    ReducePlacement(state.placement_,
+                    state.View(),
+                    TimerDue{ PlacementPass{} },
+                    context,
+                    effects);
+  });
+  const double allJobs = MeasureLookAtAllJobs(state);
+  const std::string size =
+    "/" + std::to_string(aWorkers) + "/" + std::to_string(aJobs);
+  Print({ "job_decision_ns/admission" + size,
+          admission,
+          "ns",
+          allJobs,
+          {},
+          FLAGS_seed,
+          kDecisions });
+  Print({ "job_decision_ns/placement_pass" + size,
+          pass,
+          "ns",
+          allJobs,
+          {},
+          FLAGS_seed,
+          kDecisions });
+}
+
+} // namespace
+} // namespace verbenawell::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace verbenawell::bench;
+  gflags::SetUsageMessage(
+    "measures the decisions of an owner by numbers of workers and jobs");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  for (const std::uint32_t workers : { 50U, 500U, 1100U, 3500U }) {
+    for (const std::uint32_t jobs : { 1000U, 10000U }) {
+      Measure(workers, jobs);
+    }
+  }
+  return 0;
+}
