--- a/src/verbenawell/jobs/journal/JournalReducer.cpp
+++ b/src/verbenawell/jobs/journal/JournalReducer.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <ranges>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -221,17 +221,22 @@
     AppendJournal append{ state_.epoch_, state_.sequence_, {} };
     // The store appends all records of a call or none, so of the progress
     // records of a job only the last one counts.
-    std::set<JobId> written;
-    for (std::size_t index = state_.inFlight_; index > 0; --index) {
-      for (const JournalRecord& record :
-           std::ranges::reverse_view(state_.queue_[index - 1].records_)) {
+    std::map<JobId, const ProgressStored*> last;
+    for (std::size_t index = 0; index < state_.inFlight_; ++index) {
+      for (const JournalRecord& record : state_.queue_[index].records_) {
+        if (const auto* progress = std::get_if<ProgressStored>(&record)) {
+          last.insert_or_assign(progress->job_, progress);
+        }
+      }
+    }
+    for (std::size_t index = 0; index < state_.inFlight_; ++index) {
+      for (const JournalRecord& record : state_.queue_[index].records_) {
         if (const auto* progress = std::get_if<ProgressStored>(&record);
-            progress == nullptr || written.insert(progress->job_).second) {
+            progress == nullptr || last.at(progress->job_) == progress) {
           append.records_.push_back(record);
         }
       }
     }
-    std::ranges::reverse(append.records_);
     effects_.push_back(std::move(append));
   }
 
