--- a/review/standins/Proxy.cpp
+++ b/review/standins/Proxy.cpp
@@ -112,18 +112,19 @@
       continue;
     }
     const int server = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in address = Loopback(serverPort_);
-    if (::connect(server,
-                  reinterpret_cast<const sockaddr*>(&address),
-                  sizeof(address)) != 0) {
+    const int port = serverPort_;
+    const sockaddr_in address = Loopback(port);
+    if (port == 0 || ::connect(server,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof(address)) != 0) {
       ::close(server);
       ResetConnection(client);
       continue;
     }
     SetNoDelay(server);
-    std::thread([this, client, server] {
-      std::thread back([&] { Pump(server, client); });
-      Pump(client, server);
+    std::thread([this, client, server, port] {
+      std::thread back([&] { Pump(server, client, port); });
+      Pump(client, server, port);
       back.join();
       ::close(server);
       ::close(client);
@@ -145,12 +146,12 @@
 }
 
 void
-Proxy::Pump(int aFrom, int aTo)
+Proxy::Pump(int aFrom, int aTo, int aServerPort)
 {
   std::array<char, kBufferBytes> buffer{};
   std::string held;
   bool hasEnded = false;
-  while (!isStopping_) {
+  while (!isStopping_ && serverPort_ == aServerPort) {
     if (!isCut_) {
       if (!SendAll(aTo, held)) {
         break;
--- a/review/standins/Proxy.h
+++ b/review/standins/Proxy.h
@@ -21,15 +21,20 @@
   Proxy& operator=(const Proxy&) = delete;
 
   void SetCut(bool aIsCut) { isCut_ = aIsCut; }
+  /// Ends all connections and refuses new ones, as a machine without the
+  /// server's process does.
+  void SetDown() { serverPort_ = 0; }
+  /// Leads new connections to a server.
+  void SetServer(int aPort) { serverPort_ = aPort; }
   [[nodiscard]] std::string Address() const;
 
 private:
   void Accept();
   /// Carries what one side sends to the other, until it ends.
-  void Pump(int aFrom, int aTo);
+  void Pump(int aFrom, int aTo, int aServerPort);
   void Drain(int aClient);
 
-  int serverPort_;
+  std::atomic<int> serverPort_;
   int listener_;
   int port_ = 0;
   std::atomic<bool> isCut_ = false;
--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -42,12 +42,14 @@
                Ledger& aLedger,
                Store& aStore,
                std::string aId,
-               std::string aService)
+               std::string aService,
+               std::string aAddress)
   : record_(aRecord)
   , ledger_(aLedger)
   , store_(aStore)
   , id_(std::move(aId))
   , service_(std::move(aService))
+  , address_(std::move(aAddress))
   , bornMs_(UnixMs())
   , startMs_(NowMs())
 {
@@ -89,7 +91,7 @@
 {
   const json entry{
     { "service", service_ },
-    { "address", server_.Address() },
+    { "address", address_.empty() ? server_.Address() : address_ },
     { "zone", "zone-1" },
     { "version", "v1" },
     { "slots", 8 },
@@ -164,10 +166,12 @@
 }
 
 void
-Worker::End()
+Worker::End(bool aHasCrashed)
 {
   isEnded_ = true;
-  Register(true);
+  if (!aHasCrashed) {
+    Register(true);
+  }
   const std::scoped_lock lock(mutex_);
   while (!running_.empty()) {
     const std::string task = running_.begin()->first;
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -26,15 +26,18 @@
          Ledger& aLedger,
          Store& aStore,
          std::string aId,
-         std::string aService);
+         std::string aService,
+         std::string aAddress = {});
   ~Worker();
   Worker(const Worker&) = delete;
   Worker& operator=(const Worker&) = delete;
 
   [[nodiscard]] const std::string& Id() const { return id_; }
   [[nodiscard]] std::size_t Running();
-  /// Ends the life of the worker and everything that runs on it.
-  void End();
+  /// Ends the life of the worker and everything that runs on it. A worker that
+  /// has crashed leaves its entry in the store.
+  void End(bool aHasCrashed = false);
+  [[nodiscard]] int Port() const { return server_.Port(); }
   /// The highest fencing token that the worker has seen.
   std::uint64_t Fence();
   /// Holds up calls with this fencing token, as a cut link does.
@@ -82,6 +85,8 @@
   Store& store_;
   std::string id_;
   std::string service_;
+  /// The address in the entry; the server's own if it is empty.
+  std::string address_;
   std::int64_t bornMs_;
   std::int64_t startMs_;
   Server server_;
