--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -153,6 +153,7 @@
 void
 Cloud::List(httplib::Response& aResponse)
 {
+  listedMs_ = NowMs();
   const std::scoped_lock lock(mutex_);
   json machines = json::array();
   for (const auto& [id, machine] : machines_) {
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -40,6 +40,8 @@
   /// same machine.
   [[nodiscard]] std::size_t StaleOrders() const { return staleOrders_; }
   [[nodiscard]] std::size_t Orders() const { return orders_; }
+  /// When the list of machines was last read.
+  [[nodiscard]] std::int64_t ListedMs() const { return listedMs_; }
 
 private:
   struct Machine
@@ -69,6 +71,7 @@
   int lastWorker_ = 0;
   std::atomic<std::size_t> staleOrders_ = 0;
   std::atomic<std::size_t> orders_ = 0;
+  std::atomic<std::int64_t> listedMs_ = -1;
   std::atomic<bool> isStopping_ = false;
   std::thread ticker_;
 };
