Keep the interval of lease renewals while a lease cannot be extended

While the store is down for more than 4 s, an owner cannot extend leases.

A renewal without a pause is now sent only if it extends the lease. It also no longer waits behind the ends in the same report: a worker that responds again shortly before its lease expires gets the extension at once.

--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -111,9 +111,8 @@
     if (const Worker* worker = state_.Find(aReport.worker_);
         worker != nullptr) {
       const bool hasEnds = worker->lastEnd_ != previous;
-      effects_.push_back(SetTimer{
-        LeaseRenewal{ aReport.worker_ },
-        hasEnds ? kMaxRenewalDelay : NextRenewalDelay(*worker, aReport) });
+      effects_.push_back(SetTimer{ LeaseRenewal{ aReport.worker_ },
+                                   NextRenewalDelay(*worker, hasEnds) });
     }
   }
 
@@ -291,16 +290,25 @@
     }
   }
 
-  Duration NextRenewalDelay(const Worker& aWorker,
-                            const WorkerReported& aReport) const
+  // A first response, or one after an outage, brings the clock reading that an
+  // extension of the lease needs. The runs of the worker may include ended ones
+  // that a full list of ends leaves out.
+  [[nodiscard]] bool NeedsLease(const Worker& aWorker) const
   {
-    // Only the first response brings the clock reading that a lease needs.
-    const bool needsLease =
-      !aReport.running_.empty() &&
-      aWorker.lease_.expiresAt_ < context_.now_ + kLeaseDuration / 2;
-    if (needsLease) {
+    return !aWorker.runs_.empty() &&
+           aWorker.lease_.expiresAt_ < context_.now_ + kLeaseDuration / 2 &&
+           commands_.CanExtendLease(aWorker);
+  }
+
+  [[nodiscard]] Duration NextRenewalDelay(const Worker& aWorker,
+                                          bool aHasNewEnds) const
+  {
+    if (NeedsLease(aWorker)) {
       return {};
     }
+    if (aHasNewEnds) {
+      return kMaxRenewalDelay;
+    }
     return aWorker.runs_.empty() ? kIdleRenewalDelay : kRenewalDelay;
   }
 
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -62,6 +62,16 @@
                                                  : owning->renewalSentAt_);
 }
 
+// While the owner's renewals fail, the lease end stays the same apart from the
+// jitter of clock readings.
+bool
+WorkerCommands::CanExtendLease(const Worker& aWorker) const
+{
+  constexpr WorkerTime kMinExtension{ 100 };
+  return aWorker.lease_.reading_ &&
+         LeaseEnd(aWorker) >= aWorker.lease_.end_ + kMinExtension;
+}
+
 // A successor may have accepted the cancel of a job whose start this daemon has
 // stored, and the worker accepts the start if the successor has not reached it.
 // A daemon on a larger VM may claim before the confirmation expires, but after
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.h
@@ -43,6 +43,9 @@
   /// Repeats the commands of a worker that got no response.
   void Resend(const WorkerId& aId);
 
+  /// Returns whether a lease renewal sent now would extend the lease.
+  [[nodiscard]] bool CanExtendLease(const Worker& aWorker) const;
+
 private:
   [[nodiscard]] bool IsOwnershipConfirmed() const;
   [[nodiscard]] WorkerTime LeaseEnd(const Worker& aWorker) const;
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -244,6 +244,7 @@
     });
     return;
   }
+  ++renewals_;
   if (aRenewal.leaseEnd_) {
     ExtendLease(*aRenewal.leaseEnd_);
   }
--- a/tests/jobs/FakeWorker.h
+++ b/tests/jobs/FakeWorker.h
@@ -78,6 +78,8 @@
   [[nodiscard]] std::vector<TaskId> Running() const;
 
   WorkerFaults faults_;
+  /// Number of lease renewals that have arrived.
+  int renewals_ = 0;
 
 private:
   struct ActiveRun
--- a/tests/jobs/WorkerReportsTest.cpp
+++ b/tests/jobs/WorkerReportsTest.cpp
@@ -42,5 +42,23 @@
                          IdleWorkers,
                          testing::Values(0ms, 50ms, 600ms));
 
+// Guards against lease renewals without a pause between them. An owner that
+// could neither extend a lease nor store ends, since the store was down, sent
+// the next lease renewal with each response.
+TEST(LeaseRenewals, KeepTheirIntervalDuringAnOutageOfTheStore)
+{
+  SimulatedDeployment deployment{ 84, { 3, 1, 1 } };
+  deployment.RunFor(kStartUpTime);
+  deployment.Submit("0000000000000001", MakeJob(1, 1, 1s));
+  deployment.Submit("0000000000000002", MakeJob(1, 1, 60s));
+  deployment.RunFor(500ms);
+  FakeWorker& worker = deployment.WorkerAt(0);
+  ASSERT_EQ(worker.Running().size(), 2U);
+  deployment.store_.faults_.isDown_ = true;
+  const int before = worker.renewals_;
+  deployment.RunFor(7s);
+  EXPECT_LT(worker.renewals_ - before, 7s / 80ms);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
