Do not take runs for lost that a full list of ends leaves out

Cause: a worker lists at most 500 ends in one response. The owner took a run that was in neither list for lost, also when the list of ends was full.

--- a/src/verbenawell/jobs/workers/WorkerEvents.h
+++ b/src/verbenawell/jobs/workers/WorkerEvents.h
@@ -88,6 +88,8 @@
   TimePoint sentAt_;
   std::vector<ListedRun> running_;
   std::vector<ListedEnd> ended_;
+  /// The list of ends is full, so the worker may have further ends.
+  bool mayHaveMoreEnds_ = false;
 };
 
 /// A lease renewal got no response.
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -41,12 +41,16 @@
 
 // A report shows the effect of every command that was confirmed before the
 // report was requested. A run that it does not list was never started or has
-// ended.
+// ended. The end of such a run may be missing from a full list of ends; the
+// worker lists it once earlier ends are acknowledged.
 void
 MarkMissingRunsLost(Worker& aWorker,
                     const WorkerReported& aReport,
                     Effects& aEffects)
 {
+  if (aReport.mayHaveMoreEnds_) {
+    return;
+  }
   std::vector<TaskId> missing;
   for (const auto& [task, run] : aWorker.runs_) {
     if (const auto acknowledgedAt = run.AcknowledgedAt();
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kLeaseCheckInterval = 50ms;
 constexpr Duration kLeaseRenewalPollInterval = 10ms;
 constexpr Duration kStopTime = 200ms;
+constexpr std::size_t kMaxListedEnds = 500;
 
 } // namespace
 
@@ -284,7 +285,10 @@
   for (const auto& [task, run] : runs_) {
     lists.running_.push_back({ task, run.run_, {}, Progress(run), 0 });
   }
-  lists.ended_ = ended_;
+  lists.ended_.assign(ended_.begin(),
+                      ended_.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                         ended_.size(), kMaxListedEnds)));
+  lists.mayHaveMoreEnds_ = lists.ended_.size() == kMaxListedEnds;
   time_.After(kLatency + faults_.renewalDelay_,
               [aReply, lists = std::move(lists)] { aReply(lists); });
 }
