Acknowledge ends only on a connection to their incarnation

Cause: the owner did not know of the new incarnation and acknowledged ends up to a number of the former one. Numbers begin at 1 again, so the worker forgot an end that was never stored, and the owner took the run for lost. X-Expected-Instance names the worker id, which both incarnations have.

A TCP connection leads to the incarnation that has responded on it, or breaks. The worker client now acknowledges ends only on such a connection, and the channel makes the request when it is sent, since only then its connection is known. The condition on an unresponsive worker, which covered a part, is gone.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/adapters/http/HttpChannel.h"
 
+#include "verbenawell/core/Overloaded.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,6 +47,16 @@
   StartNextCall();
 }
 
+void
+Channel::Call(RequestSource aSource, Duration aLimit, ResultHandler aHandler)
+{
+  calls_.push_back({ std::move(aSource),
+                     std::chrono::steady_clock::now() + aLimit,
+                     std::nullopt,
+                     std::move(aHandler) });
+  StartNextCall();
+}
+
 void
 Channel::Call(Request aRequest, CallLimits aLimits, ResultHandler aHandler)
 {
@@ -168,7 +180,14 @@
 void
 Channel::Send()
 {
-  output_ = Serialize(calls_.front().request_, host_);
+  output_ =
+    std::visit(Overloaded{ [&](const Request& aRequest) {
+                            return Serialize(aRequest, host_);
+                          },
+                           [&](const RequestSource& aSource) {
+                             return Serialize(aSource(connection_), host_);
+                           } },
+               calls_.front().request_);
   isSent_ = true;
   asio::async_write(socket_,
                     asio::buffer(output_),
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -3,6 +3,7 @@
 #include "verbenawell/adapters/http/HttpMessage.h"
 #include "verbenawell/adapters/http/HttpParser.h"
 #include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Quantity.h"
 #include "verbenawell/core/Time.h"
 
 #include <array>
@@ -13,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <variant>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -22,6 +24,13 @@
 
 using ResultHandler = std::function<void(Result)>;
 
+/// Identifies a connection of one channel; never used again by that channel.
+using ConnectionNumber = Quantity<struct ConnectionTag, std::uint64_t>;
+
+/// Makes the request of a call when it is sent, for the connection that carries
+/// it.
+using RequestSource = std::function<Request(ConnectionNumber)>;
+
 /// Time limits of a call that may wait behind others.
 struct CallLimits
 {
@@ -44,6 +53,8 @@
   /// Limits the time from now to the response.
   void Call(Request aRequest, Duration aLimit, ResultHandler aHandler);
 
+  void Call(RequestSource aSource, Duration aLimit, ResultHandler aHandler);
+
   void Call(Request aRequest, CallLimits aLimits, ResultHandler aHandler);
 
   /// Fails all pending calls and closes the connection.
@@ -54,7 +65,7 @@
 private:
   struct PendingCall
   {
-    Request request_;
+    std::variant<Request, RequestSource> request_;
     std::chrono::steady_clock::time_point deadline_;
     /// Sets the deadline anew when the wait in the queue ends.
     std::optional<Duration> responseLimit_;
@@ -85,7 +96,7 @@
   std::string output_;
   /// Number of the current connection. Callbacks of earlier connections have
   /// another number and are ignored.
-  std::uint64_t connection_ = 0;
+  ConnectionNumber connection_;
   bool isConnected_ = false;
   bool isBusy_ = false;
   bool isSent_ = false;
--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -87,7 +87,10 @@
   WorkerId worker_;
   Endpoint address_;
   Epoch epoch_;
-  /// The worker may remove ended runs up to this number from its list.
+  /// The worker's incarnation as known now.
+  WorkerIncarnation incarnation_;
+  /// The worker may remove ended runs up to this number from its list. Must not
+  /// reach another incarnation, whose ends have the same numbers.
   RunEndNumber acknowledged_;
   std::optional<WorkerTime> leaseEnd_;
   /// How long the worker may delay its response until a run ends.
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -28,10 +28,8 @@
   RenewLease renewal{ aId,
                       worker.entry_.address_,
                       state_.epoch_,
-                      // An unresponsive worker may have a new incarnation,
-                      // whose ends are numbered from 1 again.
-                      worker.isUnresponsive_ ? RunEndNumber{}
-                                             : worker.acknowledged_,
+                      worker.incarnation_,
+                      worker.acknowledged_,
                       std::nullopt,
                       Duration{} };
   // A lease renewal without a response may still extend the lease, and until
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -249,7 +249,11 @@
   if (aRenewal.leaseEnd_) {
     ExtendLease(*aRenewal.leaseEnd_);
   }
-  Acknowledge(aRenewal.acknowledged_);
+  // Incarnations have separate connections, and the client acknowledges ends
+  // only on the connection to their incarnation.
+  if (aRenewal.incarnation_ == entry_.incarnation_) {
+    Acknowledge(aRenewal.acknowledged_);
+  }
   RespondToLeaseRenewal(aRenewal, aReply, sentAt, aRenewal.wait_, lastEnd_);
 }
 
--- a/tests/jobs/IncarnationTest.cpp
+++ b/tests/jobs/IncarnationTest.cpp
@@ -115,6 +115,26 @@
   ExpectNoViolations(deployment_);
 }
 
+// Guards against tasks that are started again after they have ended. The owner
+// did not know of its idle worker's new incarnation yet, started a task there,
+// and its next lease renewal acknowledged the end of that task with the number
+// of an end of the former incarnation.
+TEST(NewIncarnation, KeepsItsEndsUntilTheyAreStored)
+{
+  for (Duration offset = 0ms; offset < 600ms; offset += 20ms) {
+    SimulatedDeployment deployment{ 92, { 3, 1, 1 } };
+    deployment.RunFor(kStartUpTime);
+    deployment.Submit(kJob, MakeJob(1, 1, 20ms));
+    deployment.RunFor(2s + offset);
+    deployment.KillWorker(0);
+    deployment.RestartWorker(0);
+    deployment.Submit("0000000000000002", MakeJob(1, 1, 20ms));
+    deployment.RunFor(3s);
+    EXPECT_EQ(deployment.oracle_.Starts(), 2U);
+    ExpectNoViolations(deployment);
+  }
+}
+
 // Guards against a report of the former incarnation that arrives after the list
 // has shown a new one and is ignored without a trace, or brings back the old
 // runs.
--- a/tests/jobs/PlatformTest.cpp
+++ b/tests/jobs/PlatformTest.cpp
@@ -248,28 +248,6 @@
   EXPECT_EQ(page.next_, "a");
 }
 
-// Guards against tasks that wait for the lease of a worker whose address now
-// belongs to another worker (incident inc-1d10).
-TEST(WorkerClient, TreatsAResponseOfAnotherIncarnationAsTheEndOfTheWorker)
-{
-  asio::io_context io;
-  StubServer worker{ io, { 421, {}, {} } };
-  std::optional<jobs::Event> seen;
-  WorkerClient calls{ io,
-                      [] { return TimePoint{}; },
-                      [&](jobs::Event aEvent) {
-                        seen = std::move(aEvent);
-                        io.stop();
-                      } };
-  calls.Run(jobs::RenewLease{
-    jobs::WorkerId{ "i-1" }, worker.address_, {}, {}, std::nullopt, {} });
-  io.run_for(5s);
-  ASSERT_TRUE(seen.has_value());
-  ASSERT_TRUE(std::holds_alternative<jobs::WorkerEnded>(*seen));
-  EXPECT_EQ(std::get<jobs::WorkerEnded>(*seen).worker_,
-            jobs::WorkerId{ "i-1" });
-}
-
 // Guards against progress that changes on its way through the journal.
 TEST(JournalCodec, ReadsBackWhatItWrites)
 {
--- a/tests/jobs/StubServer.h
+++ b/tests/jobs/StubServer.h
@@ -26,8 +26,10 @@
 class StubServer
 {
 public:
-  StubServer(asio::io_context& aIo, http::Response aResponse)
-    : address_(FreeEndpoint())
+  StubServer(asio::io_context& aIo,
+             http::Response aResponse,
+             Endpoint aAddress = FreeEndpoint())
+    : address_(std::move(aAddress))
     , listener_(aIo,
                 address_,
                 1'000'000,
--- a/tests/jobs/WorkerClientTest.cpp
+++ b/tests/jobs/WorkerClientTest.cpp
@@ -1,7 +1,13 @@
 #include "platform/WorkerClient.h"
 
 #include "SlowServer.h"
+#include "StubServer.h"
 
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
 #include <variant>
 
 #include <gtest/gtest.h>
@@ -72,5 +78,121 @@
   EXPECT_EQ(worker.requests_, 2);
 }
 
+// Guards against tasks that wait for the lease of a worker whose address now
+// belongs to another worker (incident inc-1d10).
+TEST(WorkerClient, TreatsAResponseOfAnotherIncarnationAsTheEndOfTheWorker)
+{
+  asio::io_context io;
+  StubServer worker{ io, { 421, {}, {} } };
+  std::optional<jobs::Event> seen;
+  WorkerClient calls{ io,
+                      [] { return TimePoint{}; },
+                      [&](jobs::Event aEvent) {
+                        seen = std::move(aEvent);
+                        io.stop();
+                      } };
+  calls.Run(jobs::RenewLease{
+    jobs::WorkerId{ "i-1" }, worker.address_, {}, {}, {}, std::nullopt, {} });
+  io.run_for(5s);
+  ASSERT_TRUE(seen.has_value());
+  ASSERT_TRUE(std::holds_alternative<jobs::WorkerEnded>(*seen));
+  EXPECT_EQ(std::get<jobs::WorkerEnded>(*seen).worker_,
+            jobs::WorkerId{ "i-1" });
+}
+
+jobs::RenewLease
+Renewal(const Endpoint& aAddress, std::int64_t aIncarnation)
+{
+  jobs::RenewLease renewal;
+  renewal.worker_ = jobs::WorkerId{ "i-1" };
+  renewal.address_ = aAddress;
+  renewal.incarnation_ = jobs::WorkerIncarnation{ aIncarnation };
+  renewal.acknowledged_ = jobs::RunEndNumber{ 7 };
+  return renewal;
+}
+
+std::string
+ReportOf(std::int64_t aIncarnation, int aEnds)
+{
+  std::string ends;
+  for (int number = 1; number <= aEnds; ++number) {
+    ends += (number > 1 ? "," : "") + std::string{ "[" } +
+            std::to_string(number) + R"(,"0000000000000001.0.0.)" +
+            std::to_string(number) + R"(",1,"done",""])";
+  }
+  return R"({"clockMs":5,"born":)" + std::to_string(aIncarnation) +
+         R"(,"running":[],"ended":[)" + ends + "]}";
+}
+
+/// Sends lease renewals, one after the other.
+class LeaseRenewals
+{
+public:
+  jobs::WorkerReported Send(const jobs::RenewLease& aRenewal)
+  {
+    client_.Run(aRenewal);
+    io_.restart();
+    io_.run_for(5s);
+    return std::exchange(report_, {});
+  }
+
+  asio::io_context io_;
+
+private:
+  jobs::WorkerReported report_;
+  WorkerClient client_{ io_,
+                        [] { return TimePoint{}; },
+                        [this](const jobs::Event& aEvent) {
+                          if (const auto* report =
+                                std::get_if<jobs::WorkerReported>(&aEvent)) {
+                            report_ = *report;
+                          }
+                          io_.stop();
+                        } };
+};
+
+bool
+Acknowledges(const std::string& aBody)
+{
+  return aBody.find(R"("ackedThrough":7)") != std::string::npos;
+}
+
+// Guards against an acknowledgement that reaches a new incarnation of the
+// worker, which then forgets ends that were never stored. Only an unbroken
+// connection to the incarnation shows that it still runs.
+TEST(WorkerClient, AcknowledgesEndsOnlyOnAConnectionToTheirIncarnation)
+{
+  LeaseRenewals renewals;
+  auto worker = std::make_unique<StubServer>(
+    renewals.io_, http::Response{ 200, {}, ReportOf(100, 0) });
+  const Endpoint address = worker->address_;
+  renewals.Send(Renewal(address, 100));
+  EXPECT_FALSE(Acknowledges(worker->body_));
+  renewals.Send(Renewal(address, 100));
+  EXPECT_TRUE(Acknowledges(worker->body_));
+  worker.reset();
+  worker = std::make_unique<StubServer>(
+    renewals.io_, http::Response{ 200, {}, ReportOf(200, 0) }, address);
+  renewals.Send(Renewal(address, 100));
+  EXPECT_FALSE(Acknowledges(worker->body_));
+  renewals.Send(Renewal(address, 100));
+  EXPECT_FALSE(Acknowledges(worker->body_));
+  renewals.Send(Renewal(address, 200));
+  EXPECT_TRUE(Acknowledges(worker->body_));
+}
+
+// Guards against a full list of ends that is taken for a complete one.
+TEST(WorkerClient, ReportsThatAFullListOfEndsMayBeIncomplete)
+{
+  for (const auto& [ends, isFull] :
+       { std::pair{ 499, false }, { 500, true } }) {
+    LeaseRenewals renewals;
+    const StubServer worker{ renewals.io_, { 200, {}, ReportOf(100, ends) } };
+    const auto report = renewals.Send(Renewal(worker.address_, 100));
+    EXPECT_EQ(report.ended_.size(), static_cast<std::size_t>(ends));
+    EXPECT_EQ(report.mayHaveMoreEnds_, isFull);
+  }
+}
+
 } // namespace
 } // namespace verbenawell::platform
