Reject no submission that an earlier attempt may have had accepted

Cause: a daemon repeats a submission whose forward got no response, and passed on the rejection of the repetition. The first attempt may have been stored before its owner ended. The record's lines no_configuration come from an owner that had just started again and got the requests that the others still forwarded to it.

Such a submission is now sent again after a rejection by a daemon that has not looked for the job, and has an unknown outcome (504) after one by the owner. A daemon without a configuration responds to a forwarded request that it is not the owner. request_failed names the daemon that got the last attempt, and attempt_rejected is logged for each rejection that is not passed on.

The simulator left a forwarded request whose target was killed without a response until its deadline; now its connection is reset as a real one is. RepeatedSubmission.IsSentAgain..., .HasAnUnknownOutcome..., ForwardedRequests.* and RestartedOwner.* fail without the change.

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/callers/CallersState.h"
+#include "verbenawell/jobs/callers/internal/AttemptOutcome.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
@@ -120,14 +121,15 @@
         --found->second.attemptsWithoutResponse_;
       }
     } else {
-      Respond(aCompleted.key_, *aCompleted.response_);
+      Conclude(aCompleted.key_, found->second, *aCompleted.response_);
     }
   }
 
   void On(const RequestDecided& aDecided)
   {
-    if (state_.open_.contains(aDecided.key_)) {
-      Respond(aDecided.key_, aDecided.response_);
+    if (const auto found = state_.open_.find(aDecided.key_);
+        found != state_.open_.end()) {
+      Conclude(aDecided.key_, found->second, aDecided.response_);
     }
   }
 
@@ -148,8 +150,7 @@
   void On(const OwnerChanged&)
   {
     for (auto& [key, open] : state_.open_) {
-      if (open.stage_ == RequestStage::Forwarded &&
-          !std::holds_alternative<SubmitJob>(open.request_.action_)) {
+      if (open.stage_ == RequestStage::Forwarded && !IsSubmission(open)) {
         open.stage_ = RequestStage::Waiting;
       }
     }
@@ -213,8 +214,13 @@
   {
     const auto& configuration = views_.configuration_.configuration_;
     if (!configuration) {
-      Respond(aKey,
-              JobRejected{ RejectReason::NoConfiguration, kRetryAfterNoOwner });
+      // A daemon that has just started again still gets the requests that
+      // others forward to it as the owner. They have a configuration.
+      const CallerResponse response =
+        aOpen.forwarded_
+          ? CallerResponse{ NotOwner{ aOpen.attemptsWithoutResponse_ > 0 } }
+          : JobRejected{ RejectReason::NoConfiguration, kRetryAfterNoOwner };
+      Respond(aKey, response);
       return;
     }
     const Queue* queue =
@@ -224,15 +230,20 @@
       // forwarding daemon has already resolved.
       const bool isBehind =
         aOpen.request_.configuration_ > configuration->version_;
-      Respond(aKey,
-              isBehind ? CallerResponse{ NotOwner{} }
-                       : CallerResponse{ QueueUnknown{} });
+      if (isBehind) {
+        Respond(aKey, NotOwner{ aOpen.attemptsWithoutResponse_ > 0 });
+      } else if (IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ > 0) {
+        Respond(aKey, OutcomeUnknown{});
+      } else {
+        Respond(aKey, QueueUnknown{});
+      }
       return;
     }
     aOpen.request_.configuration_ = configuration->version_;
     if (views_.ownership_.AsOwner() != nullptr) {
       if (views_.journal_.IsReady()) {
         aOpen.stage_ = RequestStage::Deciding;
+        aOpen.sentTo_ = views_.ownership_.self_.daemon_;
         ++aOpen.attemptsWithoutResponse_;
         effects_.push_back(Raise{
           OwnerRequestReceived{ aKey, queue->id_, aOpen.request_.action_ } });
@@ -256,11 +267,12 @@
     // If an owner fails after it got a submission, the outcome is unknown and
     // the caller cannot repeat the submission. So it waits while the owner's
     // renewal is overdue.
-    if (std::holds_alternative<SubmitJob>(aOpen.request_.action_) &&
+    if (IsSubmission(aOpen) &&
         now_ - views_.ownership_.renewedAt_ >= kOwnerOverdueAfter) {
       return;
     }
     aOpen.stage_ = RequestStage::Forwarded;
+    aOpen.sentTo_ = owner->daemon_;
     ++aOpen.attemptsWithoutResponse_;
     effects_.push_back(Count{ Counter::RequestsForwarded });
     effects_.push_back(ForwardRequest{
@@ -271,11 +283,9 @@
   {
     std::vector<std::pair<RequestKey, CallerResponse>> expired;
     for (const auto& [key, open] : state_.open_) {
-      const bool isSubmission =
-        std::holds_alternative<SubmitJob>(open.request_.action_);
       if (now_ >= open.deadline_) {
         expired.emplace_back(key, OutcomeUnknown{});
-      } else if (isSubmission && open.attemptsWithoutResponse_ == 0 &&
+      } else if (IsSubmission(open) && open.attemptsWithoutResponse_ == 0 &&
                  !open.forwarded_ &&
                  now_ - open.arrivedAt_ >= kNoOwnerTimeout) {
         expired.emplace_back(
@@ -290,17 +300,41 @@
     }
   }
 
+  void Conclude(RequestKey aKey,
+                OpenRequest& aOpen,
+                const CallerResponse& aResponse)
+  {
+    if (const auto* rejected = std::get_if<JobRejected>(&aResponse);
+        rejected != nullptr && aOpen.attemptsWithoutResponse_ > 1) {
+      LogRequest(
+        "attempt_rejected", aOpen, std::string(ToString(rejected->reason_)));
+    }
+    std::visit(Overloaded{ [&](const PassOn& aPassOn) {
+                            Respond(aKey, aPassOn.response_);
+                          },
+                           [&](const SendAgain&) {
+                             --aOpen.attemptsWithoutResponse_;
+                             aOpen.stage_ = RequestStage::Waiting;
+                           } },
+               OutcomeOf(aOpen, aResponse));
+  }
+
   void Respond(RequestKey aKey, const CallerResponse& aResponse)
   {
     const auto found = state_.open_.find(aKey);
     if (const auto* rejected = std::get_if<JobRejected>(&aResponse)) {
       effects_.push_back(Count{ rejected->reason_ });
-      LogFailure(found->second, std::string(ToString(rejected->reason_)));
+      LogRequest("request_failed",
+                 found->second,
+                 std::string(ToString(rejected->reason_)));
     } else if (std::holds_alternative<OutcomeUnknown>(aResponse)) {
-      LogFailure(found->second,
-                 "no response from the owner before the deadline");
+      LogRequest("request_failed",
+                 found->second,
+                 now_ >= found->second.deadline_
+                   ? "no response from the owner before the deadline"
+                   : "an attempt without a response may have taken effect");
     }
-    if (std::holds_alternative<SubmitJob>(found->second.request_.action_)) {
+    if (IsSubmission(found->second)) {
       effects_.push_back(
         Observe{ LatencyMetric::Accept, now_ - found->second.arrivedAt_ });
     }
@@ -309,8 +343,11 @@
   }
 
   // The age of the owner's renewal and the number of attempts without a
-  // response distinguish a lost owner from a slow one.
-  void LogFailure(const OpenRequest& aOpen, const std::string& aReason)
+  // response distinguish a lost owner from a slow one. The daemon that the last
+  // attempt was sent to may not be the present owner.
+  void LogRequest(const char* aEvent,
+                  const OpenRequest& aOpen,
+                  const std::string& aReason)
   {
     const auto milliseconds = [](Duration aTime) {
       return std::to_string(
@@ -319,12 +356,13 @@
     const auto& ownership = views_.ownership_;
     effects_.push_back(LogLine{
       LogLevel::Info,
-      "request_failed",
+      aEvent,
       { { "job", JobOf(aOpen.request_.action_).Value() },
         { "reason", aReason },
         { "waited_ms", milliseconds(now_ - aOpen.arrivedAt_) },
         { "unanswered", std::to_string(aOpen.attemptsWithoutResponse_) },
         { "forwarded", aOpen.forwarded_ ? "yes" : "no" },
+        { "sent_to", aOpen.sentTo_.Value() },
         { "owner",
           ownership.owner_ ? ownership.owner_->daemon_.Value()
                            : std::string{ "none" } },
--- a/src/verbenawell/jobs/callers/CallersState.h
+++ b/src/verbenawell/jobs/callers/CallersState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/callers/CallerRequest.h"
 #include "verbenawell/jobs/model/Ids.h"
@@ -30,6 +31,8 @@
   /// Number of attempts that may have taken effect at an owner and have no
   /// response.
   int attemptsWithoutResponse_ = 0;
+  /// The daemon that got the last attempt; empty before the first one.
+  DaemonId sentTo_{};
 };
 
 /// Requests that this daemon has received and not responded to.
--- /dev/null
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "verbenawell/jobs/callers/CallersState.h"
+
+#include <variant>
+
+namespace verbenawell::jobs {
+
+/// The response to an attempt is the response to the request.
+struct PassOn
+{
+  CallerResponse response_;
+};
+
+/// The request is sent again, to the owner known by then.
+struct SendAgain
+{};
+
+using AttemptOutcome = std::variant<PassOn, SendAgain>;
+
+[[nodiscard]] bool
+IsSubmission(const OpenRequest& aOpen);
+
+/// Decides what follows from the response to the latest attempt of a request. A
+/// submission is rejected only if no earlier attempt may have taken effect.
+[[nodiscard]] AttemptOutcome
+OutcomeOf(const OpenRequest& aOpen, const CallerResponse& aResponse);
+
+} // namespace verbenawell::jobs
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -89,7 +89,7 @@
 SimulatedDeployment::Start(const std::string& aDaemon)
 {
   Daemon& daemon = daemons_[aDaemon];
-  daemon = Daemon{ {}, true, daemon.incarnationNumber_ + 1, {}, {}, {} };
+  daemon = Daemon{ {}, true, daemon.incarnationNumber_ + 1, {}, {}, {}, {} };
   daemon.state_.ownership_.self_ = {
     DaemonId{ aDaemon },
     aDaemon + "-" + std::to_string(daemon.incarnationNumber_),
@@ -147,7 +147,13 @@
 void
 SimulatedDeployment::Kill(const std::string& aDaemon)
 {
-  daemons_.at(aDaemon).isUp_ = false;
+  Daemon& daemon = daemons_.at(aDaemon);
+  daemon.isUp_ = false;
+  for (const OpenForward& open : std::exchange(daemon.openForwards_, {})) {
+    if (!std::exchange(*open.isDone_, true)) {
+      time_.After(kNetworkLatency, open.reset_);
+    }
+  }
 }
 
 void
@@ -345,6 +351,10 @@
   }
   const RequestKey key = ++lastKey_;
   const auto done = std::make_shared<bool>(false);
+  std::erase_if(target->second.openForwards_,
+                [](const OpenForward& aOpen) { return *aOpen.isDone_; });
+  target->second.openForwards_.push_back(
+    { done, [respond] { respond(std::nullopt); } });
   responseHandlers_[key] = [this, respond, done](
                              const CallerResponse& aResponse) {
     *done = true;
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -142,6 +142,14 @@
   bool isTraced_ = false;
 
 private:
+  /// A request that was forwarded to a daemon.
+  struct OpenForward
+  {
+    std::shared_ptr<bool> isDone_;
+    /// Tells the forwarding daemon that its connection was reset.
+    std::function<void()> reset_;
+  };
+
   struct Daemon
   {
     State state_;
@@ -150,6 +158,7 @@
     TimePoint frozenUntil_;
     std::map<TimerKey, std::uint64_t> timers_;
     std::vector<Event> deferredEvents_;
+    std::vector<OpenForward> openForwards_;
   };
 
   struct Vm
