Stop counting workers for an admission once they suffice

The sum now ends with the first workers that can do the backlog in time; only a job that may be rejected looks at all of them. The decision is the same (Admission.CountsAllWorkersThatTheBacklogNeeds).

The record of all workers is only built if a worker is new, not with each read of the list.

--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace verbenawell::jobs {
 
@@ -24,8 +25,13 @@
 // with it do not overflow.
 constexpr std::uint64_t kMaxWaitMicroseconds = std::uint64_t{ 1 } << 60U;
 
+// Returns the CPU of a service's workers, or of the first of them that together
+// have `aEnough`. Each submission needs this, and the first workers suffice
+// while the backlog is short.
 std::uint64_t
-TotalCpu(const WorkersState& aWorkers, const ServiceId& aService)
+CpuUpTo(std::uint64_t aEnough,
+        const WorkersState& aWorkers,
+        const ServiceId& aService)
 {
   std::uint64_t cpu = 0;
   for (const auto& [id, worker] : aWorkers.workers_) {
@@ -34,11 +40,23 @@
     if (worker.isListed_ && worker.hasResponded_ &&
         worker.entry_.service_ == aService) {
       cpu = SaturatingAdd(cpu, worker.entry_.capacity_.cpu_.Value());
+      if (cpu >= aEnough) {
+        break;
+      }
     }
   }
   return cpu;
 }
 
+// The least CPU with which the work takes at most `aMaxWait`.
+std::uint64_t
+CpuFor(std::uint64_t aCpuTime, Duration aMaxWait)
+{
+  return aMaxWait < Duration::zero()
+           ? std::numeric_limits<std::uint64_t>::max()
+           : aCpuTime / (static_cast<std::uint64_t>(aMaxWait.count()) + 1) + 1;
+}
+
 } // namespace
 
 std::optional<JobRejected>
@@ -47,19 +65,18 @@
   if (aJob.IsLongRunning() || aJob.definition_.schedule_) {
     return std::nullopt;
   }
-  // Without workers the capacity to come is unknown.
-  const std::uint64_t cpu = TotalCpu(aViews.workers_, aJob.service_);
-  if (cpu == 0) {
-    return std::nullopt;
-  }
-  const Duration wait{ static_cast<Duration::rep>(
-    std::min(aViews.tasks_.openJobs_.RemainingCpuTime(aJob.service_) / cpu,
-             kMaxWaitMicroseconds)) };
+  const std::uint64_t cpuTime =
+    aViews.tasks_.openJobs_.RemainingCpuTime(aJob.service_);
   const Duration maxWait = kMaxObjectives * aJob.policy_.objective_ -
                            CriticalPathTime(aJob.definition_);
-  if (wait <= maxWait) {
+  const std::uint64_t enough = CpuFor(cpuTime, maxWait);
+  const std::uint64_t cpu = CpuUpTo(enough, aViews.workers_, aJob.service_);
+  // Without workers the capacity to come is unknown.
+  if (cpu == 0 || cpu >= enough) {
     return std::nullopt;
   }
+  const Duration wait{ static_cast<Duration::rep>(
+    std::min(cpuTime / cpu, kMaxWaitMicroseconds)) };
   return JobRejected{ RejectReason::Overload,
                       std::clamp(
                         wait - maxWait, kMinRetryAfter, kMaxRetryAfter) };
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -73,22 +73,25 @@
 void
 StoreNewWorkers(WorkersState& aState, Effects& aEffects)
 {
+  const bool hasNew =
+    std::ranges::any_of(aState.workers_, [&](const auto& aEntry) {
+      const auto& [id, worker] = aEntry;
+      // A worker that has ended gets no commands until it responds again.
+      return !worker.isStored_ &&
+             (worker.hasResponded_ || !aState.endedWorkers_.contains(id));
+    });
+  if (!hasNew) {
+    return;
+  }
   WorkersStored stored;
   WorkersPersisted persisted;
-  bool hasNew = false;
   for (const auto& [id, worker] : aState.workers_) {
     stored.workers_.push_back(
       { id, worker.entry_.service_, worker.entry_.address_ });
     persisted.workers_.push_back(id);
-    // A worker that has ended gets no commands until it responds again.
-    hasNew =
-      hasNew || (!worker.isStored_ &&
-                 (worker.hasResponded_ || !aState.endedWorkers_.contains(id)));
-  }
-  if (hasNew) {
-    aEffects.push_back(Raise{
-      JournalWriteRequested{ { std::move(stored) }, std::move(persisted) } });
   }
+  aEffects.push_back(Raise{
+    JournalWriteRequested{ { std::move(stored) }, std::move(persisted) } });
 }
 
 } // namespace
