--- a/tests/jobs/WorkerReportsTest.cpp
+++ b/tests/jobs/WorkerReportsTest.cpp
@@ -52,12 +52,12 @@
     JobDefinition job = MakeJob(kTasks, 1, 3s);
     job.steps_[0].resources_ = { MilliCores{ 10 }, Megabytes{ 1 }, {} };
     deployment_.RunFor(kStartUpTime);
-    deployment_.Submit(kJob, job);
+    deployment_.Submit(job_, job);
     deployment_.RunFor(1s);
   }
 
   static constexpr std::uint32_t kTasks = 600;
-  const std::string kJob = "0000000000000001";
+  const std::string job_ = "0000000000000001";
   SimulatedDeployment deployment_{ 82, { 3, 1, 1 } };
 };
 
@@ -74,7 +74,7 @@
   worker.faults_.isUnreachable_ = false;
   deployment_.RunFor(5s);
   EXPECT_EQ(deployment_.oracle_.Starts(), kTasks);
-  EXPECT_EQ(deployment_.StateOfJob(kJob), JobState::Completed);
+  EXPECT_EQ(deployment_.StateOfJob(job_), JobState::Completed);
   ExpectNoViolations(deployment_);
 }
 
@@ -88,7 +88,7 @@
   deployment_.store_.faults_.isDown_ = false;
   deployment_.RunFor(10s);
   EXPECT_EQ(deployment_.oracle_.Starts(), kTasks);
-  EXPECT_EQ(deployment_.StateOfJob(kJob), JobState::Completed);
+  EXPECT_EQ(deployment_.StateOfJob(job_), JobState::Completed);
   ExpectNoViolations(deployment_);
 }
 
@@ -101,7 +101,7 @@
   deployment_.Kill(deployment_.Owner());
   deployment_.RunFor(10s);
   EXPECT_EQ(deployment_.oracle_.Starts(), kTasks);
-  EXPECT_EQ(deployment_.StateOfJob(kJob), JobState::Completed);
+  EXPECT_EQ(deployment_.StateOfJob(job_), JobState::Completed);
   ExpectNoViolations(deployment_);
 }
 
