Decide on responses and on short leases in one place each

No change for callers. Found by reading the diff again:

- The rule that a submission with an earlier attempt is not rejected stood in OutcomeOf and, for a removed queue, in Route.
Both now go through OutcomeOf, which is told whether there was an earlier attempt. attempt_rejected was also logged for reads and cancels, whose rejection is passed on.
- Two tests made the same configuration with one queue (OneQueue.h).

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -121,7 +121,10 @@
         --found->second.attemptsWithoutResponse_;
       }
     } else {
-      Conclude(aCompleted.key_, found->second, *aCompleted.response_);
+      Conclude(aCompleted.key_,
+               found->second,
+               *aCompleted.response_,
+               found->second.attemptsWithoutResponse_ > 1);
     }
   }
 
@@ -129,7 +132,10 @@
   {
     if (const auto found = state_.open_.find(aDecided.key_);
         found != state_.open_.end()) {
-      Conclude(aDecided.key_, found->second, aDecided.response_);
+      Conclude(aDecided.key_,
+               found->second,
+               aDecided.response_,
+               found->second.attemptsWithoutResponse_ > 1);
     }
   }
 
@@ -230,13 +236,12 @@
       // forwarding daemon has already resolved.
       const bool isBehind =
         aOpen.request_.configuration_ > configuration->version_;
-      if (isBehind) {
-        Respond(aKey, NotOwner{ aOpen.attemptsWithoutResponse_ > 0 });
-      } else if (IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ > 0) {
-        Respond(aKey, OutcomeUnknown{});
-      } else {
-        Respond(aKey, QueueUnknown{});
-      }
+      const bool hasAttempt = aOpen.attemptsWithoutResponse_ > 0;
+      Conclude(aKey,
+               aOpen,
+               isBehind ? CallerResponse{ NotOwner{ hasAttempt } }
+                        : CallerResponse{ QueueUnknown{} },
+               hasAttempt);
       return;
     }
     aOpen.request_.configuration_ = configuration->version_;
@@ -302,10 +307,11 @@
 
   void Conclude(RequestKey aKey,
                 OpenRequest& aOpen,
-                const CallerResponse& aResponse)
+                const CallerResponse& aResponse,
+                bool aHasEarlierAttempt)
   {
     if (const auto* rejected = std::get_if<JobRejected>(&aResponse);
-        rejected != nullptr && aOpen.attemptsWithoutResponse_ > 1) {
+        rejected != nullptr && IsSubmission(aOpen) && aHasEarlierAttempt) {
       LogRequest(
         "attempt_rejected", aOpen, std::string(ToString(rejected->reason_)));
     }
@@ -316,7 +322,7 @@
                              --aOpen.attemptsWithoutResponse_;
                              aOpen.stage_ = RequestStage::Waiting;
                            } },
-               OutcomeOf(aOpen, aResponse));
+               OutcomeOf(aOpen, aResponse, aHasEarlierAttempt));
   }
 
   void Respond(RequestKey aKey, const CallerResponse& aResponse)
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
@@ -27,10 +27,11 @@
 // attempt got no response, its owner may have stored the job, and the rejected
 // job would run.
 AttemptOutcome
-OutcomeOf(const OpenRequest& aOpen, const CallerResponse& aResponse)
+OutcomeOf(const OpenRequest& aOpen,
+          const CallerResponse& aResponse,
+          bool aHasEarlierAttempt)
 {
-  const bool hasEarlierAttempt = aOpen.attemptsWithoutResponse_ > 1;
-  if (!IsSubmission(aOpen) || !hasEarlierAttempt) {
+  if (!IsSubmission(aOpen) || !aHasEarlierAttempt) {
     return PassOn{ aResponse };
   }
   return std::visit(
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
@@ -24,6 +24,8 @@
 /// Decides what follows from the response to the latest attempt of a request. A
 /// submission is rejected only if no earlier attempt may have taken effect.
 [[nodiscard]] AttemptOutcome
-OutcomeOf(const OpenRequest& aOpen, const CallerResponse& aResponse);
+OutcomeOf(const OpenRequest& aOpen,
+          const CallerResponse& aResponse,
+          bool aHasEarlierAttempt);
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -290,20 +290,10 @@
     }
   }
 
-  // A first response, or one after an outage, brings the clock reading that an
-  // extension of the lease needs. The runs of the worker may include ended ones
-  // that a full list of ends leaves out.
-  [[nodiscard]] bool NeedsLease(const Worker& aWorker) const
-  {
-    return !aWorker.runs_.empty() &&
-           aWorker.lease_.expiresAt_ < context_.now_ + kLeaseDuration / 2 &&
-           commands_.CanExtendLease(aWorker);
-  }
-
   [[nodiscard]] Duration NextRenewalDelay(const Worker& aWorker,
                                           bool aHasNewEnds) const
   {
-    if (NeedsLease(aWorker)) {
+    if (commands_.NeedsLease(aWorker)) {
       return {};
     }
     if (aHasNewEnds) {
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -14,6 +14,9 @@
 
 // How long a worker may wait for an end before it responds to a lease renewal.
 constexpr Duration kMaxRenewalWait = 1s;
+// While the owner's own renewals fail, the lease end stays the same apart from
+// the jitter of clock readings, which is smaller than this.
+constexpr WorkerTime kMinExtension{ 100 };
 
 } // namespace
 
@@ -60,13 +63,15 @@
                                                  : owning->renewalSentAt_);
 }
 
-// While the owner's renewals fail, the lease end stays the same apart from the
-// jitter of clock readings.
+// A first response, or one after an outage, brings the clock reading that an
+// extension needs. The runs may include ended ones that a full list of ends
+// leaves out.
 bool
-WorkerCommands::CanExtendLease(const Worker& aWorker) const
+WorkerCommands::NeedsLease(const Worker& aWorker) const
 {
-  constexpr WorkerTime kMinExtension{ 100 };
-  return aWorker.lease_.reading_ &&
+  const bool isShort =
+    aWorker.lease_.expiresAt_ < context_.now_ + kLeaseDuration / 2;
+  return !aWorker.runs_.empty() && isShort && aWorker.lease_.reading_ &&
          LeaseEnd(aWorker) >= aWorker.lease_.end_ + kMinExtension;
 }
 
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.h
@@ -43,8 +43,8 @@
   /// Repeats the commands of a worker that got no response.
   void Resend(const WorkerId& aId);
 
-  /// Returns whether a lease renewal sent now would extend the lease.
-  [[nodiscard]] bool CanExtendLease(const Worker& aWorker) const;
+  /// Returns whether the lease is short and a renewal sent now would extend it.
+  [[nodiscard]] bool NeedsLease(const Worker& aWorker) const;
 
 private:
   [[nodiscard]] bool IsOwnershipConfirmed() const;
--- a/tests/jobs/LoadSheddingTest.cpp
+++ b/tests/jobs/LoadSheddingTest.cpp
@@ -2,7 +2,7 @@
 
 #include "verbenawell/jobs/core/Reduce.h"
 
-#include "SimulatedDeployment.h"
+#include "OneQueue.h"
 
 #include <memory>
 
@@ -69,14 +69,7 @@
 protected:
   LateOwner()
   {
-    Configuration configuration;
-    Queue queue;
-    queue.id_ = kQueue;
-    queue.host_ = kCallerHost;
-    queue.pathPrefix_ = kQueuePath;
-    queue.service_ = kService;
-    configuration.queues_.push_back(queue);
-    state_.configuration_.configuration_ = configuration;
+    state_.configuration_.configuration_ = ConfigurationWithOneQueue();
     Owning owning;
     owning.renewalSentAt_ = now_;
     state_.ownership_.role_ = owning;
--- a/tests/jobs/RejectionTest.cpp
+++ b/tests/jobs/RejectionTest.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/jobs/callers/CallersReducer.h"
 
 #include "ExpectNoViolations.h"
+#include "OneQueue.h"
 
 #include <memory>
 #include <optional>
@@ -28,13 +29,7 @@
 protected:
   RepeatedSubmission()
   {
-    Configuration configuration;
-    Queue queue;
-    queue.id_ = kQueue;
-    queue.host_ = kCallerHost;
-    queue.pathPrefix_ = kQueuePath;
-    configuration.queues_.push_back(queue);
-    state_.configuration_.configuration_ = configuration;
+    state_.configuration_.configuration_ = ConfigurationWithOneQueue();
     state_.ownership_.owner_ = OwnerRecord{};
     state_.ownership_.owner_->daemon_ = DaemonId{ "owner" };
     state_.ownership_.renewedAt_ = TimePoint{} + 1s;
@@ -105,6 +100,17 @@
   }
 }
 
+// Guards against the same with a queue that is removed before the submission is
+// sent again.
+TEST_F(RepeatedSubmission, HasAnUnknownOutcomeAfterItsQueueIsRemoved)
+{
+  Reduce(ForwardCompleted{ kKey, std::nullopt, true });
+  state_.configuration_.configuration_->queues_.clear();
+  const auto response = Reduce(TimerDue{ CallersTick{} });
+  ASSERT_TRUE(response);
+  EXPECT_TRUE(std::holds_alternative<OutcomeUnknown>(*response));
+}
+
 // Guards against an unknown outcome of a request that was certainly not sent
 // before.
 TEST_F(RepeatedSubmission, IsRejectedIfNoEarlierAttemptWasSent)
