Divide jobs and VMs among shards, each with an owner

An owner for each service would not help where demand takes turns, since one service then has nearly all of the load at any moment.

A job belongs to a shard by the hash of its id, a VM by the hash of its own id, for good and whatever its pool.

The limit of a wave is divided, or the shards take turns. The number of moves in a pass is divided among the shards too, since it limits the load on one service.

--- a/src/verbenawell/jobs/pools/internal/MovePlan.cpp
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
+#include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/pools/PoolsState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
@@ -30,8 +31,16 @@
 // A pool lends VMs only while it has more than this share of its own, so that
 // it has capacity for its next burst until they are back.
 constexpr std::uint32_t kMinOwnVmsPercent = 70;
-// Limits the load on the platform service that carries out the moves.
-constexpr std::size_t kMaxMovesPerPass = 12;
+// Limits the load on the platform service that carries out the moves, which all
+// shards share.
+constexpr std::uint32_t kMaxMovesPerPass = 12;
+
+std::size_t
+MaxMovesOfShard(ShardCount aShards)
+{
+  const std::uint32_t shards = std::max(1U, aShards.Value());
+  return (kMaxMovesPerPass + shards - 1) / shards;
+}
 
 bool
 HasSurplus(std::uint32_t aRequired, std::uint32_t aActive)
@@ -50,6 +59,7 @@
     , views_(aViews)
     , demand_(aDemand)
     , now_(aContext.now_)
+    , maxMoves_(MaxMovesOfShard(aViews.ownership_.self_.shards_))
   {
     for (const auto& [vm, pool] : state_.homePools_) {
       ++ownVms_[pool];
@@ -87,7 +97,7 @@
   {
     const PoolDemand& pool = demand_.at(aService);
     std::uint32_t vmCount = pool.activeVms_ + Incoming(aService);
-    while (vmCount < pool.requiredVms_ && moves_.size() < kMaxMovesPerPass) {
+    while (vmCount < pool.requiredVms_ && moves_.size() < maxMoves_) {
       auto move = FindIdleVm(aService);
       if (!move && vmCount < pool.requiredByArrivals_) {
         move = FindBusyVm(aService);
@@ -205,7 +215,7 @@
         continue;
       }
       if (const ServiceId& homePool = state_.homePools_.at(id);
-          MayMove(vm, homePool) && moves_.size() < kMaxMovesPerPass) {
+          MayMove(vm, homePool) && moves_.size() < maxMoves_) {
         Add({ id, homePool, false });
       }
     }
@@ -215,6 +225,7 @@
   const Views& views_;
   std::map<ServiceId, PoolDemand> demand_;
   TimePoint now_;
+  std::size_t maxMoves_;
   /// Number of VMs whose home pool is the pool.
   std::map<ServiceId, std::uint64_t> ownVms_;
   std::set<VmId> plannedVms_;
--- /dev/null
+++ b/src/verbenawell/jobs/sharding/Shards.cpp
@@ -0,0 +1,94 @@
+#include "verbenawell/jobs/sharding/Shards.h"
+
+#include "verbenawell/core/Overloaded.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <string>
+
+#include <xxhash.h>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+// VMs that one owner on an entry VM with half a core carries: 250 of them start
+// and end some 500 tasks a second.
+constexpr std::size_t kVmsPerShard = 250;
+// Every daemon follows the owner of each shard.
+constexpr std::size_t kMaxShards = 16;
+
+ShardIndex
+ShardOfText(const std::string& aText, ShardCount aCount)
+{
+  const std::uint64_t hash = XXH64(aText.data(), aText.size(), 0);
+  return ShardIndex{ static_cast<std::uint32_t>(hash % aCount.Value()) };
+}
+
+} // namespace
+
+ShardCount
+ShardCountFor(std::size_t aVms)
+{
+  return ShardCount{ static_cast<std::uint32_t>(
+    std::clamp<std::size_t>(aVms / kVmsPerShard, 1, kMaxShards)) };
+}
+
+ShardIndex
+ShardOf(const JobId& aJob, ShardCount aCount)
+{
+  return ShardOfText(aJob.Value(), aCount);
+}
+
+ShardIndex
+ShardOf(const VmId& aVm, ShardCount aCount)
+{
+  return ShardOfText(aVm.Value(), aCount);
+}
+
+std::optional<ShardIndex>
+ShardOf(const CallerAction& aAction, ShardCount aCount)
+{
+  return std::visit(
+    Overloaded{ [](const CountPending&) { return std::optional<ShardIndex>{}; },
+                [&](const auto& aKnown) {
+                  return std::optional{ ShardOf(aKnown.job_, aCount) };
+                } },
+    aAction);
+}
+
+// The limits of the parts add up to that of the wave, so the owners need not
+// agree on each VM.
+Wave
+PartOf(const Wave& aWave, ShardIndex aShard, ShardCount aCount)
+{
+  if (aCount == ShardCount{ 1 }) {
+    return aWave;
+  }
+  Wave part{ aWave.number_, {}, aWave.duration_, {}, WaveScope::OtherShard };
+  if (aShard == ShardIndex{}) {
+    part.scope_ = WaveScope::FirstShard;
+  }
+  std::ranges::copy_if(
+    aWave.vms_, std::back_inserter(part.vms_), [&](const VmId& aVm) {
+      return ShardOf(aVm, aCount) == aShard;
+    });
+  const std::uint32_t limit = std::max(1U, aWave.maxVmsDown_.Value());
+  const std::uint32_t rest = limit % aCount.Value();
+  part.maxVmsDown_ = VmCount{ std::max(
+    1U, limit / aCount.Value() + (aShard.Value() < rest ? 1U : 0U)) };
+  return part;
+}
+
+std::optional<ShardIndex>
+TurnAfter(const Wave& aWave, ShardIndex aShard, ShardCount aCount)
+{
+  const std::uint32_t limit = std::max(1U, aWave.maxVmsDown_.Value());
+  if (limit >= aCount.Value() || aShard.Value() < limit) {
+    return std::nullopt;
+  }
+  return ShardIndex{ aShard.Value() - limit };
+}
+
+} // namespace verbenawell::jobs
