--- a/src/verbenawell/adapters/http/RequestForwarder.cpp
+++ b/src/verbenawell/adapters/http/RequestForwarder.cpp
@@ -68,37 +68,40 @@
                          { { kTimeLeftHeader,
                              std::to_string(aEffect.timeLeft_.count()) } },
                          EncodeRequest(aEffect.request_) };
-  IdleChannel(aEffect.owner_)
+  const ShardIndex shard = aEffect.request_.shard_;
+  IdleChannel(shard, aEffect.owner_)
     .Call(std::move(request),
           aEffect.timeLeft_,
-          [this, key = aEffect.key_](const http::Result& aResult) {
+          [this, shard, key = aEffect.key_](const http::Result& aResult) {
             const auto* failure = std::get_if<http::Failure>(&aResult);
-            sink_(ForwardCompleted{ key,
-                                    ParseCallerResponse(aResult),
-                                    failure == nullptr ||
-                                      failure->mayHaveArrived_ });
+            sink_({ shard,
+                    ForwardCompleted{ key,
+                                      ParseCallerResponse(aResult),
+                                      failure == nullptr ||
+                                        failure->mayHaveArrived_ } });
           });
 }
 
 // A connection carries one request at a time, so that a slow response delays no
 // other request.
 http::Channel&
-RequestForwarder::IdleChannel(const Endpoint& aOwner)
+RequestForwarder::IdleChannel(ShardIndex aShard, const Endpoint& aOwner)
 {
-  if (owner_ != aOwner) {
-    owner_ = aOwner;
-    const auto old = std::move(channels_);
-    channels_.clear();
+  OwnerConnections& connections = owners_[aShard];
+  if (connections.owner_ != aOwner) {
+    connections.owner_ = aOwner;
+    const auto old = std::move(connections.channels_);
+    connections.channels_.clear();
     for (const auto& channel : old) {
       channel->Close();
     }
   }
-  for (const auto& channel : channels_) {
+  for (const auto& channel : connections.channels_) {
     if (channel->IsIdle()) {
       return *channel;
     }
   }
-  return *channels_.emplace_back(
+  return *connections.channels_.emplace_back(
     std::make_shared<http::Channel>(io_, aOwner, kMaxBodyBytes));
 }
 
@@ -115,14 +118,16 @@
   }
   const RequestKey key = keys_();
   open_.Add(key, aExchange);
-  sink_(CallerRequested{ key, std::move(request), TimeLeftOf(aRequest), true });
+  sink_(
+    { {},
+      CallerRequested{ key, std::move(request), TimeLeftOf(aRequest), true } });
 }
 
 void
 RequestForwarder::OnDisconnected(http::ExchangeId aExchange)
 {
   if (const auto key = open_.Remove(aExchange); key) {
-    sink_(CallerDisconnected{ *key });
+    sink_({ {}, CallerDisconnected{ *key } });
   }
 }
 
--- a/src/verbenawell/adapters/http/RequestForwarder.h
+++ b/src/verbenawell/adapters/http/RequestForwarder.h
@@ -4,20 +4,22 @@
 #include "verbenawell/adapters/http/HttpListener.h"
 #include "verbenawell/adapters/http/OpenExchanges.h"
 #include "verbenawell/jobs/core/Effect.h"
+#include "verbenawell/jobs/sharding/ReduceShards.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
 namespace verbenawell::jobs {
 
-/// Forwards callers' requests to the daemon that owns the jobs and, in that
-/// daemon, sends the responses back.
+/// Forwards callers' requests to the daemons that own the shards and, in these
+/// daemons, sends the responses back.
 class RequestForwarder
 {
 public:
   using KeySource = std::function<RequestKey()>;
-  using Sink = std::function<void(Event)>;
+  using Sink = std::function<void(ShardEvent)>;
 
   RequestForwarder(asio::io_context& aIo,
                    const Endpoint& aAddress,
@@ -33,13 +35,18 @@
 private:
   void OnRequest(http::ExchangeId aExchange, const http::Request& aRequest);
   void OnDisconnected(http::ExchangeId aExchange);
-  http::Channel& IdleChannel(const Endpoint& aOwner);
+  http::Channel& IdleChannel(ShardIndex aShard, const Endpoint& aOwner);
+
+  struct OwnerConnections
+  {
+    Endpoint owner_;
+    std::vector<std::shared_ptr<http::Channel>> channels_;
+  };
 
   asio::io_context& io_;
   KeySource keys_;
   Sink sink_;
-  Endpoint owner_;
-  std::vector<std::shared_ptr<http::Channel>> channels_;
+  std::map<ShardIndex, OwnerConnections> owners_;
   http::OpenExchanges open_;
   http::Listener listener_;
 };
