Simulate deployments with several shards

SimulatedDeployment runs ReduceShards; with one shard each seed draws the same random numbers as before. FakeStore keeps owner records and journals for each shard.

--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -74,7 +74,7 @@
 }
 
 OwnerRead
-FakeStore::OwnerSince(Offset aFrom) const
+FakeStore::ShardTopics::OwnerSince(Offset aFrom) const
 {
   OwnerRead read;
   read.end_ = Offset{ owners_.size() };
@@ -87,11 +87,12 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const ReadNewestOwner&,
                const Reply& aReply)
 {
   if (Reaches(aFrom)) {
-    Respond(aFrom, aReply, OwnerSince(Offset{ 0 }));
+    Respond(aFrom, aReply, shards_[aShard].OwnerSince(Offset{ 0 }));
   } else {
     Fail(aFrom, aReply, OwnerReadFailed{});
   }
@@ -99,6 +100,7 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const ReadOwner& aRead,
                const Reply& aReply)
 {
@@ -106,12 +108,14 @@
     Fail(aFrom, aReply, OwnerReadFailed{});
     return;
   }
-  if (aRead.from_ < Offset{ owners_.size() } || aRead.wait_ <= 0us) {
-    Respond(aFrom, aReply, OwnerSince(aRead.from_));
+  const ShardTopics& topics = shards_[aShard];
+  if (aRead.from_ < Offset{ topics.owners_.size() } || aRead.wait_ <= 0us) {
+    Respond(aFrom, aReply, topics.OwnerSince(aRead.from_));
     return;
   }
-  time_.After(kWatchPollInterval, [this, aFrom, aRead, aReply] {
+  time_.After(kWatchPollInterval, [this, aFrom, aShard, aRead, aReply] {
     Run(aFrom,
+        aShard,
         ReadOwner{ aRead.from_, aRead.wait_ - kWatchPollInterval },
         aReply);
   });
@@ -119,30 +123,34 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const AppendOwner& aAppend,
                const Reply& aReply)
 {
-  Write(aFrom, aReply, OwnerAppendFailed{}, [this, aAppend]() -> Event {
-    if (aAppend.expectedEnd_ != Offset{ owners_.size() }) {
+  Write(aFrom, aReply, OwnerAppendFailed{}, [this, aShard, aAppend]() -> Event {
+    auto& owners = shards_[aShard].owners_;
+    if (aAppend.expectedEnd_ != Offset{ owners.size() }) {
       return OwnerAppendRefused{};
     }
-    owners_.push_back(aAppend.record_);
-    return OwnerAppended{ Offset{ owners_.size() - 1 } };
+    owners.push_back(aAppend.record_);
+    return OwnerAppended{ Offset{ owners.size() - 1 } };
   });
 }
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const FenceJournal& aFence,
                const Reply& aReply)
 {
-  Write(aFrom, aReply, JournalCallFailed{}, [this, aFence]() -> Event {
-    if (aFence.epoch_.Value() < epoch_) {
+  Write(aFrom, aReply, JournalCallFailed{}, [this, aShard, aFence]() -> Event {
+    ShardTopics& topics = shards_[aShard];
+    if (aFence.epoch_.Value() < topics.epoch_) {
       return JournalEpochRefused{};
     }
-    if (aFence.epoch_.Value() > epoch_) {
-      epoch_ = aFence.epoch_.Value();
-      hasSequence_ = false;
+    if (aFence.epoch_.Value() > topics.epoch_) {
+      topics.epoch_ = aFence.epoch_.Value();
+      topics.hasSequence_ = false;
     }
     return JournalFenced{};
   });
@@ -150,6 +158,7 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const ReadJournal& aRead,
                const Reply& aReply)
 {
@@ -158,20 +167,21 @@
     return;
   }
   JournalPageRead page;
-  auto entry = journal_.upper_bound(aRead.after_);
-  for (std::size_t count = 0; entry != journal_.end() && count < kPageSize;
+  const auto& journal = shards_[aShard].journal_;
+  auto entry = journal.upper_bound(aRead.after_);
+  for (std::size_t count = 0; entry != journal.end() && count < kPageSize;
        ++entry, ++count) {
     page.records_.push_back(DecodeJournalRecord(entry->second));
     page.next_ = entry->first;
   }
-  if (entry == journal_.end()) {
+  if (entry == journal.end()) {
     page.next_.clear();
   }
   Respond(aFrom, aReply, std::move(page));
 }
 
 Event
-FakeStore::AppendToJournal(const AppendJournal& aAppend)
+FakeStore::ShardTopics::AppendToJournal(const AppendJournal& aAppend)
 {
   if (aAppend.epoch_.Value() < epoch_) {
     return JournalEpochRefused{};
@@ -200,13 +210,16 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const AppendJournal& aAppend,
                const Reply& aReply)
 {
   Write(aFrom,
         aReply,
         JournalAppendFailed{ aAppend.sequence_ },
-        [this, aAppend] { return AppendToJournal(aAppend); });
+        [this, aShard, aAppend] {
+          return shards_[aShard].AppendToJournal(aAppend);
+        });
 }
 
 OperatorRecordsRead
@@ -227,6 +240,7 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex,
                const ReadNewestOperatorRecords&,
                const Reply& aReply)
 {
@@ -239,6 +253,7 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex aShard,
                const ReadOperatorRecords& aRead,
                const Reply& aReply)
 {
@@ -247,13 +262,17 @@
   } else if (aRead.from_ < Offset{ operators_.size() }) {
     Respond(aFrom, aReply, OperatorSince(aRead.from_));
   } else {
-    time_.After(kWatchPollInterval,
-                [this, aFrom, aRead, aReply] { Run(aFrom, aRead, aReply); });
+    time_.After(kWatchPollInterval, [this, aFrom, aShard, aRead, aReply] {
+      Run(aFrom, aShard, aRead, aReply);
+    });
   }
 }
 
 void
-FakeStore::Run(const DaemonId& aFrom, const ReadWorkers&, const Reply& aReply)
+FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex,
+               const ReadWorkers&,
+               const Reply& aReply)
 {
   if (!Reaches(aFrom)) {
     Fail(aFrom, aReply, WorkersReadFailed{});
@@ -268,6 +287,7 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
+               ShardIndex,
                const WriteWaveStatus& aStatus,
                const Reply& aReply)
 {
--- a/tests/jobs/FakeStore.h
+++ b/tests/jobs/FakeStore.h
@@ -38,18 +38,46 @@
 
   FakeStore(VirtualTime& aTime, Random& aRandom);
 
-  void Run(const DaemonId& aFrom, const ReadNewestOwner&, const Reply&);
-  void Run(const DaemonId& aFrom, const ReadOwner&, const Reply&);
-  void Run(const DaemonId& aFrom, const AppendOwner&, const Reply&);
-  void Run(const DaemonId& aFrom, const FenceJournal&, const Reply&);
-  void Run(const DaemonId& aFrom, const ReadJournal&, const Reply&);
-  void Run(const DaemonId& aFrom, const AppendJournal&, const Reply&);
   void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const ReadNewestOwner&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const ReadOwner&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const AppendOwner&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const FenceJournal&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const ReadJournal&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const AppendJournal&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
            const ReadNewestOperatorRecords&,
            const Reply&);
-  void Run(const DaemonId& aFrom, const ReadOperatorRecords&, const Reply&);
-  void Run(const DaemonId& aFrom, const ReadWorkers&, const Reply&);
-  void Run(const DaemonId& aFrom, const WriteWaveStatus&, const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const ReadOperatorRecords&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const ReadWorkers&,
+           const Reply&);
+  void Run(const DaemonId& aFrom,
+           ShardIndex aShard,
+           const WriteWaveStatus&,
+           const Reply&);
 
   void Put(const Configuration& aConfiguration);
   void Put(const Wave& aWave);
@@ -69,6 +97,19 @@
     Reply reply_;
   };
 
+  /// The owner records and the journal of one shard.
+  struct ShardTopics
+  {
+    std::vector<OwnerRecord> owners_;
+    std::map<std::string, std::string> journal_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t lastSequence_ = 0;
+    bool hasSequence_ = false;
+
+    [[nodiscard]] OwnerRead OwnerSince(Offset aFrom) const;
+    Event AppendToJournal(const AppendJournal& aAppend);
+  };
+
   [[nodiscard]] bool Reaches(const DaemonId& aFrom) const;
   void Respond(const DaemonId& aFrom, const Reply& aReply, Event aEvent);
   void Fail(const DaemonId& aFrom, const Reply& aReply, Event aEvent);
@@ -77,18 +118,12 @@
              const Reply& aReply,
              Event aFailure,
              std::function<Event()> aWrite);
-  Event AppendToJournal(const AppendJournal& aAppend);
-  [[nodiscard]] OwnerRead OwnerSince(Offset aFrom) const;
   [[nodiscard]] OperatorRecordsRead OperatorSince(Offset aFrom) const;
 
   VirtualTime& time_;
   Random& random_;
-  std::vector<OwnerRecord> owners_;
+  std::map<ShardIndex, ShardTopics> shards_;
   std::vector<std::variant<Configuration, Wave>> operators_;
-  std::map<std::string, std::string> journal_;
-  std::uint64_t epoch_ = 0;
-  std::uint64_t lastSequence_ = 0;
-  bool hasSequence_ = false;
   Offset statusEnd_;
 };
 
--- a/tests/jobs/JobFuzz.cpp
+++ b/tests/jobs/JobFuzz.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr int kJobCount = 40;
+constexpr int kWorkersPerShard = 6;
 constexpr int kLongRunningJobCount = 6;
 constexpr Duration kFaultTime = 20s;
 constexpr int kDisruptedLongRunningJobCount = 8;
@@ -30,7 +31,13 @@
 public:
   Fuzz(std::uint64_t aSeed, FuzzOptions aOptions)
     : scenarioRandom_(aSeed * 7919)
-    , deployment_(aSeed, { 3 + static_cast<int>(aSeed % 3), 6, 2 })
+    , deployment_(aSeed,
+                  { 3 + static_cast<int>(aSeed % 3),
+                    kWorkersPerShard * aOptions.shards_,
+                    2,
+                    0,
+                    0,
+                    aOptions.shards_ })
   {
     deployment_.isTraced_ = aOptions.isTraced_;
     hasLongRunningJobs_ = aOptions.hasLongRunningJobs_;
@@ -70,9 +77,7 @@
 
   [[nodiscard]] bool HasEnded(const JobId& aJob) const
   {
-    const std::string owner = deployment_.Owner();
-    return !owner.empty() &&
-           deployment_.StateOf(owner).tasks_.endedJobs_.contains(aJob);
+    return deployment_.HasEnded(aJob);
   }
 
   void PlanJobs()
@@ -235,7 +240,13 @@
 public:
   DisruptionFuzz(std::uint64_t aSeed, FuzzOptions aOptions)
     : random_(aSeed * 7919)
-    , deployment_(aSeed, { 4 + static_cast<int>(aSeed % 3), 6, 2 })
+    , deployment_(aSeed,
+                  { 4 + static_cast<int>(aSeed % 3),
+                    kWorkersPerShard * aOptions.shards_,
+                    2,
+                    0,
+                    0,
+                    aOptions.shards_ })
     , disruptions_(deployment_, random_)
   {
     deployment_.isTraced_ = aOptions.isTraced_;
@@ -327,10 +338,8 @@
   // A long-running job that is not cancelled has to have all its tasks at work.
   bool IsSettled(const JobId& aJob)
   {
-    const std::string owner = deployment_.Owner();
     if (!longRunning_.contains(aJob)) {
-      return !owner.empty() &&
-             deployment_.StateOf(owner).tasks_.endedJobs_.contains(aJob);
+      return deployment_.HasEnded(aJob);
     }
     std::size_t running = 0;
     for (std::size_t index = 0; index < deployment_.Workers(); ++index) {
--- a/tests/jobs/JobFuzz.h
+++ b/tests/jobs/JobFuzz.h
@@ -14,6 +14,8 @@
   /// Replaces the load and the faults by the ones of `Disruptions`, and checks
   /// continuously that the runs of cancelled jobs stop in time.
   bool hasDisruptions_ = false;
+  /// Number of shards; with more than one, each seed produces another run.
+  int shards_ = 1;
   /// Prints the log lines of the daemons.
   bool isTraced_ = false;
 };
--- a/tests/jobs/JobFuzzTest.cpp
+++ b/tests/jobs/JobFuzzTest.cpp
@@ -49,6 +49,17 @@
   ExpectNoViolations(1828, { .hasDisruptions_ = true });
 }
 
+// Guards against rules that hold only while one daemon owns all jobs and VMs.
+TEST(JobFuzz, ViolatesNoRuleWithSeveralShards)
+{
+  constexpr std::uint64_t kSeedCount = 30;
+  for (std::uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    ExpectNoViolations(seed, { .shards_ = 3 });
+    ExpectNoViolations(seed, { .hasLongRunningJobs_ = true, .shards_ = 3 });
+    ExpectNoViolations(seed, { .hasDisruptions_ = true, .shards_ = 3 });
+  }
+}
+
 // Guards against the faults that these seeds once found: starts that reach a
 // restarted worker (33, 53, 58, 59, 233, 456, 457, 684, 999, 7480),
 // acknowledgements meant for an earlier incarnation (988), rejections of jobs
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -1,7 +1,7 @@
 #include "SimulatedDeployment.h"
 
 #include "verbenawell/core/Overloaded.h"
-#include "verbenawell/jobs/core/Reduce.h"
+#include "verbenawell/jobs/sharding/Shards.h"
 
 #include <algorithm>
 #include <iostream>
@@ -90,16 +90,25 @@
 {
   Daemon& daemon = daemons_[aDaemon];
   daemon = Daemon{ {}, true, daemon.incarnationNumber_ + 1, {}, {}, {}, {} };
-  daemon.state_.ownership_.self_ = {
-    DaemonId{ aDaemon },
-    aDaemon + "-" + std::to_string(daemon.incarnationNumber_),
-    { aDaemon, 1 },
-    {},
-    false,
-    vmCpus_[aDaemon]
-  };
-  daemon.state_.ownership_.random_ = Random{ random_() };
-  Apply(aDaemon, Started{});
+  const auto shards = static_cast<std::uint32_t>(size_.shards_);
+  if (shards > 0) {
+    daemon.state_.count_ = ShardCount{ shards };
+    daemon.state_.shards_.resize(shards);
+  }
+  for (State& state : daemon.state_.shards_) {
+    OwnershipState& ownership = state.ownership_;
+    ownership.self_.daemon_ = DaemonId{ aDaemon };
+    ownership.self_.instance_ =
+      aDaemon + "-" + std::to_string(daemon.incarnationNumber_);
+    ownership.self_.address_ = { aDaemon, 1 };
+    ownership.self_.vmCpu_ = vmCpus_[aDaemon];
+    ownership.self_.shards_ = ShardCount{ shards };
+    ownership.publishedShards_ = ShardCount{ shards };
+    ownership.random_ = Random{ random_() };
+  }
+  for (std::uint32_t index = 0; index < std::max(1U, shards); ++index) {
+    Apply(aDaemon, { ShardIndex{ index }, Started{} });
+  }
 }
 
 void
@@ -159,7 +168,8 @@
 void
 SimulatedDeployment::Stop(const std::string& aDaemon)
 {
-  Deliver(aDaemon, daemons_.at(aDaemon).incarnationNumber_, StopRequested{});
+  Deliver(
+    aDaemon, daemons_.at(aDaemon).incarnationNumber_, { {}, StopRequested{} });
 }
 
 void
@@ -169,18 +179,21 @@
   daemon.frozenUntil_ = time_.Now() + aTime;
   time_.After(aTime, [this, aDaemon, incarnation = daemon.incarnationNumber_] {
     auto deferred = std::exchange(daemons_.at(aDaemon).deferredEvents_, {});
-    for (const Event& event : deferred) {
+    for (const ShardEvent& event : deferred) {
       Deliver(aDaemon, incarnation, event);
     }
   });
 }
 
 std::string
-SimulatedDeployment::Owner() const
+SimulatedDeployment::Owner(ShardIndex aShard) const
 {
   for (const auto& [name, daemon] : daemons_) {
-    if (daemon.isUp_ && daemon.state_.ownership_.AsOwner() != nullptr &&
-        daemon.state_.journal_.IsReady()) {
+    if (!daemon.isUp_ || aShard.Value() >= daemon.state_.shards_.size()) {
+      continue;
+    }
+    const State& state = daemon.state_.shards_[aShard.Value()];
+    if (state.ownership_.AsOwner() != nullptr && state.journal_.IsReady()) {
       return name;
     }
   }
@@ -193,7 +206,8 @@
   std::string newest;
   Epoch epoch;
   for (const auto& [name, daemon] : daemons_) {
-    if (const Owning* owning = daemon.state_.ownership_.AsOwner();
+    if (const Owning* owning =
+          daemon.state_.shards_.front().ownership_.AsOwner();
         daemon.isUp_ && owning != nullptr && owning->epoch_ >= epoch) {
       newest = name;
       epoch = owning->epoch_;
@@ -215,15 +229,32 @@
 }
 
 const State&
-SimulatedDeployment::StateOf(const std::string& aDaemon) const
+SimulatedDeployment::StateOf(const std::string& aDaemon,
+                             ShardIndex aShard) const
+{
+  return daemons_.at(aDaemon).state_.shards_.at(aShard.Value());
+}
+
+std::optional<ShardCount>
+SimulatedDeployment::ShardsOf(const std::string& aDaemon) const
+{
+  return daemons_.at(aDaemon).state_.count_;
+}
+
+bool
+SimulatedDeployment::HasEnded(const JobId& aJob) const
 {
-  return daemons_.at(aDaemon).state_;
+  const ShardIndex shard =
+    ShardOf(aJob, ShardCount{ static_cast<std::uint32_t>(size_.shards_) });
+  const std::string owner = Owner(shard);
+  return !owner.empty() &&
+         StateOf(owner, shard).tasks_.endedJobs_.contains(aJob);
 }
 
 void
 SimulatedDeployment::Deliver(const std::string& aDaemon,
                              std::uint64_t aIncarnation,
-                             Event aEvent)
+                             ShardEvent aEvent)
 {
   Daemon& daemon = daemons_.at(aDaemon);
   if (!daemon.isUp_ || daemon.incarnationNumber_ != aIncarnation) {
@@ -237,27 +268,33 @@
 }
 
 void
-SimulatedDeployment::Apply(const std::string& aDaemon, const Event& aEvent)
+SimulatedDeployment::Apply(const std::string& aDaemon, const ShardEvent& aEvent)
 {
   const Context context{ time_.Now(),
                          WallAt(time_.Now()) + wallOffsets_[aDaemon],
                          DaemonId{ aDaemon } };
-  for (const Effect& effect :
-       Reduce(daemons_.at(aDaemon).state_, aEvent, context)) {
+  for (const ShardEffect& effect :
+       ReduceShards(daemons_.at(aDaemon).state_, aEvent, context)) {
     Execute(aDaemon, effect);
   }
 }
 
 FakeStore::Reply
-SimulatedDeployment::ReplyTo(const std::string& aDaemon)
+SimulatedDeployment::ReplyTo(const std::string& aDaemon, ShardIndex aShard)
 {
-  return [this, aDaemon, incarnation = daemons_.at(aDaemon).incarnationNumber_](
-           Event aEvent) { Deliver(aDaemon, incarnation, std::move(aEvent)); };
+  return [this,
+          aDaemon,
+          aShard,
+          incarnation = daemons_.at(aDaemon).incarnationNumber_](Event aEvent) {
+    Deliver(aDaemon, incarnation, { aShard, std::move(aEvent) });
+  };
 }
 
 void
-SimulatedDeployment::Execute(const std::string& aDaemon, const Effect& aEffect)
+SimulatedDeployment::Execute(const std::string& aDaemon,
+                             const ShardEffect& aEffect)
 {
+  const ShardIndex shard = aEffect.shard_;
   std::visit(
     Overloaded{
       [&](const SendResponse& aResponse) {
@@ -269,35 +306,20 @@
         }
       },
       [&](const ForwardRequest& aForward) { Forward(aDaemon, aForward); },
-      [&](const RenewLease& aCommand) { Send(aDaemon, aCommand); },
-      [&](const StartTask& aCommand) { Send(aDaemon, aCommand); },
-      [&](const StopTask& aCommand) { Send(aDaemon, aCommand); },
+      [&](const RenewLease& aCommand) { Send(aDaemon, shard, aCommand); },
+      [&](const StartTask& aCommand) { Send(aDaemon, shard, aCommand); },
+      [&](const StopTask& aCommand) { Send(aDaemon, shard, aCommand); },
       [](const ThrottleTask&) {},
       [](const DisconnectWorker&) {},
       [&](const RequestAdvice& aRequest) {
-        advice_.Run(aRequest, ReplyTo(aDaemon));
+        advice_.Run(aRequest, ReplyTo(aDaemon, shard));
       },
-      [&](const ReadVms&) { ListVms(aDaemon); },
+      [&](const ReadVms&) { ListVms(aDaemon, shard); },
       [&](const StartMaintenance& aCommand) {
-        BeginMaintenance(aDaemon, aCommand);
-      },
-      [&](const MoveVm& aCommand) { MoveToPool(aDaemon, aCommand); },
-      [&](const SetTimer& aTimer) {
-        Daemon& daemon = daemons_.at(aDaemon);
-        const std::uint64_t serial = ++daemon.timers_[aTimer.key_];
-        time_.After(aTimer.after_,
-                    [this,
-                     aDaemon,
-                     incarnation = daemon.incarnationNumber_,
-                     aTimer,
-                     serial] {
-                      Daemon& due = daemons_.at(aDaemon);
-                      if (due.incarnationNumber_ == incarnation &&
-                          due.timers_[aTimer.key_] == serial) {
-                        Deliver(aDaemon, incarnation, TimerDue{ aTimer.key_ });
-                      }
-                    });
+        BeginMaintenance(aDaemon, shard, aCommand);
       },
+      [&](const MoveVm& aCommand) { MoveToPool(aDaemon, shard, aCommand); },
+      [&](const SetTimer& aTimer) { StartTimer(aDaemon, shard, aTimer); },
       [](const Count&) {},
       [](const Observe&) {},
       [&](const LogLine& aLine) { Log(aDaemon, aLine); },
@@ -308,12 +330,32 @@
         if (aStatus.completed_ && wave_) {
           oracle_.WaveReportedCompleted(*wave_, maintenanceBegun_);
         }
-        store_.Run(DaemonId{ aDaemon }, aStatus, ReplyTo(aDaemon));
+        store_.Run(
+          DaemonId{ aDaemon }, shard, aStatus, ReplyTo(aDaemon, shard));
       },
       [&](const auto& aStoreCall) {
-        store_.Run(DaemonId{ aDaemon }, aStoreCall, ReplyTo(aDaemon));
+        store_.Run(
+          DaemonId{ aDaemon }, shard, aStoreCall, ReplyTo(aDaemon, shard));
       } },
-    aEffect);
+    aEffect.effect_);
+}
+
+void
+SimulatedDeployment::StartTimer(const std::string& aDaemon,
+                                ShardIndex aShard,
+                                const SetTimer& aTimer)
+{
+  Daemon& daemon = daemons_.at(aDaemon);
+  const std::pair key{ aShard, aTimer.key_ };
+  const std::uint64_t serial = ++daemon.timers_[key];
+  time_.After(
+    aTimer.after_,
+    [this, aDaemon, incarnation = daemon.incarnationNumber_, key, serial] {
+      Daemon& due = daemons_.at(aDaemon);
+      if (due.incarnationNumber_ == incarnation && due.timers_[key] == serial) {
+        Deliver(aDaemon, incarnation, { key.first, TimerDue{ key.second } });
+      }
+    });
 }
 
 void
@@ -339,7 +381,7 @@
 SimulatedDeployment::Forward(const std::string& aDaemon,
                              const ForwardRequest& aForward)
 {
-  const auto reply = ReplyTo(aDaemon);
+  const auto reply = ReplyTo(aDaemon, aForward.request_.shard_);
   const auto respond = [reply, key = aForward.key_](
                          const std::optional<CallerResponse>& aResponse) {
     reply(ForwardCompleted{ key, aResponse });
@@ -366,10 +408,12 @@
                incarnation = target->second.incarnationNumber_,
                key,
                aForward] {
-                Deliver(name,
-                        incarnation,
-                        CallerRequested{
-                          key, aForward.request_, aForward.timeLeft_, true });
+                Deliver(
+                  name,
+                  incarnation,
+                  { {},
+                    CallerRequested{
+                      key, aForward.request_, aForward.timeLeft_, true } });
               });
   time_.After(aForward.timeLeft_, [respond, done] {
     if (!*done) {
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "verbenawell/core/Random.h"
-#include "verbenawell/jobs/core/State.h"
 #include "verbenawell/jobs/explain/Explain.h"
+#include "verbenawell/jobs/sharding/DaemonState.h"
+#include "verbenawell/jobs/sharding/ReduceShards.h"
 
 #include "FakeAdvice.h"
 #include "FakeStore.h"
@@ -57,6 +58,8 @@
     int spare_ = 0;
     /// Number of workers of the other service.
     int other_ = 0;
+    /// Number of shards; zero if the first owner decides on it.
+    int shards_ = 1;
   };
 
   SimulatedDeployment(std::uint64_t aSeed, Size aSize);
@@ -96,13 +99,19 @@
   void Start(const std::string& aDaemon);
   void Stop(const std::string& aDaemon);
   void Freeze(const std::string& aDaemon, Duration aTime);
-  /// The name of the daemon that owns the jobs and has read the journal; empty
-  /// if there is none.
-  [[nodiscard]] std::string Owner() const;
+  /// The name of the daemon that owns the jobs of a shard and has read its
+  /// journal; empty if there is none.
+  [[nodiscard]] std::string Owner(ShardIndex aShard = {}) const;
   /// The name of the daemon that took the ownership last; empty if it is down.
   [[nodiscard]] std::string NewestOwner() const;
   [[nodiscard]] std::vector<std::string> Running() const;
-  [[nodiscard]] const State& StateOf(const std::string& aDaemon) const;
+  [[nodiscard]] const State& StateOf(const std::string& aDaemon,
+                                     ShardIndex aShard = {}) const;
+  /// The number of shards that a daemon knows of; empty before it is published.
+  [[nodiscard]] std::optional<ShardCount> ShardsOf(
+    const std::string& aDaemon) const;
+  /// Returns whether the owner of the job's shard knows that it has ended.
+  [[nodiscard]] bool HasEnded(const JobId& aJob) const;
 
   FakeWorker& WorkerAt(std::size_t aIndex);
   [[nodiscard]] std::size_t Workers() const { return vms_.size(); }
@@ -152,12 +161,12 @@
 
   struct Daemon
   {
-    State state_;
+    DaemonState state_;
     bool isUp_ = false;
     std::uint64_t incarnationNumber_ = 0;
     TimePoint frozenUntil_;
-    std::map<TimerKey, std::uint64_t> timers_;
-    std::vector<Event> deferredEvents_;
+    std::map<std::pair<ShardIndex, TimerKey>, std::uint64_t> timers_;
+    std::vector<ShardEvent> deferredEvents_;
     std::vector<OpenForward> openForwards_;
   };
 
@@ -188,24 +197,38 @@
   std::string RandomDaemon();
   void Deliver(const std::string& aDaemon,
                std::uint64_t aIncarnation,
-               Event aEvent);
-  void Apply(const std::string& aDaemon, const Event& aEvent);
-  void Execute(const std::string& aDaemon, const Effect& aEffect);
+               ShardEvent aEvent);
+  void Apply(const std::string& aDaemon, const ShardEvent& aEvent);
+  void Execute(const std::string& aDaemon, const ShardEffect& aEffect);
+  void StartTimer(const std::string& aDaemon,
+                  ShardIndex aShard,
+                  const SetTimer& aTimer);
   void Log(const std::string& aDaemon, const LogLine& aLine);
-  FakeStore::Reply ReplyTo(const std::string& aDaemon);
+  FakeStore::Reply ReplyTo(const std::string& aDaemon, ShardIndex aShard);
   FakeWorker* Find(const WorkerId& aWorker);
   template<typename Command>
-  void SendToWorker(const std::string& aDaemon, const Command& aCommand);
-  void Send(const std::string& aDaemon, const RenewLease& aCommand);
-  void Send(const std::string& aDaemon, const StartTask& aCommand);
-  void Send(const std::string& aDaemon, const StopTask& aCommand);
+  void SendToWorker(const std::string& aDaemon,
+                    ShardIndex aShard,
+                    const Command& aCommand);
+  void Send(const std::string& aDaemon,
+            ShardIndex aShard,
+            const RenewLease& aCommand);
+  void Send(const std::string& aDaemon,
+            ShardIndex aShard,
+            const StartTask& aCommand);
+  void Send(const std::string& aDaemon,
+            ShardIndex aShard,
+            const StopTask& aCommand);
   [[nodiscard]] bool Loses(const std::string& aDaemon,
                            const WorkerId& aWorker,
                            LinkLoss aLoss) const;
   void Forward(const std::string& aDaemon, const ForwardRequest& aForward);
-  void ListVms(const std::string& aDaemon);
-  void MoveToPool(const std::string& aDaemon, const MoveVm& aCommand);
+  void ListVms(const std::string& aDaemon, ShardIndex aShard);
+  void MoveToPool(const std::string& aDaemon,
+                  ShardIndex aShard,
+                  const MoveVm& aCommand);
   void BeginMaintenance(const std::string& aDaemon,
+                        ShardIndex aShard,
                         const StartMaintenance& aCommand);
   [[nodiscard]] bool LosesVmCommand();
   [[nodiscard]] Duration VmCommandTime() const;
--- a/tests/jobs/SimulatedDeploymentCallers.cpp
+++ b/tests/jobs/SimulatedDeploymentCallers.cpp
@@ -33,8 +33,9 @@
   Deliver(
     aDaemon,
     daemons_.at(aDaemon).incarnationNumber_,
-    CallerRequested{
-      key, { kCallerHost, aPath, std::move(aAction) }, aTimeLeft, false });
+    { {},
+      CallerRequested{
+        key, { kCallerHost, aPath, std::move(aAction) }, aTimeLeft, false } });
 }
 
 void
--- a/tests/jobs/SimulatedDeploymentCommands.cpp
+++ b/tests/jobs/SimulatedDeploymentCommands.cpp
@@ -60,39 +60,43 @@
 template<typename Command>
 void
 SimulatedDeployment::SendToWorker(const std::string& aDaemon,
+                                  ShardIndex aShard,
                                   const Command& aCommand)
 {
   if (Loses(aDaemon, aCommand.worker_, LinkLoss::Calls)) {
-    time_.After(kCallTimeout, [reply = ReplyTo(aDaemon), aCommand] {
+    time_.After(kCallTimeout, [reply = ReplyTo(aDaemon, aShard), aCommand] {
       reply(FailureOf(aCommand));
     });
   } else if (FakeWorker* worker = Find(aCommand.worker_); worker != nullptr) {
-    worker->Run(
-      aCommand,
-      [this, aDaemon, aCommand, reply = ReplyTo(aDaemon)](Event aEvent) {
-        if (!Loses(aDaemon, aCommand.worker_, LinkLoss::Responses)) {
-          reply(std::move(aEvent));
-          return;
-        }
-        time_.After(kCallTimeout,
-                    [reply, aCommand] { reply(FailureOf(aCommand)); });
-      });
+    worker->Run(aCommand,
+                [this, aDaemon, aCommand, reply = ReplyTo(aDaemon, aShard)](
+                  Event aEvent) {
+                  if (!Loses(aDaemon, aCommand.worker_, LinkLoss::Responses)) {
+                    reply(std::move(aEvent));
+                    return;
+                  }
+                  time_.After(kCallTimeout, [reply, aCommand] {
+                    reply(FailureOf(aCommand));
+                  });
+                });
   } else if constexpr (std::is_same_v<Command, RenewLease>) {
-    time_.After(1s, [reply = ReplyTo(aDaemon), aCommand] {
+    time_.After(1s, [reply = ReplyTo(aDaemon, aShard), aCommand] {
       reply(LeaseRenewalFailed{ aCommand.worker_ });
     });
   }
 }
 
 void
-SimulatedDeployment::Send(const std::string& aDaemon, const StartTask& aCommand)
+SimulatedDeployment::Send(const std::string& aDaemon,
+                          ShardIndex aShard,
+                          const StartTask& aCommand)
 {
   if (!requiresTickets_ || advice_.Permits(aCommand)) {
-    SendToWorker(aDaemon, aCommand);
+    SendToWorker(aDaemon, aShard, aCommand);
     return;
   }
   ++ticketRefusals_;
-  time_.After(kNetworkLatency, [reply = ReplyTo(aDaemon), aCommand] {
+  time_.After(kNetworkLatency, [reply = ReplyTo(aDaemon, aShard), aCommand] {
     reply(StartCommandCompleted{ aCommand.worker_,
                                  aCommand.task_,
                                  aCommand.run_,
@@ -102,15 +106,18 @@
 
 void
 SimulatedDeployment::Send(const std::string& aDaemon,
+                          ShardIndex aShard,
                           const RenewLease& aCommand)
 {
-  SendToWorker(aDaemon, aCommand);
+  SendToWorker(aDaemon, aShard, aCommand);
 }
 
 void
-SimulatedDeployment::Send(const std::string& aDaemon, const StopTask& aCommand)
+SimulatedDeployment::Send(const std::string& aDaemon,
+                          ShardIndex aShard,
+                          const StopTask& aCommand)
 {
-  SendToWorker(aDaemon, aCommand);
+  SendToWorker(aDaemon, aShard, aCommand);
 }
 
 } // namespace verbenawell::jobs
--- a/tests/jobs/SimulatedDeploymentVms.cpp
+++ b/tests/jobs/SimulatedDeploymentVms.cpp
@@ -129,11 +129,11 @@
 }
 
 void
-SimulatedDeployment::ListVms(const std::string& aDaemon)
+SimulatedDeployment::ListVms(const std::string& aDaemon, ShardIndex aShard)
 {
   if (vmServiceFaults_.isUnresponsive_) {
     time_.After(kVmCallTimeout,
-                [reply = ReplyTo(aDaemon)] { reply(VmsReadFailed{}); });
+                [reply = ReplyTo(aDaemon, aShard)] { reply(VmsReadFailed{}); });
     return;
   }
   VmsRead read;
@@ -144,7 +144,7 @@
     }
   }
   time_.After(vmServiceFaults_.latency_,
-              [reply = ReplyTo(aDaemon), read] { reply(read); });
+              [reply = ReplyTo(aDaemon, aShard), read] { reply(read); });
 }
 
 bool
@@ -168,16 +168,18 @@
 
 void
 SimulatedDeployment::BeginMaintenance(const std::string& aDaemon,
+                                      ShardIndex aShard,
                                       const StartMaintenance& aCommand)
 {
   const auto vm = std::ranges::find(vms_, aCommand.vm_, &Vm::id_);
   const auto respond = [&](VmCommandResult aResult) {
-    time_.After(
-      VmCommandTime(),
-      [reply = ReplyTo(aDaemon), aCommand, result = ResultReceived(aResult)] {
-        reply(
-          MaintenanceCommandCompleted{ aCommand.vm_, aCommand.wave_, result });
-      });
+    time_.After(VmCommandTime(),
+                [reply = ReplyTo(aDaemon, aShard),
+                 aCommand,
+                 result = ResultReceived(aResult)] {
+                  reply(MaintenanceCommandCompleted{
+                    aCommand.vm_, aCommand.wave_, result });
+                });
   };
   if (LosesVmCommand()) {
     respond(VmCommandUnconfirmed{});
@@ -204,15 +206,17 @@
 
 void
 SimulatedDeployment::MoveToPool(const std::string& aDaemon,
+                                ShardIndex aShard,
                                 const MoveVm& aCommand)
 {
   const auto vm = std::ranges::find(vms_, aCommand.vm_, &Vm::id_);
   const auto respond = [&](VmCommandResult aResult) {
-    time_.After(
-      VmCommandTime(),
-      [reply = ReplyTo(aDaemon), aCommand, result = ResultReceived(aResult)] {
-        reply(VmMoveCompleted{ aCommand.vm_, result });
-      });
+    time_.After(VmCommandTime(),
+                [reply = ReplyTo(aDaemon, aShard),
+                 aCommand,
+                 result = ResultReceived(aResult)] {
+                  reply(VmMoveCompleted{ aCommand.vm_, result });
+                });
   };
   if (LosesVmCommand()) {
     respond(VmCommandUnconfirmed{});
--- a/tests/jobs/fuzz_jobs_main.cpp
+++ b/tests/jobs/fuzz_jobs_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_bool(disruptions,
             false,
             "replace load and faults by series of disruptions and cancels");
+DEFINE_int32(shards, 1, "number of shards of the deployment");
 DEFINE_bool(trace, false, "print what the daemons log");
 DEFINE_uint64(last, 100, "last seed");
 
@@ -19,7 +20,7 @@
 main(int aCount, char** aArguments)
 {
   gflags::SetUsageMessage("[--first SEED] [--last SEED] [--lasting] "
-                          "[--disruptions]");
+                          "[--disruptions] [--shards N]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   int failed = 0;
   for (std::uint64_t seed = FLAGS_first; seed <= FLAGS_last; ++seed) {
@@ -27,6 +28,7 @@
       verbenawell::jobs::FuzzJobs(seed,
                                   { .hasLongRunningJobs_ = FLAGS_lasting,
                                     .hasDisruptions_ = FLAGS_disruptions,
+                                    .shards_ = FLAGS_shards,
                                     .isTraced_ = FLAGS_trace });
     for (const std::string& violation : violations) {
       std::cout << "seed " << seed << ": " << violation << '\n';
