Exit a stopping daemon only when no shard has an open request

Found by reading: a shard without open requests counted as stopped for good, so a request that reached it while another shard still had open ones was cut when that one ended (LOST in a rolling restart). A shard now asks again until no shard has an open request, or until one whose time is over ends the process. An empty list of VMs no longer decides on the number of shards, and waves are assigned as soon as the number is known.

Sharding.ExitsOnceNoShardHasAnOpenRequest was written with the change and not run against the code before it.

--- a/src/verbenawell/jobs/sharding/DaemonState.h
+++ b/src/verbenawell/jobs/sharding/DaemonState.h
@@ -37,8 +37,6 @@
   /// Workers of the newest list that no list of VMs has shown.
   std::set<WorkerId> workersWithoutVm_;
   std::map<RequestKey, PendingSum> pendingSums_;
-  /// Shards that have no more open requests in a stopping daemon.
-  std::set<ShardIndex> stopped_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -25,6 +25,7 @@
 // The number of shards is known a few milliseconds after a daemon has started,
 // or once a new deployment has its first owner.
 constexpr Duration kRetryAfterNoShards = 2s;
+constexpr Duration kExitPoll = 100ms;
 
 class Reducer
 {
@@ -100,7 +101,9 @@
   void On(ShardIndex aShard, const VmsRead& aRead)
   {
     if (!state_.count_) {
-      DecideShardCount(aRead.vms_.size());
+      if (!aRead.vms_.empty()) {
+        DecideShardCount(aRead.vms_.size());
+      }
       Apply(aShard, VmsReadFailed{});
       return;
     }
@@ -166,10 +169,7 @@
                  std::holds_alternative<ConfigurationRetry>(aTimer.key_);
         },
         [&](SendResponse& aResponse) { return IsPartOfSum(aResponse); },
-        [&](const Exit&) {
-          state_.stopped_.insert(aShard);
-          return state_.stopped_.size() < state_.shards_.size();
-        },
+        [&](const Exit&) { return MustWaitForOtherShards(aShard); },
         [&](LogLine& aLine) {
           if (Size() > 1) {
             aLine.fields_.emplace_back("shard", std::to_string(aShard.Value()));
@@ -183,6 +183,21 @@
     }
   }
 
+  // A shard with open requests ends the process only when its time is over. One
+  // without asks again, since a request may still reach it.
+  bool MustWaitForOtherShards(ShardIndex aShard)
+  {
+    const bool isAnyOpen =
+      std::ranges::any_of(state_.shards_, [](const State& aState) {
+        return !aState.callers_.open_.empty();
+      });
+    if (!isAnyOpen || !StateOf(aShard).callers_.open_.empty()) {
+      return false;
+    }
+    effects_.push_back({ aShard, SetTimer{ ExitTick{}, kExitPoll } });
+    return true;
+  }
+
   // Adds the response of one shard to the sum of all; the last one sends it.
   bool IsPartOfSum(SendResponse& aResponse)
   {
@@ -308,6 +323,7 @@
       effects_.push_back({ kFirstShard, ReadWorkers{} });
       Apply(kFirstShard, VmListRequired{});
     }
+    AssignWaves();
   }
 
   void AddShard()
--- a/tests/jobs/ShardingTest.cpp
+++ b/tests/jobs/ShardingTest.cpp
@@ -239,6 +239,29 @@
   EXPECT_TRUE(state.shards_.front().workers_.workers_.empty());
 }
 
+// Guards against a stopping daemon that ends while a request to one of its
+// shards is open (LOST), and against one that never ends.
+TEST(Sharding, ExitsOnceNoShardHasAnOpenRequest)
+{
+  DaemonState state;
+  state.count_ = ShardCount{ 2 };
+  state.shards_.resize(2);
+  const auto exits = [&](std::uint32_t aShard, Duration aAt) {
+    const auto effects = ReduceShards(
+      state, { ShardIndex{ aShard }, TimerDue{ ExitTick{} } }, At(aAt));
+    return std::ranges::any_of(effects, [](const ShardEffect& aEffect) {
+      return std::holds_alternative<Exit>(aEffect.effect_);
+    });
+  };
+  ReduceShards(state, { {}, StopRequested{} }, At(1s));
+  auto& open = state.shards_.back().callers_.open_;
+  open[RequestKey{ 1 }] = OpenRequest{};
+  EXPECT_FALSE(exits(0, 4s));
+  EXPECT_FALSE(exits(1, 4s));
+  open.clear();
+  EXPECT_TRUE(exits(0, 4100ms));
+}
+
 // Guards against shards of which one has most of the VMs or most of the jobs.
 TEST(Sharding, DividesVmsAndJobsEvenly)
 {
