Reject owner records that name too many shards

Found in review: a daemon creates a state for each shard of an owner record, so one malformed record would have ended every daemon that read it. The decoder rejects more than 16; the number of shards is rounded to the nearest. MalformedListsTest names the shard of its StoreAdapter.

--- a/src/verbenawell/codec/jobs/RequestCodec.cpp
+++ b/src/verbenawell/codec/jobs/RequestCodec.cpp
@@ -56,7 +56,13 @@
 OwnerRecord
 DecodeOwner(std::string_view aBytes)
 {
-  return codec::DecodeCbor<OwnerRecord>(aBytes);
+  auto record = codec::DecodeCbor<OwnerRecord>(aBytes);
+  // A daemon holds a state for each shard.
+  if (record.shards_ > kMaxShards) {
+    throw codec::DecodeError("an owner record names more than " +
+                             std::to_string(kMaxShards.Value()) + " shards");
+  }
+  return record;
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/model/Ids.h
+++ b/src/verbenawell/jobs/model/Ids.h
@@ -59,6 +59,9 @@
 using ShardIndex = Quantity<struct ShardTag, std::uint32_t>;
 using ShardCount = Quantity<struct ShardCountTag, std::uint32_t>;
 
+/// Every daemon follows the owner of each shard.
+inline constexpr ShardCount kMaxShards{ 16 };
+
 /// Sequence number of a journal append within the owner's epoch.
 using AppendSequence = Quantity<struct AppendTag, std::uint64_t>;
 
--- a/src/verbenawell/jobs/sharding/Shards.cpp
+++ b/src/verbenawell/jobs/sharding/Shards.cpp
@@ -13,11 +13,9 @@
 
 namespace {
 
-// VMs that one owner on an entry VM with half a core carries: 250 of them start
-// and end some 500 tasks a second.
+// VMs for each shard, rounded to the nearest number of shards. The VMs start
+// and end some 500 tasks a second, which takes about 40% of half a core.
 constexpr std::size_t kVmsPerShard = 250;
-// Every daemon follows the owner of each shard.
-constexpr std::size_t kMaxShards = 16;
 
 ShardIndex
 ShardOfText(const std::string& aText, ShardCount aCount)
@@ -31,8 +29,8 @@
 ShardCount
 ShardCountFor(std::size_t aVms)
 {
-  return ShardCount{ static_cast<std::uint32_t>(
-    std::clamp<std::size_t>(aVms / kVmsPerShard, 1, kMaxShards)) };
+  return ShardCount{ static_cast<std::uint32_t>(std::clamp<std::size_t>(
+    (aVms + kVmsPerShard / 2) / kVmsPerShard, 1, kMaxShards.Value())) };
 }
 
 ShardIndex
--- a/tests/jobs/MalformedListsTest.cpp
+++ b/tests/jobs/MalformedListsTest.cpp
@@ -67,12 +67,15 @@
   {
     asio::io_context io;
     StubServer store{ io, { 200, {}, std::move(aPage) } };
-    StoreAdapter adapter{ io, store.address_, [&](const jobs::Event& aEvent) {
-                           OnEvent(aEvent);
-                           if (isOver_) {
-                             io.stop();
-                           }
-                         } };
+    StoreAdapter adapter{ io,
+                          store.address_,
+                          jobs::ShardIndex{},
+                          [&](const jobs::Event& aEvent) {
+                            OnEvent(aEvent);
+                            if (isOver_) {
+                              io.stop();
+                            }
+                          } };
     adapter.Run(jobs::ReadWorkers{});
     io.run_for(3s);
   }
@@ -221,9 +224,14 @@
 // record of another writer follows it.
 TEST(OwnerTopic, UsesTheNewestValidOwnerRecord)
 {
-  const jobs::OwnerRecord owner{
-    DaemonId{ "d" }, "instance", { "10.0.0.1", 80 }, jobs::Epoch{ 4 }, false, {}
-  };
+  const jobs::OwnerRecord owner{ DaemonId{ "d" },
+                                 "instance",
+                                 { "10.0.0.1", 80 },
+                                 jobs::Epoch{ 4 },
+                                 false,
+                                 {},
+                                 {},
+                                 {} };
   for (const auto& [key, value] :
        std::vector<std::pair<std::string, std::string>>{
          { "owner", std::string(100'000, '\x81') },
@@ -238,10 +246,13 @@
                         LogPage({ { "owner", jobs::EncodeOwner(owner) },
                                   { key, value.substr(0, 60'000) } }) } };
     std::optional<jobs::OwnerRead> read;
-    StoreAdapter adapter{ io, store.address_, [&](const jobs::Event& aEvent) {
-                           read = std::get<jobs::OwnerRead>(aEvent);
-                           io.stop();
-                         } };
+    StoreAdapter adapter{ io,
+                          store.address_,
+                          jobs::ShardIndex{},
+                          [&](const jobs::Event& aEvent) {
+                            read = std::get<jobs::OwnerRead>(aEvent);
+                            io.stop();
+                          } };
     adapter.Run(jobs::ReadOwner{ Offset{ 0 }, 0s });
     io.run_for(3s);
     ASSERT_TRUE(read && read->record_) << key;
