Take the records of earlier versions for one shard

Found in review: during an upgrade, the owner of a version without shards names no number, and upgraded daemons would have rejected every request with 503 until that owner was upgraded. A record without the field now means one shard, zero means that the number is not decided. A published number is never replaced, also not by a record that names another one.

An owner that claims from a live one notes this, since the other may send commands for VMs until its next renewal is refused (used with the pace of VM commands).

--- a/src/verbenawell/jobs/ownership/OwnerRecord.h
+++ b/src/verbenawell/jobs/ownership/OwnerRecord.h
@@ -24,8 +24,9 @@
   bool resigned_ = false;
   /// CPU of the daemon's VM; zero if it is not known.
   MilliCores vmCpu_;
-  /// Number of shards of the deployment; zero until it is decided.
-  ShardCount shards_;
+  /// Number of shards of the deployment; zero until it is decided. Records of
+  /// versions without shards do not name it.
+  ShardCount shards_{ 1 };
   /// Waves in which the maintenance of all VMs of the shard has ended.
   std::vector<WaveNumber> endedWaves_;
 
--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
+#include "verbenawell/jobs/ownership/internal/ClaimRules.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,22 +15,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kRenewalInterval = 1s;
-// Followers delay their claims by a random time below this limit, so that most
-// of them read the first claim before they send their own.
-constexpr Duration kMaxClaimJitter = 400ms;
-// A follower whose VM has at least this many times the CPU of the owner's VM
-// replaces the owner. With 0.12 cores, an owner completes a tenth of the jobs
-// that it completes with 0.5 cores.
-constexpr std::uint64_t kLargerVmFactor = 2;
-// A follower on a larger VM replaces an owner only after this time, because VM
-// commands of two owners have to be this far apart.
-constexpr Duration kMinTenure = 3s;
-// A daemon that owns another shard claims this much later, so that the shards
-// are spread over as many VMs as possible.
-constexpr Duration kDelayOfOtherOwners = 1s;
-constexpr Duration kMaxReadWait = 1s;
-// Shortest wait of a read; the store accepts no wait below 1 ms.
-constexpr Duration kMinReadWait = 10ms;
 constexpr Duration kRetryDelay = 200ms;
 
 class Reducer
@@ -84,10 +69,10 @@
       state_.role_ = Following{};
       state_.appendSentAt_.reset();
     }
-    if (const char* reason = ClaimReason(); reason != nullptr) {
+    if (const char* reason = ClaimReason(state_, now_); reason != nullptr) {
       Claim(reason);
     } else {
-      effects_.push_back(ReadOwner{ state_.end_, NextReadWait() });
+      effects_.push_back(ReadOwner{ state_.end_, NextReadWait(state_, now_) });
     }
   }
 
@@ -108,7 +93,7 @@
       ConfirmAppendedShards();
       if (state_.isStopping_) {
         LoseOwnership("resigned");
-        effects_.push_back(ReadOwner{ state_.end_, kMaxReadWait });
+        effects_.push_back(ReadOwner{ state_.end_, kMaxOwnerReadWait });
       } else {
         effects_.push_back(SetTimer{ OwnershipTick{}, kRenewalInterval });
       }
@@ -221,14 +206,14 @@
   }
 
   // The number is never changed: each job and each VM belongs to one shard for
-  // good. Records of earlier versions have none.
+  // good.
   void KeepShardCount(OwnerRecord& aRecord)
   {
-    if (aRecord.shards_ != ShardCount{}) {
+    if (state_.publishedShards_ == ShardCount{} &&
+        aRecord.shards_ != ShardCount{}) {
       PublishShardCount(aRecord.shards_);
-    } else {
-      aRecord.shards_ = state_.publishedShards_;
     }
+    aRecord.shards_ = state_.publishedShards_;
   }
 
   void ConfirmAppendedShards()
@@ -244,99 +229,13 @@
     state_.self_.shards_ = aShards;
   }
 
-  /// The reason why this daemon may claim the ownership; null if it may not.
-  [[nodiscard]] const char* ClaimReason() const
-  {
-    if (state_.isStopping_ || state_.AsOwner() != nullptr) {
-      return nullptr;
-    }
-    const Duration sinceRenewal = now_ - state_.renewedAt_;
-    if (!state_.owner_) {
-      return sinceRenewal >= state_.claimJitter_ + BusyDelay() ? "no owner"
-                                                               : nullptr;
-    }
-    if (IsFromPreviousProcess(*state_.owner_)) {
-      return "own earlier process";
-    }
-    const Duration timeout = ClaimTimeout(*state_.owner_);
-    if (sinceRenewal >= timeout &&
-        (state_.owner_->resigned_ || HasReadFor(timeout))) {
-      return state_.owner_->resigned_ ? "resigned" : "silent";
-    }
-    if (state_.ownedElsewhere_ == 0 && HasReadFor(kOwnerTimeout) &&
-        now_ - state_.ownerSince_ >= kMinTenure) {
-      if (RunsOnTooSmallVm(*state_.owner_)) {
-        return "larger";
-      }
-      if (state_.isOwnerBusyElsewhere_ &&
-          state_.self_.vmCpu_ >= state_.owner_->vmCpu_) {
-        return "owner of several shards";
-      }
-    }
-    return nullptr;
-  }
-
-  [[nodiscard]] Duration BusyDelay() const
-  {
-    return state_.ownedElsewhere_ == 0 ? Duration{} : kDelayOfOtherOwners;
-  }
-
-  // The time since the last renewal after which this daemon may claim. A daemon
-  // on a smaller VM than the owner's waits longer, so that a daemon on a larger
-  // VM claims first.
-  [[nodiscard]] Duration ClaimTimeout(const OwnerRecord& aOwner) const
-  {
-    const bool isOnSmallerVm = state_.self_.vmCpu_ < aOwner.vmCpu_;
-    if (aOwner.resigned_ && !IsOwnRecord(aOwner)) {
-      return BusyDelay() + (isOnSmallerVm
-                              ? kMaxClaimJitter + state_.claimJitter_
-                              : Duration{});
-    }
-    return kOwnerTimeout + state_.claimJitter_ + BusyDelay() +
-           (isOnSmallerVm ? kMaxClaimJitter : Duration{});
-  }
-
-  [[nodiscard]] bool HasReadFor(Duration aTime) const
-  {
-    return state_.readingSince_ != TimePoint::max() &&
-           now_ - state_.readingSince_ >= aTime;
-  }
-
-  [[nodiscard]] bool RunsOnTooSmallVm(const OwnerRecord& aOwner) const
-  {
-    return aOwner.vmCpu_ > MilliCores{} &&
-           state_.self_.vmCpu_.Value() >=
-             kLargerVmFactor * aOwner.vmCpu_.Value();
-  }
-
-  // Tells whether an earlier process of this daemon, which has ended, wrote the
-  // record.
-  [[nodiscard]] bool IsFromPreviousProcess(const OwnerRecord& aRecord) const
-  {
-    return aRecord.daemon_ == state_.self_.daemon_ && !IsOwnRecord(aRecord);
-  }
-
-  // A read waits no longer than until this daemon may claim, so that the
-  // daemons claim in the order of their time-outs.
-  [[nodiscard]] Duration NextReadWait() const
-  {
-    const Duration remaining =
-      (state_.owner_ ? ClaimTimeout(*state_.owner_)
-                     : state_.claimJitter_ + BusyDelay()) -
-      (now_ - state_.renewedAt_);
-    return remaining <= Duration{}
-             ? kMaxReadWait
-             : std::clamp(remaining, kMinReadWait, kMaxReadWait);
-  }
-
-  [[nodiscard]] bool IsOwnRecord(const OwnerRecord& aRecord) const
-  {
-    return aRecord.instance_ == state_.self_.instance_;
-  }
-
   void Claim(const char* aReason)
   {
     state_.role_ = Claiming{};
+    state_.claimsFromLiveOwner_ =
+      state_.owner_ && !state_.owner_->resigned_ &&
+      state_.owner_->daemon_ != state_.self_.daemon_ &&
+      now_ - state_.renewedAt_ < kOwnerTimeout;
     DrawClaimJitter();
     effects_.push_back(LogLine{
       LogLevel::Info,
@@ -371,7 +270,9 @@
 
   void AcquireOwnership(Epoch aEpoch, TimePoint aSentAt)
   {
-    state_.role_ = Owning{ aEpoch, aSentAt, now_ };
+    state_.role_ = Owning{
+      aEpoch, aSentAt, now_, std::exchange(state_.claimsFromLiveOwner_, false)
+    };
     state_.owner_ = state_.self_;
     state_.owner_->epoch_ = aEpoch;
     ConfirmAppendedShards();
@@ -390,7 +291,7 @@
   {
     state_.role_ = Following{};
     state_.readingSince_ = now_;
-    if (state_.owner_ && IsOwnRecord(*state_.owner_)) {
+    if (state_.owner_ && IsOwnRecord(state_, *state_.owner_)) {
       state_.owner_->resigned_ = true;
     }
     // The next owner may decide on another number than an unpublished one.
--- a/src/verbenawell/jobs/ownership/OwnershipState.h
+++ b/src/verbenawell/jobs/ownership/OwnershipState.h
@@ -31,6 +31,9 @@
   /// Send time of the newest renewal that the store confirmed.
   TimePoint renewalSentAt_;
   TimePoint takenAt_;
+  /// The owner before was alive, so it may have sent commands for VMs after the
+  /// claim.
+  bool isFromLiveOwner_ = false;
 
   /// Returns whether the newest confirmed renewal is so young that no daemon
   /// has taken this one for unresponsive.
@@ -68,6 +71,8 @@
   ShardCount appendedShards_;
   /// Number of shards in a record of the topic; zero until one names it.
   ShardCount publishedShards_;
+  /// The claim in flight is made against an owner that is alive.
+  bool claimsFromLiveOwner_ = false;
   /// Number of other shards that this daemon owns or is about to own.
   std::uint32_t ownedElsewhere_ = 0;
   /// The owner of this shard also owns one with a lower index.
