Move the drain of a VM out of the maintenance reducer

The drain of a VM ahead of its maintenance, with its disruption budgets, moves to jobs/maintenance/internal/VmDrain. No change in behaviour.

--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -2,14 +2,13 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
-#include "verbenawell/jobs/maintenance/DisruptionBudget.h"
 #include "verbenawell/jobs/maintenance/EndedWorkers.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
 #include "verbenawell/jobs/maintenance/WaveRecords.h"
 #include "verbenawell/jobs/maintenance/WaveStatusWrites.h"
+#include "verbenawell/jobs/maintenance/internal/VmDrain.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
-#include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
@@ -26,8 +25,6 @@
 constexpr Duration kIdleReadInterval = 1s;
 // Shortest interval between reads that newly listed workers cause.
 constexpr Duration kMinReadInterval = 100ms;
-// Tasks that still run after it end with the VM: the wave has a time limit.
-constexpr Duration kMaxDrainTime = 5s;
 
 class Reducer
 {
@@ -40,6 +37,7 @@
     , views_(aViews)
     , now_(aContext.now_)
     , effects_(aEffects)
+    , drain_(aViews, aContext.now_, aEffects)
   {
   }
 
@@ -244,7 +242,7 @@
         state_.draining_.insert(progress.worker_);
       }
       if (progress.phase_ == VmPhase::Draining) {
-        if (ContinueDrain(progress) && down < limit && MayCommand()) {
+        if (drain_.Continue(progress) && down < limit && MayCommand()) {
           SetPhase(progress, VmPhase::CommandSent);
           SendCommand(aWave.wave_.number_, id);
           ++down;
@@ -325,51 +323,6 @@
 
   [[nodiscard]] bool MayCommand() const { return MayCommandVms(views_, now_); }
 
-  // Returns whether the VM's worker has been drained. Long-running tasks never
-  // end by themselves, so they are stopped one at a time per step within their
-  // disruption budgets, and start again on other workers.
-  bool ContinueDrain(const VmProgress& aProgress)
-  {
-    const Worker* worker = views_.workers_.Find(aProgress.worker_);
-    if (worker == nullptr) {
-      return true;
-    }
-    const bool isOverdue = now_ - aProgress.since_ >= kMaxDrainTime;
-    bool isDrained = true;
-    for (const auto& [task, run] : worker->runs_) {
-      const Job* job = views_.tasks_.Find(task.job_);
-      // A worker may list a run of a job or a task that does not exist.
-      if (job == nullptr || job->Find(task) == nullptr) {
-        continue;
-      }
-      const Step& step = job->definition_.steps_[task.step_.Value()];
-      if (!step.longRunning_) {
-        isDrained = isDrained && isOverdue;
-        continue;
-      }
-      isDrained = false;
-      if (run.IsPresent() && consideredTasks_.insert(task).second &&
-          MayDisrupt(*job, task, views_.workers_, now_) && !StopsStepOf(task)) {
-        stoppedSteps_.insert(FirstTaskOfStep(task));
-        effects_.push_back(Raise{ StopDecided{
-          aProgress.worker_, task, run.run_, "maintenance of its VM" } });
-      }
-    }
-    return isDrained;
-  }
-
-  static TaskId FirstTaskOfStep(TaskId aTask)
-  {
-    aTask.index_ = TaskIndex{};
-    return aTask;
-  }
-
-  // A stop raised while handling this event is not yet counted as unavailable.
-  [[nodiscard]] bool StopsStepOf(const TaskId& aTask) const
-  {
-    return stoppedSteps_.contains(FirstTaskOfStep(aTask));
-  }
-
   void SendCommand(WaveNumber aWave, const VmId& aVm)
   {
     effects_.push_back(Count{ Counter::MaintenanceCommandsSent });
@@ -404,8 +357,7 @@
   const Views& views_;
   TimePoint now_;
   Effects& effects_;
-  std::set<TaskId> consideredTasks_;
-  std::set<TaskId> stoppedSteps_;
+  VmDrain drain_;
 };
 
 } // namespace
