Reset the connection of an HTTP call that is given up

A maintenance command of a former owner was carried out after a command of its successor, with a lower fencing token.

Cause: a call that timed out in a partition was closed in an orderly way. The kernel keeps the bytes of such a connection and delivers them once the partition is over.

Change: a connection is reset (SO_LINGER of zero) when its call is given up: after a time-out, an error, or Close() before the response. The option is set while the connection is open, so that it also holds for a process that is killed. A connection without a call in flight is closed as before, also after a response that asks for it; when the process ends without Close(), it is reset.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -73,7 +73,11 @@
 Channel::Close()
 {
   isClosed_ = true;
-  CloseConnection();
+  if (isBusy_) {
+    ResetConnection();
+  } else {
+    CloseConnection();
+  }
   // The handlers may hold the last reference to this channel, and are destroyed
   // below.
   const auto self = shared_from_this();
@@ -141,7 +145,7 @@
     ArmTimer();
     return;
   }
-  CloseConnection();
+  ResetConnection();
   CompleteCall(Failure{ isSent_ });
 }
 
@@ -171,6 +175,7 @@
       }
       std::error_code ignored;
       self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+      self->SetResetOnClose(true);
       self->isConnected_ = true;
       self->Read();
       self->Send();
@@ -194,7 +199,7 @@
                     [self = shared_from_this(), connection = connection_](
                       const std::error_code& aError, std::size_t) {
                       if (aError && connection == self->connection_) {
-                        self->CloseConnection();
+                        self->ResetConnection();
                         self->CompleteCall(Failure{ true });
                       }
                     });
@@ -217,7 +222,11 @@
                             }
                             self->parser_.FeedEnd();
                             auto response = self->parser_.ConsumeMessage();
-                            self->CloseConnection();
+                            if (self->isBusy_ && !response) {
+                              self->ResetConnection();
+                            } else {
+                              self->CloseConnection();
+                            }
                             if (self->isBusy_) {
                               self->CompleteCall(
                                 response ? Result{ std::move(*response) }
@@ -242,7 +251,7 @@
     return;
   }
   if (parser_.Error()) {
-    CloseConnection();
+    ResetConnection();
     if (isBusy_) {
       CompleteCall(Failure{ true });
     }
@@ -265,8 +274,33 @@
   StartNextCall();
 }
 
+// Without a reset, the bytes of a call that is given up while a partition holds
+// them up are delivered after the partition, possibly after commands of the
+// next owner.
+void
+Channel::ResetConnection()
+{
+  Disconnect();
+}
+
 void
 Channel::CloseConnection()
+{
+  SetResetOnClose(false);
+  Disconnect();
+}
+
+// The option is set while a connection is in use, and not only when it is
+// closed, so that it also holds for a process that is killed.
+void
+Channel::SetResetOnClose(bool aIsReset)
+{
+  std::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(aIsReset, 0), ignored);
+}
+
+void
+Channel::Disconnect()
 {
   ++connection_;
   isConnected_ = false;
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -42,7 +42,8 @@
 
 /// One persistent connection to a server. It carries one call at a time;
 /// further calls are queued. Every call gets exactly one result, at the latest
-/// when its time limit expires. An unlimited wait in the queue ends with the
+/// when its time limit expires. A call that is given up resets the connection,
+/// so that it cannot arrive later. An unlimited wait in the queue ends with the
 /// calls before it. The limit is extended while the event loop is
 /// late, because responses that have arrived are then read late too.
 class Channel : public std::enable_shared_from_this<Channel>
@@ -82,7 +83,12 @@
   void ArmTimer();
   void OnDeadline();
   void CompleteCall(Result aResult);
+  /// Closes the connection and discards bytes that have not arrived.
+  void ResetConnection();
+  /// Closes a connection without a call in flight.
   void CloseConnection();
+  void SetResetOnClose(bool aIsReset);
+  void Disconnect();
 
   asio::io_context& io_;
   Endpoint server_;
--- a/tests/jobs/ChannelTest.cpp
+++ b/tests/jobs/ChannelTest.cpp
@@ -4,18 +4,28 @@
 #include "SlowServer.h"
 #include "StubServer.h"
 
+#include <array>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <semaphore>
 #include <string>
+#include <string_view>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include <asio/buffer.hpp>
+#include <asio/error.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <asio/write.hpp>
 #include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace verbenawell::platform {
 namespace {
@@ -122,5 +132,124 @@
   serverIo.stop();
 }
 
+/// Accepts one connection, and tells with which error it ends.
+class ConnectionEnd
+{
+public:
+  explicit ConnectionEnd(asio::io_context& aIo)
+    : acceptor_(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
+    , peer_(aIo)
+  {
+    acceptor_.async_accept(peer_, [this](const std::error_code& aError) {
+      if (!aError) {
+        Read();
+      }
+    });
+  }
+
+  [[nodiscard]] Endpoint Address() const
+  {
+    return { "127.0.0.1", acceptor_.local_endpoint().port() };
+  }
+
+  void Respond()
+  {
+    static constexpr std::string_view kResponse =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::error_code error;
+    asio::write(peer_, asio::buffer(kResponse), error);
+    EXPECT_FALSE(error);
+  }
+
+  std::function<void()> onRequest_ = [] {};
+  std::optional<std::error_code> error_;
+
+private:
+  void Read()
+  {
+    peer_.async_read_some(asio::buffer(buffer_),
+                          [this](const std::error_code& aError, std::size_t) {
+                            if (aError) {
+                              error_ = aError;
+                              return;
+                            }
+                            onRequest_();
+                            Read();
+                          });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket peer_;
+  std::array<char, 1024> buffer_{};
+};
+
+// Guards against an order of a former owner that arrives after those of its
+// successor. A connection that is closed without a reset delivers the bytes of
+// a call that was given up in a partition once the partition is over.
+TEST(Channel, ResetsTheConnectionOfACallThatTimesOut)
+{
+  asio::io_context io;
+  ConnectionEnd server{ io };
+  const auto channel =
+    std::make_shared<http::Channel>(io, server.Address(), 1000);
+  channel->Call({ "POST", "/", {}, {} }, 100ms, [](const auto&) {});
+  io.run_for(300ms);
+  EXPECT_EQ(server.error_, asio::error::connection_reset);
+}
+
+// As above, for a channel that is closed before the response.
+TEST(Channel, ResetsTheConnectionOfACallThatIsCancelled)
+{
+  asio::io_context io;
+  ConnectionEnd server{ io };
+  const auto channel =
+    std::make_shared<http::Channel>(io, server.Address(), 1000);
+  server.onRequest_ = [&] { channel->Close(); };
+  channel->Call({ "POST", "/", {}, {} }, 1s, [](const auto&) {});
+  io.run_for(300ms);
+  EXPECT_EQ(server.error_, asio::error::connection_reset);
+}
+
+// As above, for an owner whose process is killed before the response.
+TEST(Channel, ResetsTheConnectionOfAProcessThatIsKilled)
+{
+  asio::io_context io;
+  ConnectionEnd server{ io };
+  const pid_t child = fork();
+  ASSERT_GE(child, 0);
+  if (child == 0) {
+    asio::io_context childIo;
+    const auto channel =
+      std::make_shared<http::Channel>(childIo, server.Address(), 1000);
+    channel->Call({ "POST", "/", {}, {} }, 5s, [](const auto&) {});
+    childIo.run_for(5s);
+    _exit(0);
+  }
+  server.onRequest_ = [&] { kill(child, SIGKILL); };
+  io.run_for(1s);
+  kill(child, SIGKILL);
+  waitpid(child, nullptr, 0);
+  EXPECT_EQ(server.error_, asio::error::connection_reset);
+}
+
+// Guards against a server that counts the orderly close of an idle connection
+// as a failure.
+TEST(Channel, ClosesAnIdleConnectionWithoutAReset)
+{
+  asio::io_context io;
+  ConnectionEnd server{ io };
+  const auto channel =
+    std::make_shared<http::Channel>(io, server.Address(), 1000);
+  server.onRequest_ = [&] { server.Respond(); };
+  bool hasResponse = false;
+  channel->Call({ "GET", "/", {}, {} }, 1s, [&](const http::Result& aResult) {
+    hasResponse = std::holds_alternative<http::Response>(aResult);
+    asio::post(io, [&] { channel->Close(); });
+  });
+  io.run_for(300ms);
+  EXPECT_TRUE(hasResponse);
+  EXPECT_EQ(server.error_, asio::error::eof);
+}
+
 } // namespace
 } // namespace verbenawell::platform
