Begin the VMs of a wave evenly over its time

Seen: a wave took as many VMs at once as its limit allows, as early as it could, also in bursts of demand.

Change: - VmsDue() (jobs/maintenance/WavePace) says how many VMs should have begun. They begin evenly over 0.7 of the time of the wave, and not later than 11 s before its end, which is the longest drain and the maintenance of the last VM. So a wave of 11 s or less begins as before. A wave that is behind catches up within its limit, which stays as it was. - A new owner doesn't know when a wave began. It estimates that from the VMs whose maintenance has begun, and allows 10 s for the time without an owner. - Idle VMs come first, then VMs of pools with at least a quarter of their CPU free, then the others. VMs with long-running tasks in a pool with free CPU come with the idle ones, since their drain takes longest. - If the limit of a wave is lower than the number of shards, these take turns, and each gets its share of the time.

Shown: with the pace and the order left out, PacedWave.SendsItsCommandsEvenly had 40 commands in the first 7 s of 100 s (at most 6 now), and PacedWave.BeginsWithIdleVms took busy VMs first. CatchesUpWithinItsLimit and the tests of WavePace guard the end of a wave.

--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -5,13 +5,16 @@
 #include "verbenawell/jobs/maintenance/EndedWorkers.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 #include "verbenawell/jobs/maintenance/VmCommands.h"
+#include "verbenawell/jobs/maintenance/WavePace.h"
 #include "verbenawell/jobs/maintenance/WaveRecords.h"
 #include "verbenawell/jobs/maintenance/WaveStatusWrites.h"
+#include "verbenawell/jobs/maintenance/internal/DrainOrder.h"
 #include "verbenawell/jobs/maintenance/internal/VmDrain.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace verbenawell::jobs {
@@ -56,6 +59,11 @@
         RestoreWave(*stored);
       }
     }
+    for (auto& [number, wave] : state_.waves_) {
+      const auto begun =
+        static_cast<std::uint32_t>(StoredWave(wave).begun_.size());
+      wave.startedAt_ = now_ - EstimatedElapsed(SizeOf(wave), VmCount{ begun });
+    }
     WriteNextStatus(state_, effects_);
     RequestList();
     effects_.push_back(SetTimer{ MaintenanceTick{}, kTickInterval });
@@ -220,26 +228,19 @@
 
   void AdvanceWave(WaveProgress& aWave)
   {
-    std::uint32_t inProgress = 0;
     std::uint32_t down = 0;
     for (auto& [id, progress] : aWave.vms_) {
       ObserveVm(id, progress);
       down += CountsAsDown(id, progress) ? 1 : 0;
-      if (progress.phase_ != VmPhase::Pending &&
-          progress.phase_ != VmPhase::Done) {
-        ++inProgress;
-      }
+    }
+    for (const VmId& vm : VmsToDrain(aWave, views_, now_)) {
+      VmProgress& progress = aWave.vms_.at(vm);
+      progress.worker_ = state_.vms_.at(vm).worker_;
+      SetPhase(progress, VmPhase::Draining);
     }
     const std::uint32_t limit = std::max(1U, aWave.wave_.maxVmsDown_.Value());
     for (auto& [id, progress] : aWave.vms_) {
-      // One VM more than may be down is drained ahead, so that its maintenance
-      // can begin as soon as another VM is up again.
-      if (progress.phase_ == VmPhase::Pending && inProgress <= limit &&
-          StartDrain(id, progress)) {
-        ++inProgress;
-      }
-      if (progress.phase_ != VmPhase::Pending &&
-          progress.phase_ != VmPhase::Done) {
+      if (IsInProgress(progress)) {
         state_.draining_.insert(progress.worker_);
       }
       if (progress.phase_ == VmPhase::Draining) {
@@ -311,17 +312,6 @@
     }
   }
 
-  bool StartDrain(const VmId& aVm, VmProgress& aProgress)
-  {
-    const auto vm = state_.vms_.find(aVm);
-    if (vm == state_.vms_.end() || vm->second.state_ != VmState::Up) {
-      return false;
-    }
-    aProgress.worker_ = vm->second.worker_;
-    SetPhase(aProgress, VmPhase::Draining);
-    return true;
-  }
-
   [[nodiscard]] bool MayCommand() const { return MayCommandVms(views_, now_); }
 
   void SendCommand(WaveNumber aWave, const VmId& aVm)
--- a/src/verbenawell/jobs/maintenance/WaveRecords.cpp
+++ b/src/verbenawell/jobs/maintenance/WaveRecords.cpp
@@ -3,9 +3,24 @@
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace verbenawell::jobs {
 
+WaveSize
+SizeOf(const WaveProgress& aWave)
+{
+  return { VmCount{ static_cast<std::uint32_t>(aWave.vms_.size()) },
+           aWave.wave_.duration_ };
+}
+
+bool
+IsInProgress(const VmProgress& aProgress)
+{
+  return aProgress.phase_ != VmPhase::Pending &&
+         aProgress.phase_ != VmPhase::Done;
+}
+
 WaveStored
 StoredWave(const WaveProgress& aWave)
 {
--- a/src/verbenawell/jobs/sharding/Shards.cpp
+++ b/src/verbenawell/jobs/sharding/Shards.cpp
@@ -76,6 +76,8 @@
   const std::uint32_t rest = limit % aCount.Value();
   part.maxVmsDown_ = VmCount{ std::max(
     1U, limit / aCount.Value() + (aShard.Value() < rest ? 1U : 0U)) };
+  // Shards that take turns share the time of the wave.
+  part.duration_ /= (aCount.Value() + limit - 1) / limit;
   return part;
 }
 
