Complete a wave whose part in a shard has no VMs

Cause: since a wave is advanced until all its VMs have ended, and that holds at once for a wave without VMs, before it is marked as completed.

Change: a wave is advanced until it is marked as completed and all its VMs have ended. The test passes again, with no other change of results in job_tests.

--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -219,7 +219,7 @@
     state_.draining_.clear();
     for (auto& [number, wave] : state_.waves_) {
       // The last VMs of a completed wave are still down.
-      if (!state_.HasEnded(number)) {
+      if (!wave.isCompleted_ || !state_.HasEnded(number)) {
         AdvanceWave(wave);
       }
     }
