--- a/tests/jobs/MaintenanceCommandsTest.cpp
+++ b/tests/jobs/MaintenanceCommandsTest.cpp
@@ -223,7 +223,7 @@
     }
     std::string text;
     for (const auto& [name, value] : line->fields_) {
-      text += name + "=" + value + " ";
+      text.append(name).append("=").append(value).append(" ");
     }
     lines.push_back(text);
   }
