Handle cancels and renewals before other waiting events

Cause: events were handled in the order of their arrival, so that each hop of a cancel (the request, the response to the append, the results of the stops) waited behind the whole backlog. Ownership renewals waited as well, and another daemon claimed.

One event in eight is the oldest one once that has waited for 0.5 s. The daemon reads its sockets after each eight events. A request's time left shrinks while it waits. Load shedding uses the age of the oldest waiting event, since a timer is no longer late when events are.

SimulatedDeployment gets a processor cost for each event, none by default.

--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -89,7 +89,8 @@
 SimulatedDeployment::Start(const std::string& aDaemon)
 {
   Daemon& daemon = daemons_[aDaemon];
-  daemon = Daemon{ {}, true, daemon.incarnationNumber_ + 1, {}, {}, {}, {} };
+  daemon = Daemon{ {}, true, daemon.incarnationNumber_ + 1, {}, {}, {}, {},
+                   {}, false };
   const auto shards = static_cast<std::uint32_t>(size_.shards_);
   if (shards > 0) {
     daemon.state_.count_ = ShardCount{ shards };
@@ -172,19 +173,6 @@
     aDaemon, daemons_.at(aDaemon).incarnationNumber_, { {}, StopRequested{} });
 }
 
-void
-SimulatedDeployment::Freeze(const std::string& aDaemon, Duration aTime)
-{
-  Daemon& daemon = daemons_.at(aDaemon);
-  daemon.frozenUntil_ = time_.Now() + aTime;
-  time_.After(aTime, [this, aDaemon, incarnation = daemon.incarnationNumber_] {
-    auto deferred = std::exchange(daemons_.at(aDaemon).deferredEvents_, {});
-    for (const ShardEvent& event : deferred) {
-      Deliver(aDaemon, incarnation, event);
-    }
-  });
-}
-
 std::string
 SimulatedDeployment::Owner(ShardIndex aShard) const
 {
@@ -251,45 +239,6 @@
          StateOf(owner, shard).tasks_.endedJobs_.contains(aJob);
 }
 
-void
-SimulatedDeployment::Deliver(const std::string& aDaemon,
-                             std::uint64_t aIncarnation,
-                             ShardEvent aEvent)
-{
-  Daemon& daemon = daemons_.at(aDaemon);
-  if (!daemon.isUp_ || daemon.incarnationNumber_ != aIncarnation) {
-    return;
-  }
-  if (time_.Now() < daemon.frozenUntil_) {
-    daemon.deferredEvents_.push_back(std::move(aEvent));
-    return;
-  }
-  Apply(aDaemon, aEvent);
-}
-
-void
-SimulatedDeployment::Apply(const std::string& aDaemon, const ShardEvent& aEvent)
-{
-  const Context context{ time_.Now(),
-                         WallAt(time_.Now()) + wallOffsets_[aDaemon],
-                         DaemonId{ aDaemon } };
-  for (const ShardEffect& effect :
-       ReduceShards(daemons_.at(aDaemon).state_, aEvent, context)) {
-    Execute(aDaemon, effect);
-  }
-}
-
-FakeStore::Reply
-SimulatedDeployment::ReplyTo(const std::string& aDaemon, ShardIndex aShard)
-{
-  return [this,
-          aDaemon,
-          aShard,
-          incarnation = daemons_.at(aDaemon).incarnationNumber_](Event aEvent) {
-    Deliver(aDaemon, incarnation, { aShard, std::move(aEvent) });
-  };
-}
-
 void
 SimulatedDeployment::Execute(const std::string& aDaemon,
                              const ShardEffect& aEffect)
@@ -340,24 +289,6 @@
     aEffect.effect_);
 }
 
-void
-SimulatedDeployment::StartTimer(const std::string& aDaemon,
-                                ShardIndex aShard,
-                                const SetTimer& aTimer)
-{
-  Daemon& daemon = daemons_.at(aDaemon);
-  const std::pair key{ aShard, aTimer.key_ };
-  const std::uint64_t serial = ++daemon.timers_[key];
-  time_.After(
-    aTimer.after_,
-    [this, aDaemon, incarnation = daemon.incarnationNumber_, key, serial] {
-      Daemon& due = daemons_.at(aDaemon);
-      if (due.incarnationNumber_ == incarnation && due.timers_[key] == serial) {
-        Deliver(aDaemon, incarnation, { key.first, TimerDue{ key.second } });
-      }
-    });
-}
-
 void
 SimulatedDeployment::Log(const std::string& aDaemon, const LogLine& aLine)
 {
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Random.h"
 #include "verbenawell/jobs/explain/Explain.h"
+#include "verbenawell/jobs/overload/EventQueue.h"
 #include "verbenawell/jobs/sharding/DaemonState.h"
 #include "verbenawell/jobs/sharding/ReduceShards.h"
 
@@ -79,6 +80,8 @@
   void Cancel(const std::string& aJob);
   /// Cancels a job once, at this daemon, and ignores the response.
   void CancelAt(const std::string& aDaemon, const std::string& aJob);
+  /// Reads a job once, at this daemon, and ignores the response.
+  void ReadAt(const std::string& aDaemon, const std::string& aJob);
   /// Reads every job at every running daemon and reports the states to the
   /// oracle.
   void ReadAllJobs();
@@ -143,6 +146,9 @@
   VmServiceFaults vmServiceFaults_;
   /// Error of each daemon's time of day.
   std::map<std::string, std::chrono::milliseconds> wallOffsets_;
+  /// Processor time that each event takes at a daemon. Events that arrive
+  /// meanwhile wait. Without an entry, events take no time.
+  std::map<std::string, Duration> eventCosts_;
   /// Called for each response that accepts a job.
   std::function<void(const JobId&)> jobAccepted_ = [](const JobId&) {};
   /// Log lines of all daemons.
@@ -168,6 +174,9 @@
     std::map<std::pair<ShardIndex, TimerKey>, std::uint64_t> timers_;
     std::vector<ShardEvent> deferredEvents_;
     std::vector<OpenForward> openForwards_;
+    /// Events that wait for the processor, of which one is handled at a time.
+    EventQueue waitingEvents_;
+    bool isBusy_ = false;
   };
 
   struct Vm
@@ -198,6 +207,9 @@
   void Deliver(const std::string& aDaemon,
                std::uint64_t aIncarnation,
                ShardEvent aEvent);
+  /// Handles the next waiting event, and the others after the time it takes.
+  void HandleWaitingEvents(const std::string& aDaemon,
+                           std::uint64_t aIncarnation);
   void Apply(const std::string& aDaemon, const ShardEvent& aEvent);
   void Execute(const std::string& aDaemon, const ShardEffect& aEffect);
   void StartTimer(const std::string& aDaemon,
--- a/tests/jobs/SimulatedDeploymentCallers.cpp
+++ b/tests/jobs/SimulatedDeploymentCallers.cpp
@@ -115,6 +115,12 @@
   Send(aDaemon, CancelJob{ JobId{ aJob } }, [](const CallerResponse&) {});
 }
 
+void
+SimulatedDeployment::ReadAt(const std::string& aDaemon, const std::string& aJob)
+{
+  Send(aDaemon, ReadJob{ JobId{ aJob } }, [](const CallerResponse&) {});
+}
+
 void
 SimulatedDeployment::CancelOnce(const std::string& aJob)
 {
