Measure how long events wait at a daemon

Operators of a daemon without processor time saw that timers were late (loop_delayed), but not which work waited, so a late cancel could not be told from late reads.

The metric event_delay has the longest delay of each second.

--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -88,6 +88,8 @@
       return "take_over";
     case LatencyMetric::LoopDelay:
       return "loop_delay";
+    case LatencyMetric::EventDelay:
+      return "event_delay";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -66,8 +66,12 @@
   JobTime,
   /// From the claim of the ownership to the first decisions.
   TakeOver,
-  /// Delay of timers on the event loop: the largest value of each second.
+  /// Delay of timers on the event loop or age of the oldest waiting event: the
+  /// largest value of each second.
   LoopDelay,
+  /// From the arrival of an event to its handling: the largest value of each
+  /// second.
+  EventDelay,
 };
 
 std::string_view
