Respond to all requests before a stopping daemon exits

Cause: each daemon resigns at its stop signal and claims no more. Once the last one is stopped there is no owner, and reads and cancels wait for one. So no daemon becomes idle, none ends early and none comes back to claim. After 5 s a daemon exited with its requests open.

Change: a stopping daemon that has known of no owner for 500 ms responds to its waiting requests at once, and 4.5 s after the signal to all open ones. Reads get 503 with Retry-After, and so do submissions and cancels that no owner has got. Those with an earlier attempt that may have taken effect end as unknown. So daemons become idle and exit before their grace time, and the first one that is back claims the resigned ownership. The log line of a request moves to a file of its own.

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/callers/CallersState.h"
 #include "verbenawell/jobs/callers/internal/AttemptOutcome.h"
+#include "verbenawell/jobs/callers/internal/RequestLogLine.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
@@ -22,10 +23,7 @@
 // most responses need about 20 ms.
 constexpr Duration kResponseMargin = 100ms;
 constexpr int kMarginDivisor = 4;
-// Retry delay of a rejection without an owner or a configuration. A failed
-// owner is replaced after about this time, since its time-out of 2.5 s starts
-// with its last renewal.
-constexpr Duration kRetryAfterNoOwner = 2s;
+constexpr Duration kRetryAfterNoConfiguration = 2s;
 // A submission that has reached no owner by then is rejected, so that its
 // caller can repeat it before the deadline.
 constexpr Duration kNoOwnerTimeout = 500ms;
@@ -38,17 +36,11 @@
 // probes.
 constexpr Duration kUnreadyPeriod = 2500ms;
 constexpr Duration kStopPoll = 100ms;
+// A stopping daemon then responds to all requests that are still open, so that
+// none of them is when it exits. It is killed 6 s after the stop signal.
+constexpr Duration kLastResponsesAfter = 4500ms;
 constexpr Duration kMaxStopTime = 5s;
 
-JobId
-JobOf(const CallerAction& aAction)
-{
-  return std::visit(
-    Overloaded{ [](const CountPending&) { return JobId{}; },
-                [](const auto& aKnown) { return aKnown.job_; } },
-    aAction);
-}
-
 Duration
 ResponseMargin(Duration aTimeLeft)
 {
@@ -91,6 +83,9 @@
                                        aRequest.forwarded_ })
         .first->second;
     Route(aRequest.key_, open);
+    if (state_.isStopping_) {
+      Expire();
+    }
     if (!state_.isTicking_ && !state_.open_.empty()) {
       state_.isTicking_ = true;
       effects_.push_back(SetTimer{ CallersTick{}, kTickPeriod });
@@ -225,7 +220,8 @@
       const CallerResponse response =
         aOpen.forwarded_
           ? CallerResponse{ NotOwner{ aOpen.attemptsWithoutResponse_ > 0 } }
-          : JobRejected{ RejectReason::NoConfiguration, kRetryAfterNoOwner };
+          : JobRejected{ RejectReason::NoConfiguration,
+                         kRetryAfterNoConfiguration };
       Respond(aKey, response);
       return;
     }
@@ -284,17 +280,35 @@
       aKey, owner->address_, aOpen.request_, aOpen.deadline_ - now_ });
   }
 
+  [[nodiscard]] bool EndsWithoutOwner(const OpenRequest& aOpen) const
+  {
+    if (state_.isStopping_ &&
+        (now_ - state_.stopAt_ >= kLastResponsesAfter ||
+         (aOpen.stage_ == RequestStage::Waiting && IsOwnerMissing()))) {
+      return true;
+    }
+    return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
+           !aOpen.forwarded_ && now_ - aOpen.arrivedAt_ >= kNoOwnerTimeout;
+  }
+
+  // If all daemons are stopping, the next owner is the first one that has
+  // started again. A daemon whose requests wait for an owner would exit late.
+  [[nodiscard]] bool IsOwnerMissing() const
+  {
+    const auto& ownership = views_.ownership_;
+    return (!ownership.owner_ || ownership.owner_->resigned_) &&
+           now_ - std::max(ownership.renewedAt_, ownership.readingSince_) >=
+             kNoOwnerTimeout;
+  }
+
   void Expire()
   {
     std::vector<std::pair<RequestKey, CallerResponse>> expired;
     for (const auto& [key, open] : state_.open_) {
       if (now_ >= open.deadline_) {
         expired.emplace_back(key, OutcomeUnknown{});
-      } else if (IsSubmission(open) && open.attemptsWithoutResponse_ == 0 &&
-                 !open.forwarded_ &&
-                 now_ - open.arrivedAt_ >= kNoOwnerTimeout) {
-        expired.emplace_back(
-          key, JobRejected{ RejectReason::NoOwner, kRetryAfterNoOwner });
+      } else if (EndsWithoutOwner(open)) {
+        expired.emplace_back(key, ResponseWithoutOwner(open));
       }
     }
     for (const auto& [key, response] : expired) {
@@ -348,31 +362,12 @@
     state_.open_.erase(found);
   }
 
-  // The age of the owner's renewal and the number of attempts without a
-  // response distinguish a lost owner from a slow one. The daemon that the last
-  // attempt was sent to may not be the present owner.
   void LogRequest(const char* aEvent,
                   const OpenRequest& aOpen,
                   const std::string& aReason)
   {
-    const auto milliseconds = [](Duration aTime) {
-      return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
-    };
-    const auto& ownership = views_.ownership_;
-    effects_.push_back(LogLine{
-      LogLevel::Info,
-      aEvent,
-      { { "job", JobOf(aOpen.request_.action_).Value() },
-        { "reason", aReason },
-        { "waited_ms", milliseconds(now_ - aOpen.arrivedAt_) },
-        { "unanswered", std::to_string(aOpen.attemptsWithoutResponse_) },
-        { "forwarded", aOpen.forwarded_ ? "yes" : "no" },
-        { "sent_to", aOpen.sentTo_.Value() },
-        { "owner",
-          ownership.owner_ ? ownership.owner_->daemon_.Value()
-                           : std::string{ "none" } },
-        { "renewal_age_ms", milliseconds(now_ - ownership.renewedAt_) } } });
+    effects_.push_back(
+      RequestLogLine(aEvent, aOpen, aReason, views_.ownership_, now_));
   }
 
   CallersState& state_;
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+// A failed owner is replaced after about this time, since its time-out of 2.5 s
+// starts with its last renewal.
+constexpr Duration kRetryAfterNoOwner = 2s;
+
 // A daemon that rejects a request for these reasons has not looked for the job,
 // which the present owner may know.
 bool
@@ -15,6 +21,13 @@
          aReason == RejectReason::NoOwner;
 }
 
+bool
+ChangesJobs(const OpenRequest& aOpen)
+{
+  return IsSubmission(aOpen) ||
+         std::holds_alternative<CancelJob>(aOpen.request_.action_);
+}
+
 } // namespace
 
 bool
@@ -48,4 +61,17 @@
     aResponse);
 }
 
+CallerResponse
+ResponseWithoutOwner(const OpenRequest& aOpen)
+{
+  const bool mayHaveTakenEffect = aOpen.attemptsWithoutResponse_ > 0;
+  if (aOpen.forwarded_) {
+    return NotOwner{ mayHaveTakenEffect };
+  }
+  if (mayHaveTakenEffect && ChangesJobs(aOpen)) {
+    return OutcomeUnknown{};
+  }
+  return JobRejected{ RejectReason::NoOwner, kRetryAfterNoOwner };
+}
+
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
@@ -28,4 +28,8 @@
           const CallerResponse& aResponse,
           bool aHasEarlierAttempt);
 
+/// Returns the response to a request that no owner decides on in time.
+[[nodiscard]] CallerResponse
+ResponseWithoutOwner(const OpenRequest& aOpen);
+
 } // namespace verbenawell::jobs
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -85,6 +85,13 @@
   /// Reads every job at every running daemon and reports the states to the
   /// oracle.
   void ReadAllJobs();
+  using ResponseHandler = std::function<void(const CallerResponse&)>;
+  /// Sends a request once, to this daemon.
+  void Send(const std::string& aDaemon,
+            CallerAction aAction,
+            ResponseHandler aHandler,
+            const std::string& aPath = "/queue/",
+            Duration aTimeLeft = std::chrono::seconds(3));
   std::optional<CallerResponse> SendAndWait(
     const std::string& aDaemon,
     CallerAction aAction,
@@ -191,16 +198,9 @@
     std::optional<TimePoint> cutFromStoreAt_;
   };
 
-  using ResponseHandler = std::function<void(const CallerResponse&)>;
-
   /// Ends the worker of a VM. A new worker replaces it after this time.
   void ReplaceWorker(Vm& aVm, VmState aInterimState, Duration aTime);
   void MakeWorker(Vm& aVm, std::size_t aIndex);
-  void Send(const std::string& aDaemon,
-            CallerAction aAction,
-            ResponseHandler aHandler,
-            const std::string& aPath = "/queue/",
-            Duration aTimeLeft = std::chrono::seconds(3));
   void SubmitOnce(const std::string& aJob, const std::string& aPath);
   void CancelOnce(const std::string& aJob);
   std::string RandomDaemon();
