Store the progress of a job in records that fit the store

Cause: the record of a job's progress held all its started tasks and outgrew recordBytes.

Change: the tasks of a job are numbered by occurrence, step and index, and each 200 of them have a record of their own, p/ID/N. A write holds only the parts that changed; the outcome deletes them all in its append. Records of the former form still load, and parts override them. The lists of workers and of home pools are split by 1,000 entries: at 3,500 workers with long names the list of workers was over the limit too. Writes are split, and appends combined, by an upper bound of their size, up to 1 MiB a call. An append that the store answers with 400 or 413 is repeated with half of its writes; one write that is refused alone is left out and logged, without its completion, so that no start is sent and no end acknowledged that is not persisted.

--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -117,6 +117,7 @@
 Fields(Archive& aArchive, T& aValue)
 {
   aArchive(aValue.job_, aValue.tasks_);
+  aArchive.OptionalField(aValue.part_);
 }
 
 template<typename Archive, OneOf<jobs::OutcomeStored> T>
--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -5,10 +5,18 @@
 #include "verbenawell/codec/jobs/JobFields.h"
 #include "verbenawell/core/Overloaded.h"
 
+#include <algorithm>
+
 namespace verbenawell::jobs {
 
 namespace {
 
+// An entry of a worker or of a home pool takes up to about 100 bytes, and the
+// store accepts records of 262,144 bytes.
+constexpr std::size_t kItemsPerRecord = 1000;
+// Enough for 16,000 workers; 3,500 are planned.
+constexpr std::size_t kMaxListParts = 16;
+
 std::string
 JobKey(const JobId& aJob)
 {
@@ -21,6 +29,12 @@
   return "p/" + aJob.Value();
 }
 
+std::string
+ProgressKey(const JobId& aJob, ProgressPart aPart)
+{
+  return ProgressKey(aJob) + "/" + std::to_string(aPart.Value());
+}
+
 std::string
 Value(const JournalRecord& aRecord)
 {
@@ -29,6 +43,32 @@
   return bytes;
 }
 
+/// Splits the list of a record into records that fit the store, and deletes the
+/// records that an earlier and longer list needed.
+template<typename Stored, typename Item>
+std::vector<KeyedRecord>
+SplitList(const std::string& aKey,
+          const Stored& aStored,
+          std::vector<Item> Stored::*aList)
+{
+  const std::vector<Item>& all = aStored.*aList;
+  std::vector<KeyedRecord> records;
+  for (std::size_t part = 0; part < kMaxListParts; ++part) {
+    const std::size_t begin = std::min(all.size(), part * kItemsPerRecord);
+    const bool isLast = part + 1 == kMaxListParts;
+    const std::size_t end =
+      isLast ? all.size() : std::min(all.size(), begin + kItemsPerRecord);
+    Stored stored;
+    (stored.*aList)
+      .assign(all.begin() + static_cast<std::ptrdiff_t>(begin),
+              all.begin() + static_cast<std::ptrdiff_t>(end));
+    records.push_back(
+      { part == 0 ? aKey : aKey + "/" + std::to_string(part),
+        begin == end && part > 0 ? std::string{} : Value(stored) });
+  }
+  return records;
+}
+
 } // namespace
 
 std::vector<KeyedRecord>
@@ -41,20 +81,27 @@
         return Records{ { JobKey(aStored.job_), Value(aRecord) } };
       },
       [&](const ProgressStored& aStored) {
-        return Records{ { ProgressKey(aStored.job_), Value(aRecord) } };
+        return Records{ { aStored.part_
+                            ? ProgressKey(aStored.job_, *aStored.part_)
+                            : ProgressKey(aStored.job_),
+                          Value(aRecord) } };
       },
       [&](const OutcomeStored& aStored) {
-        return Records{ { ProgressKey(aStored.job_), Value(aRecord) },
-                        { JobKey(aStored.job_), {} } };
+        Records records{ { ProgressKey(aStored.job_), Value(aRecord) },
+                         { JobKey(aStored.job_), {} } };
+        for (const ProgressPart part : aStored.parts_) {
+          records.push_back({ ProgressKey(aStored.job_, part), {} });
+        }
+        return records;
       },
       [](const JobRemoved& aRemoved) {
         return Records{ { ProgressKey(aRemoved.job_), {} } };
       },
-      [&](const WorkersStored&) {
-        return Records{ { "workers", Value(aRecord) } };
+      [](const WorkersStored& aStored) {
+        return SplitList("workers", aStored, &WorkersStored::workers_);
       },
-      [&](const HomePoolsStored&) {
-        return Records{ { "homes", Value(aRecord) } };
+      [](const HomePoolsStored& aStored) {
+        return SplitList("homes", aStored, &HomePoolsStored::homePools_);
       },
       [&](const WaveStored& aStored) {
         return Records{ { "wave/" + std::to_string(aStored.wave_.Value()),
--- a/src/verbenawell/jobs/journal/JournalEvents.h
+++ b/src/verbenawell/jobs/journal/JournalEvents.h
@@ -50,6 +50,12 @@
   AppendSequence sequence_;
 };
 
+/// The store never accepts this append, such as one over its size limits.
+struct JournalAppendRejected
+{
+  AppendSequence sequence_;
+};
+
 /// All records of the journal, as read after this daemon became the owner.
 struct JournalLoaded
 {
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/model/Job.h"
 #include "verbenawell/jobs/model/JobDefinition.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,11 +38,14 @@
   WorkerId worker_;
 };
 
-/// The tasks of a job that were started; replaces its earlier progress record.
+/// The tasks of a part of a job that were started; replaces the part's earlier
+/// progress record.
 struct ProgressStored
 {
   JobId job_;
   std::vector<TaskProgress> tasks_;
+  /// Empty in a record of an earlier version, which holds all tasks of the job.
+  std::optional<ProgressPart> part_{};
 };
 
 /// A job that has ended; replaces its definition and progress.
@@ -52,6 +56,9 @@
   JobOutcome outcome_ = JobOutcome::Open;
   /// By the clock of the owner that ended the job; for readers of the journal.
   WallTime endedAt_;
+  /// The parts of the job's progress, whose records are deleted. They are not
+  /// stored.
+  std::vector<ProgressPart> parts_{};
 };
 
 /// Deletes the record of a job that ended long ago.
--- a/src/verbenawell/jobs/journal/JournalReducer.cpp
+++ b/src/verbenawell/jobs/journal/JournalReducer.cpp
@@ -1,10 +1,12 @@
 #include "verbenawell/jobs/journal/JournalReducer.h"
 
 #include "verbenawell/jobs/journal/JournalState.h"
+#include "verbenawell/jobs/journal/RecordSize.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -15,10 +17,19 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kRetryDelay = 100ms;
-// An append combines several writes only up to this number of records. The
-// record of a job with a full specification takes about 5 kB, and the store
-// accepts 2 MB per call.
+// An append combines several writes only up to this number of records.
 constexpr std::size_t kMaxRecordsPerAppend = 200;
+// The store accepts 2,097,152 bytes per call and keeps other appends waiting
+// while it stores one.
+constexpr std::size_t kMaxBytesPerAppend = 1'048'576;
+
+using PartKey = std::pair<JobId, std::optional<ProgressPart>>;
+
+PartKey
+KeyOf(const ProgressStored& aProgress)
+{
+  return { aProgress.job_, aProgress.part_ };
+}
 
 class Reducer
 {
@@ -91,6 +102,23 @@
     }
   }
 
+  // The store would reject a repetition too, and no job would make progress any
+  // more. Fewer writes may fit; one that is rejected alone is discarded.
+  void On(const JournalAppendRejected& aRejected)
+  {
+    if (!IsInFlight(aRejected.sequence_)) {
+      return;
+    }
+    if (state_.inFlight_ > 1) {
+      state_.inFlight_ /= 2;
+      SendAppend();
+      return;
+    }
+    DiscardFirstWrite();
+    state_.inFlight_ = 0;
+    SendIfIdle();
+  }
+
   void On(const JournalOutOfSequence& aResponse)
   {
     if (!IsInFlight(aResponse.sequence_)) {
@@ -122,7 +150,7 @@
     if (!state_.IsReady()) {
       return;
     }
-    state_.queue_.push_back(aRequested);
+    Enqueue(aRequested);
     SendIfIdle();
   }
 
@@ -179,6 +207,52 @@
     }
   }
 
+  // The records of a large write are appended in several calls, and it is
+  // complete with the last one.
+  void Enqueue(JournalWriteRequested aWrite)
+  {
+    JournalWriteRequested part{ {}, StartsPersisted{} };
+    std::size_t bytes = 0;
+    for (JournalRecord& record : aWrite.records_) {
+      const std::size_t size = MaxRecordSize(record);
+      if (!part.records_.empty() && bytes + size > kMaxBytesPerAppend) {
+        state_.queue_.push_back(std::exchange(part, { {}, StartsPersisted{} }));
+        bytes = 0;
+      }
+      bytes += size;
+      part.records_.push_back(std::move(record));
+    }
+    part.completion_ = std::move(aWrite.completion_);
+    state_.queue_.push_back(std::move(part));
+  }
+
+  // Without the completion nothing is done that requires the records: a start
+  // is not sent and an end is not acknowledged.
+  void DiscardFirstWrite()
+  {
+    const JournalWriteRequested& write = state_.queue_.front();
+    std::size_t bytes = 0;
+    for (const JournalRecord& record : write.records_) {
+      bytes += MaxRecordSize(record);
+    }
+    effects_.push_back(
+      LogLine{ LogLevel::Error,
+               "journal_write_rejected",
+               { { "records", std::to_string(write.records_.size()) },
+                 { "max_bytes", std::to_string(bytes) } } });
+    const WriteCompletion completion = write.completion_;
+    state_.queue_.pop_front();
+    if (const auto* submission =
+          std::get_if<SubmissionPersisted>(&completion)) {
+      std::erase_if(state_.queue_, [&](const JournalWriteRequested& aWrite) {
+        const auto* outcome =
+          std::get_if<OutcomePersisted>(&aWrite.completion_);
+        return outcome != nullptr && outcome->job_ == submission->job_;
+      });
+      effects_.push_back(Raise{ SubmissionDropped{ submission->job_ } });
+    }
+  }
+
   void CompleteFirstWrite()
   {
     std::visit(
@@ -203,9 +277,15 @@
       return;
     }
     std::size_t records = 0;
+    std::size_t bytes = 0;
     while (state_.inFlight_ < state_.queue_.size()) {
-      records += state_.queue_[state_.inFlight_].records_.size();
-      if (state_.inFlight_ > 0 && records > kMaxRecordsPerAppend) {
+      for (const JournalRecord& record :
+           state_.queue_[state_.inFlight_].records_) {
+        ++records;
+        bytes += MaxRecordSize(record);
+      }
+      if (state_.inFlight_ > 0 &&
+          (records > kMaxRecordsPerAppend || bytes > kMaxBytesPerAppend)) {
         break;
       }
       ++state_.inFlight_;
@@ -220,19 +300,19 @@
   {
     AppendJournal append{ state_.epoch_, state_.sequence_, {} };
     // The store appends all records of a call or none, so of the progress
-    // records of a job only the last one counts.
-    std::map<JobId, const ProgressStored*> last;
+    // records of a part of a job only the last one counts.
+    std::map<PartKey, const ProgressStored*> last;
     for (std::size_t index = 0; index < state_.inFlight_; ++index) {
       for (const JournalRecord& record : state_.queue_[index].records_) {
         if (const auto* progress = std::get_if<ProgressStored>(&record)) {
-          last.insert_or_assign(progress->job_, progress);
+          last.insert_or_assign(KeyOf(*progress), progress);
         }
       }
     }
     for (std::size_t index = 0; index < state_.inFlight_; ++index) {
       for (const JournalRecord& record : state_.queue_[index].records_) {
         if (const auto* progress = std::get_if<ProgressStored>(&record);
-            progress == nullptr || last.at(progress->job_) == progress) {
+            progress == nullptr || last.at(KeyOf(*progress)) == progress) {
           append.records_.push_back(record);
         }
       }
--- a/src/verbenawell/jobs/model/Ids.h
+++ b/src/verbenawell/jobs/model/Ids.h
@@ -61,6 +61,9 @@
 
 /// Every daemon follows the owner of each shard.
 inline constexpr ShardCount kMaxShards{ 16 };
+/// Number of a part of a job's progress that is stored in a record of its own,
+/// from 0.
+using ProgressPart = Quantity<struct ProgressPartTag, std::uint64_t>;
 
 /// Sequence number of a journal append within the owner's epoch.
 using AppendSequence = Quantity<struct AppendTag, std::uint64_t>;
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -9,6 +9,88 @@
 
 namespace {
 
+// With a worker's id and a checkpoint of usual lengths, a task takes about 60
+// bytes, so a record stays far below the store's limit of 262,144 bytes.
+constexpr std::uint64_t kTasksPerPart = 200;
+
+std::uint64_t
+TasksPerOccurrence(const Job& aJob)
+{
+  std::uint64_t tasks = 0;
+  for (const Step& step : aJob.definition_.steps_) {
+    tasks += step.count_.Value();
+  }
+  return tasks;
+}
+
+/// Calls the function for each task of a part. The tasks of a job are numbered
+/// by occurrence, step and index.
+template<typename Function>
+void
+VisitTasks(const Job& aJob, ProgressPart aPart, Function aFunction)
+{
+  const std::uint64_t perOccurrence = TasksPerOccurrence(aJob);
+  const std::uint64_t begin = aPart.Value() * kTasksPerPart;
+  const std::uint64_t end = begin + kTasksPerPart;
+  const Occurrence first{ static_cast<std::uint32_t>(begin / perOccurrence) };
+  for (auto entry = aJob.occurrences_.lower_bound(first);
+       entry != aJob.occurrences_.end();
+       ++entry) {
+    const auto& [occurrence, tasks] = *entry;
+    std::uint64_t stepBegin = occurrence.Value() * perOccurrence;
+    if (stepBegin >= end) {
+      return;
+    }
+    for (std::uint32_t step = 0; step < tasks.steps_.size(); ++step) {
+      const auto& items = tasks.steps_[step].tasks_;
+      const std::uint64_t stepEnd = stepBegin + items.size();
+      for (std::uint64_t number = std::max(begin, stepBegin);
+           number < std::min(end, stepEnd);
+           ++number) {
+        const TaskIndex index{ static_cast<std::uint32_t>(number - stepBegin) };
+        aFunction(TaskId{ aJob.id_, occurrence, StepIndex{ step }, index },
+                  items[index.Value()]);
+      }
+      stepBegin = stepEnd;
+    }
+  }
+}
+
+/// Returns the parts of which a task was started.
+std::vector<ProgressPart>
+StartedParts(const Job& aJob)
+{
+  std::vector<ProgressPart> parts;
+  const std::uint64_t tasks =
+    aJob.nextOccurrence_.Value() * TasksPerOccurrence(aJob);
+  for (std::uint64_t part = 0; part * kTasksPerPart < tasks; ++part) {
+    bool isStarted = false;
+    VisitTasks(
+      aJob, ProgressPart{ part }, [&](const TaskId&, const Task& aTask) {
+        isStarted = isStarted || aTask.lastRun_ > RunNumber{ 0 };
+      });
+    if (isStarted) {
+      parts.emplace_back(part);
+    }
+  }
+  return parts;
+}
+
+TaskProgress
+ProgressOf(const TaskId& aId, const Task& aTask)
+{
+  const bool isDone = std::holds_alternative<Done>(aTask.status_);
+  const auto* placed = std::get_if<Placed>(&aTask.status_);
+  return { aId.occurrence_,
+           aId.step_,
+           aId.index_,
+           aTask.lastRun_,
+           aTask.failures_,
+           isDone,
+           isDone ? std::string{} : aTask.checkpoint_,
+           placed == nullptr ? WorkerId{} : placed->worker_ };
+}
+
 Job
 RestoredJob(const JobStored& aStored, const Context& aContext)
 {
@@ -50,6 +132,30 @@
     SetStatus(aJob, id, Done{});
   } else if (!aProgress.worker_.IsEmpty()) {
     SetStatus(aJob, id, Placed{ aProgress.worker_, aProgress.lastRun_, aNow });
+  } else {
+    SetStatus(aJob, id, Waiting{});
+  }
+}
+
+/// Restores the progress that the records of earlier versions hold, or that
+/// of the parts, which is newer.
+void
+RestoreProgress(TasksState& aTasks,
+                const std::vector<JournalRecord>& aRecords,
+                bool aInParts,
+                TimePoint aNow)
+{
+  for (const JournalRecord& record : aRecords) {
+    const auto* progress = std::get_if<ProgressStored>(&record);
+    if (progress == nullptr || progress->part_.has_value() != aInParts) {
+      continue;
+    }
+    if (const auto found = aTasks.jobs_.find(progress->job_);
+        found != aTasks.jobs_.end()) {
+      for (const TaskProgress& task : progress->tasks_) {
+        RestoreTask(found->second, task, aNow);
+      }
+    }
   }
 }
 
@@ -62,38 +168,40 @@
            aJob.policy_, aContext.wallNow_, aJob.definition_ };
 }
 
-ProgressStored
-StoredProgress(const Job& aJob)
+ProgressPart
+PartOf(const Job& aJob, const TaskId& aTask)
 {
-  ProgressStored progress{ aJob.id_, {} };
-  for (const auto& [occurrence, tasks] : aJob.occurrences_) {
-    for (std::uint32_t step = 0; step < tasks.steps_.size(); ++step) {
-      const auto& items = tasks.steps_[step].tasks_;
-      for (std::uint32_t index = 0; index < items.size(); ++index) {
-        const Task& task = items[index];
-        const bool done = std::holds_alternative<Done>(task.status_);
-        const auto* placed = std::get_if<Placed>(&task.status_);
-        if (task.lastRun_ > RunNumber{ 0 }) {
-          progress.tasks_.push_back(
-            { occurrence,
-              StepIndex{ step },
-              TaskIndex{ index },
-              task.lastRun_,
-              task.failures_,
-              done,
-              done ? std::string{} : task.checkpoint_,
-              placed == nullptr ? WorkerId{} : placed->worker_ });
-        }
+  const auto& steps = aJob.definition_.steps_;
+  std::uint64_t number =
+    aTask.occurrence_.Value() * TasksPerOccurrence(aJob) + aTask.index_.Value();
+  for (std::uint32_t step = 0; step < aTask.step_.Value(); ++step) {
+    number += steps[step].count_.Value();
+  }
+  return ProgressPart{ number / kTasksPerPart };
+}
+
+void
+AppendProgress(const Job& aJob,
+               const std::set<ProgressPart>& aParts,
+               std::vector<JournalRecord>& aRecords)
+{
+  for (const ProgressPart part : aParts) {
+    ProgressStored progress{ aJob.id_, {}, part };
+    VisitTasks(aJob, part, [&](const TaskId& aId, const Task& aTask) {
+      if (aTask.lastRun_ > RunNumber{ 0 }) {
+        progress.tasks_.push_back(ProgressOf(aId, aTask));
       }
-    }
+    });
+    aRecords.emplace_back(std::move(progress));
   }
-  return progress;
 }
 
 OutcomeStored
 StoredOutcome(const Job& aJob, const Context& aContext)
 {
-  return { aJob.id_, aJob.queue_, aJob.outcome_, aContext.wallNow_ };
+  return {
+    aJob.id_, aJob.queue_, aJob.outcome_, aContext.wallNow_, StartedParts(aJob)
+  };
 }
 
 void
@@ -117,16 +225,8 @@
       },
       record);
   }
-  for (const JournalRecord& record : aRecords) {
-    if (const auto* progress = std::get_if<ProgressStored>(&record)) {
-      if (const auto found = aTasks.jobs_.find(progress->job_);
-          found != aTasks.jobs_.end()) {
-        for (const TaskProgress& task : progress->tasks_) {
-          RestoreTask(found->second, task, aContext.now_);
-        }
-      }
-    }
-  }
+  RestoreProgress(aTasks, aRecords, false, aContext.now_);
+  RestoreProgress(aTasks, aRecords, true, aContext.now_);
   // The outcome and the deletion of the definition have separate keys, so a job
   // may have both a definition and an outcome.
   for (const auto& [job, ended] : aTasks.endedJobs_) {
--- a/src/verbenawell/jobs/tasks/JobRecords.h
+++ b/src/verbenawell/jobs/tasks/JobRecords.h
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/journal/JournalRecord.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 
+#include <set>
 #include <vector>
 
 namespace verbenawell::jobs {
@@ -11,8 +12,15 @@
 JobStored
 StoredJob(const Job& aJob, const Context& aContext);
 
-ProgressStored
-StoredProgress(const Job& aJob);
+/// Returns the part of the job's progress that the task belongs to.
+ProgressPart
+PartOf(const Job& aJob, const TaskId& aTask);
+
+/// Appends the records of these parts of the job's progress.
+void
+AppendProgress(const Job& aJob,
+               const std::set<ProgressPart>& aParts,
+               std::vector<JournalRecord>& aRecords);
 
 OutcomeStored
 StoredOutcome(const Job& aJob, const Context& aContext);
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -8,6 +8,7 @@
 #include "verbenawell/jobs/tasks/internal/JobOutcomes.h"
 #include "verbenawell/jobs/tasks/internal/RunUpdates.h"
 
+#include <map>
 #include <set>
 #include <utility>
 
@@ -109,7 +110,7 @@
   // worker only.
   void On(const StartsDecided& aDecided)
   {
-    std::set<JobId> changed;
+    std::map<JobId, std::set<ProgressPart>> changed;
     for (const StartDecision& start : aDecided.starts_) {
       Job& job = state_.jobs_.at(start.task_.job_);
       Task* task = job.Find(start.task_);
@@ -117,13 +118,13 @@
       task->percent_ = Percent{ 0 };
       SetStatus(
         job, start.task_, Placed{ start.worker_, start.run_, context_.now_ });
-      changed.insert(job.id_);
+      changed[job.id_].insert(PartOf(job, start.task_));
     }
     JournalWriteRequested write{ {}, StartsPersisted{ aDecided.starts_ } };
-    for (const JobId& id : changed) {
+    for (const auto& [id, parts] : changed) {
       const Job& job = state_.jobs_.at(id);
       state_.openJobs_.Update(job);
-      write.records_.emplace_back(StoredProgress(job));
+      AppendProgress(job, parts, write.records_);
     }
     effects_.push_back(Raise{ std::move(write) });
   }
--- a/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
+++ b/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/tasks/internal/JobOutcomes.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -66,10 +67,10 @@
     JournalWriteRequested write{
       {}, EndsPersisted{ ended_.worker_, ended_.incarnation_, ended_.through_ }
     };
-    for (const JobId& id : changed_) {
+    for (const auto& [id, parts] : changed_) {
       if (const Job& job = state_.jobs_.at(id);
           job.outcome_ == JobOutcome::Open) {
-        write.records_.emplace_back(StoredProgress(job));
+        AppendProgress(job, parts, write.records_);
       }
     }
     effects_.push_back(Raise{ std::move(write) });
@@ -95,8 +96,7 @@
     if (aEnd.kind_ == EndKind::Failed) {
       ++aTask.failures_;
       aTask.failedOn_ = ended_.worker_;
-
-      changed_.insert(aJob.id_);
+      MarkChanged(aJob, aEnd.task_);
     }
     Requeue(aJob, aTask, aEnd);
     const Step& step = aJob.definition_.steps_[aEnd.task_.step_.Value()];
@@ -112,7 +112,7 @@
     }
     if (!aEnd.checkpoint_.empty()) {
       aTask.checkpoint_ = aEnd.checkpoint_;
-      changed_.insert(aJob.id_);
+      MarkChanged(aJob, aEnd.task_);
     }
     aTask.percent_ = Percent{ 0 };
     SetStatus(aJob, aEnd.task_, Waiting{});
@@ -127,34 +127,40 @@
       StopOtherRun(aTask, aEnd.task_, effects_);
     }
     SetStatus(aJob, aEnd.task_, Done{});
+    MarkChanged(aJob, aEnd.task_);
     if (aJob.definition_.steps_[aEnd.task_.step_.Value()].gang_) {
       CompleteGang(aJob, aEnd.task_);
     }
-    changed_.insert(aJob.id_);
     if (aJob.IsDone()) {
       DecideOutcome(state_, aJob, JobOutcome::Completed, context_, effects_);
     }
   }
 
   // The members of a gang end together, so one listed end completes them all.
-  static void CompleteGang(Job& aJob, const TaskId& aMember)
+  void CompleteGang(Job& aJob, const TaskId& aMember)
   {
     const Step& step = aJob.definition_.steps_[aMember.step_.Value()];
     for (std::uint32_t index = 0; index < step.count_.Value(); ++index) {
       TaskId member = aMember;
       member.index_ = TaskIndex{ index };
       SetStatus(aJob, member, Done{});
+      MarkChanged(aJob, member);
     }
   }
 
+  void MarkChanged(const Job& aJob, const TaskId& aTask)
+  {
+    changed_[aJob.id_].insert(PartOf(aJob, aTask));
+  }
+
   TasksState& state_;
   const RunsEnded& ended_;
   const Context& context_;
   Effects& effects_;
   /// Jobs of which a run has ended.
   std::set<JobId> touched_;
-  /// Jobs whose progress has to be stored.
-  std::set<JobId> changed_;
+  /// Parts of the jobs' progress that have to be stored.
+  std::map<JobId, std::set<ProgressPart>> changed_;
 };
 
 } // namespace
@@ -240,8 +246,10 @@
   // so the loss is written to the journal. No command follows the write. After
   // an outcome nothing is written, since the progress would replace it.
   if (found->second.outcome_ == JobOutcome::Open) {
-    aEffects.push_back(Raise{ JournalWriteRequested{
-      { StoredProgress(found->second) }, StartsPersisted{} } });
+    JournalWriteRequested write{ {}, StartsPersisted{} };
+    AppendProgress(
+      found->second, { PartOf(found->second, aLost.task_) }, write.records_);
+    aEffects.push_back(Raise{ std::move(write) });
   }
   aEffects.push_back(Count{ Counter::RunsLost });
   aEffects.push_back(Raise{ CapacityChanged{} });
--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace verbenawell::jobs {
@@ -14,6 +15,8 @@
 constexpr Duration kCallTimeout = 1s;
 constexpr Duration kWatchPollInterval = 20ms;
 constexpr std::size_t kPageSize = 50;
+// Each record of an append follows its length.
+constexpr std::size_t kLengthBytes = 4;
 
 } // namespace
 
@@ -181,7 +184,9 @@
 }
 
 Event
-FakeStore::ShardTopics::AppendToJournal(const AppendJournal& aAppend)
+FakeStore::ShardTopics::AppendToJournal(
+  const AppendJournal& aAppend,
+  const std::vector<KeyedRecord>& aRecords)
 {
   if (aAppend.epoch_.Value() < epoch_) {
     return JournalEpochRefused{};
@@ -196,18 +201,30 @@
   }
   hasSequence_ = true;
   lastSequence_ = sequence;
-  for (const JournalRecord& record : aAppend.records_) {
-    for (auto& [key, value] : EncodeJournalRecord(record)) {
-      if (value.empty()) {
-        journal_.erase(key);
-      } else {
-        journal_[key] = std::move(value);
-      }
+  for (const auto& [key, value] : aRecords) {
+    if (value.empty()) {
+      journal_.erase(key);
+    } else {
+      journal_[key] = value;
     }
   }
   return JournalAppended{ aAppend.sequence_ };
 }
 
+bool
+FakeStore::Exceeds(const std::vector<KeyedRecord>& aRecords) const
+{
+  std::size_t total = 0;
+  for (const auto& [key, value] : aRecords) {
+    const std::size_t bytes = 1 + key.size() + value.size();
+    if (bytes > limits_.recordBytes_) {
+      return true;
+    }
+    total += kLengthBytes + bytes;
+  }
+  return total > limits_.requestBytes_;
+}
+
 void
 FakeStore::Run(const DaemonId& aFrom,
                ShardIndex aShard,
@@ -217,8 +234,17 @@
   Write(aFrom,
         aReply,
         JournalAppendFailed{ aAppend.sequence_ },
-        [this, aShard, aAppend] {
-          return shards_[aShard].AppendToJournal(aAppend);
+        [this, aShard, aAppend]() -> Event {
+          std::vector<KeyedRecord> records;
+          for (const JournalRecord& record : aAppend.records_) {
+            std::ranges::move(EncodeJournalRecord(record),
+                              std::back_inserter(records));
+          }
+          if (Exceeds(records)) {
+            ++tooLarge_;
+            return JournalAppendRejected{ aAppend.sequence_ };
+          }
+          return shards_[aShard].AppendToJournal(aAppend, records);
         });
 }
 
--- a/tests/jobs/FakeStore.h
+++ b/tests/jobs/FakeStore.h
@@ -29,6 +29,13 @@
   Duration latency_ = std::chrono::milliseconds(4);
 };
 
+/// Largest record and append that the store accepts.
+struct StoreLimits
+{
+  std::size_t recordBytes_ = 262'144;
+  std::size_t requestBytes_ = 2'097'152;
+};
+
 /// Keeps the keyed topics in memory and checks appends as the platform's store
 /// does.
 class FakeStore
@@ -83,11 +90,14 @@
   void Put(const Wave& aWave);
 
   StoreFaults faults_;
+  StoreLimits limits_;
   /// Entries that the workers publish about themselves.
   std::map<WorkerId, WorkerEntry> workers_;
   /// Whether the last status written for each wave says that it is completed.
   std::map<WaveNumber, bool> waveStatus_;
   std::size_t appends_ = 0;
+  /// Appends to a journal that exceeded the limits.
+  std::size_t tooLarge_ = 0;
 
 private:
   struct OwnerWait
@@ -107,9 +117,11 @@
     bool hasSequence_ = false;
 
     [[nodiscard]] OwnerRead OwnerSince(Offset aFrom) const;
-    Event AppendToJournal(const AppendJournal& aAppend);
+    Event AppendToJournal(const AppendJournal& aAppend,
+                          const std::vector<KeyedRecord>& aRecords);
   };
 
+  [[nodiscard]] bool Exceeds(const std::vector<KeyedRecord>& aRecords) const;
   [[nodiscard]] bool Reaches(const DaemonId& aFrom) const;
   void Respond(const DaemonId& aFrom, const Reply& aReply, Event aEvent);
   void Fail(const DaemonId& aFrom, const Reply& aReply, Event aEvent);
--- a/tests/jobs/JournalAppendTest.cpp
+++ b/tests/jobs/JournalAppendTest.cpp
@@ -86,5 +86,40 @@
             std::get<ProgressStored>(repeated[0]).tasks_.at(0).lastRun_);
 }
 
+// Guards against a journal that stops for all jobs, because it repeats an
+// append that the store never accepts.
+TEST_F(JournalAppends, LeaveOutAWriteThatTheStoreRejects)
+{
+  Write(Progress("first", 1));
+  Write(Progress("a", 1));
+  Write(Progress("b", 1));
+  EXPECT_EQ(Apply(JournalAppended{ state_.journal_.sequence_ }).size(), 2U);
+  auto records = Apply(JournalAppendRejected{ state_.journal_.sequence_ });
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(std::get<ProgressStored>(records[0]).job_, JobId{ "a" });
+  records = Apply(JournalAppendRejected{ state_.journal_.sequence_ });
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(std::get<ProgressStored>(records[0]).job_, JobId{ "b" });
+}
+
+// Guards against an append over the store's limit for one call, of 2,097,152
+// bytes.
+TEST_F(JournalAppends, AreSplitByTheirSize)
+{
+  JournalWriteRequested write{ {}, StartsPersisted{} };
+  for (int job = 0; job < 30; ++job) {
+    ProgressStored progress = Progress(std::to_string(job).c_str(), 1);
+    progress.tasks_.back().checkpoint_ = std::string(100'000, 'x');
+    write.records_.emplace_back(std::move(progress));
+  }
+  std::size_t records = 0;
+  for (auto append = Apply(write); !append.empty();
+       append = Apply(JournalAppended{ state_.journal_.sequence_ })) {
+    EXPECT_LE(append.size(), 20U);
+    records += append.size();
+  }
+  EXPECT_EQ(records, 30U);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
