--- a/tests/jobs/JobFuzz.cpp
+++ b/tests/jobs/JobFuzz.cpp
@@ -15,7 +15,6 @@
 using namespace std::chrono_literals;
 
 constexpr int kJobCount = 40;
-constexpr int kWorkersPerShard = 6;
 constexpr int kLongRunningJobCount = 6;
 constexpr Duration kFaultTime = 20s;
 constexpr int kDisruptedLongRunningJobCount = 8;
@@ -33,7 +32,7 @@
     : scenarioRandom_(aSeed * 7919)
     , deployment_(aSeed,
                   { 3 + static_cast<int>(aSeed % 3),
-                    kWorkersPerShard * aOptions.shards_,
+                    aOptions.workersPerShard_ * aOptions.shards_,
                     2,
                     0,
                     0,
@@ -242,7 +241,7 @@
     : random_(aSeed * 7919)
     , deployment_(aSeed,
                   { 4 + static_cast<int>(aSeed % 3),
-                    kWorkersPerShard * aOptions.shards_,
+                    aOptions.workersPerShard_ * aOptions.shards_,
                     2,
                     0,
                     0,
--- a/tests/jobs/JobFuzz.h
+++ b/tests/jobs/JobFuzz.h
@@ -16,6 +16,8 @@
   bool hasDisruptions_ = false;
   /// Number of shards; with more than one, each seed produces another run.
   int shards_ = 1;
+  /// Number of workers of each shard.
+  int workersPerShard_ = 6;
   /// Prints the log lines of the daemons.
   bool isTraced_ = false;
 };
--- a/tests/jobs/fuzz_jobs_main.cpp
+++ b/tests/jobs/fuzz_jobs_main.cpp
@@ -13,6 +13,7 @@
             false,
             "replace load and faults by series of disruptions and cancels");
 DEFINE_int32(shards, 1, "number of shards of the deployment");
+DEFINE_int32(workers, 6, "number of workers of each shard");
 DEFINE_bool(trace, false, "print what the daemons log");
 DEFINE_uint64(last, 100, "last seed");
 
@@ -20,7 +21,7 @@
 main(int aCount, char** aArguments)
 {
   gflags::SetUsageMessage("[--first SEED] [--last SEED] [--lasting] "
-                          "[--disruptions] [--shards N]");
+                          "[--disruptions] [--shards N] [--workers N]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   int failed = 0;
   for (std::uint64_t seed = FLAGS_first; seed <= FLAGS_last; ++seed) {
@@ -29,6 +30,7 @@
                                   { .hasLongRunningJobs_ = FLAGS_lasting,
                                     .hasDisruptions_ = FLAGS_disruptions,
                                     .shards_ = FLAGS_shards,
+                                    .workersPerShard_ = FLAGS_workers,
                                     .isTraced_ = FLAGS_trace });
     for (const std::string& violation : violations) {
       std::cout << "seed " << seed << ": " << violation << '\n';
