--- a/src/verbenawell/codec/jobs/RequestCodec.cpp
+++ b/src/verbenawell/codec/jobs/RequestCodec.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/codec/jobs/RequestCodec.h"
 
+#include "verbenawell/codec/DecodeError.h"
 #include "verbenawell/codec/internal/Decoder.h"
 #include "verbenawell/codec/internal/Encoder.h"
 #include "verbenawell/codec/jobs/JobFields.h"
@@ -59,7 +60,7 @@
   auto record = codec::DecodeCbor<OwnerRecord>(aBytes);
   // A daemon holds a state for each shard.
   if (record.shards_ > kMaxShards) {
-    throw codec::DecodeError("an owner record names more than " +
+    throw DecodeError("an owner record names more than " +
                              std::to_string(kMaxShards.Value()) + " shards");
   }
   return record;
--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -188,7 +188,6 @@
   void ExitIfIdle()
   {
     if (state_.open_.empty() || now_ - state_.stopAt_ >= kMaxStopTime) {
-      effects_.push_back(LogLine{ LogLevel::Info, "stopped", {} });
       effects_.push_back(Exit{});
     } else {
       effects_.push_back(SetTimer{ ExitTick{}, kStopPoll });
--- a/src/verbenawell/jobs/core/State.h
+++ b/src/verbenawell/jobs/core/State.h
@@ -16,7 +16,7 @@
 
 namespace verbenawell::jobs {
 
-/// The whole state of a daemon. Each member is changed only by the reducer of
+/// The state of one shard in a daemon. Each member is changed only by the reducer of
 /// its module.
 struct State
 {
--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -27,7 +27,7 @@
 // Interval between reads of the VM list that suffices for moves between pools.
 constexpr Duration kIdleReadInterval = 1s;
 // Shortest interval between reads that newly listed workers cause.
-constexpr Duration kMinReadInterval = 100ms;
+constexpr Duration kMinReadInterval = 250ms;
 
 class Reducer
 {
@@ -56,6 +56,7 @@
     }
     for (const JournalRecord& record : aLoaded.records_) {
       if (const auto* stored = std::get_if<WaveStored>(&record)) {
+        state_.storedWaves_.insert_or_assign(stored->wave_, *stored);
         RestoreWave(*stored);
       }
     }
@@ -89,6 +90,11 @@
   {
     if (state_.isActive_) {
       StartWave(aRequested.wave_);
+      if (const auto stored =
+            state_.storedWaves_.find(aRequested.wave_.number_);
+          stored != state_.storedWaves_.end()) {
+        RestoreWave(stored->second);
+      }
       WriteNextStatus(state_, effects_);
     }
   }
--- a/src/verbenawell/jobs/maintenance/MaintenanceState.h
+++ b/src/verbenawell/jobs/maintenance/MaintenanceState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Time.h"
+#include "verbenawell/jobs/journal/JournalRecord.h"
 #include "verbenawell/jobs/maintenance/MaintenanceEvents.h"
 #include "verbenawell/jobs/model/Configuration.h"
 
@@ -57,6 +58,8 @@
 struct MaintenanceState
 {
   std::map<WaveNumber, WaveProgress> waves_;
+  /// Progress of waves in the journal, also of those that are assigned later.
+  std::map<WaveNumber, WaveStored> storedWaves_;
   std::map<VmId, ListedVm> vms_;
   /// Workers that get no new tasks because their VM is about to go down.
   std::set<WorkerId> draining_;
--- a/src/verbenawell/jobs/maintenance/VmCommands.cpp
+++ b/src/verbenawell/jobs/maintenance/VmCommands.cpp
@@ -21,6 +21,10 @@
 // An owner sends VM commands only while its last renewal is younger than this,
 // so that none is sent less than 3 s before those of its successor.
 constexpr Duration kMaxRenewalAgeForVmCommands = 1500ms;
+// A live owner learns of a claim from its next renewal. Until then it sends
+// commands, and each may wait for a second before it is sent.
+constexpr Duration kMinIntervalAfterLiveOwner =
+  kMinIntervalBetweenOwners + kMaxRenewalAgeForVmCommands + 1s;
 
 std::optional<VmCommandFailure>
 FailureOf(const VmCommandResult& aResult)
@@ -93,7 +97,9 @@
   const Owning* owning = aViews.ownership_.AsOwner();
   return owning != nullptr &&
          aNow - owning->renewalSentAt_ < kMaxRenewalAgeForVmCommands &&
-         aNow - owning->takenAt_ >= kMinIntervalBetweenOwners;
+         aNow - owning->takenAt_ >= (owning->isFromLiveOwner_
+                                       ? kMinIntervalAfterLiveOwner
+                                       : kMinIntervalBetweenOwners);
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -192,6 +192,7 @@
         return !aState.callers_.open_.empty();
       });
     if (!isAnyOpen || !StateOf(aShard).callers_.open_.empty()) {
+      effects_.push_back({ aShard, LogLine{ LogLevel::Info, "stopped", {} } });
       return false;
     }
     effects_.push_back({ aShard, SetTimer{ ExitTick{}, kExitPoll } });
--- a/tests/jobs/OwnershipTest.cpp
+++ b/tests/jobs/OwnershipTest.cpp
@@ -1,3 +1,4 @@
+#include "verbenawell/codec/DecodeError.h"
 #include "verbenawell/codec/jobs/RequestCodec.h"
 
 #include "ExpectNoViolations.h"
@@ -154,7 +155,7 @@
 {
   OwnerRecord record;
   record.shards_ = ShardCount{ 4'000'000'000 };
-  EXPECT_THROW(DecodeOwner(EncodeOwner(record)), codec::DecodeError);
+  EXPECT_THROW(DecodeOwner(EncodeOwner(record)), DecodeError);
 }
 
 // Guards against an owner record of an earlier version that is treated as no
--- a/tests/jobs/ShardingTest.cpp
+++ b/tests/jobs/ShardingTest.cpp
@@ -273,7 +273,10 @@
   EXPECT_FALSE(exits(0, 4s));
   EXPECT_FALSE(exits(1, 4s));
   open.clear();
-  EXPECT_TRUE(exits(0, 4100ms));
+  state.shards_.front().callers_.open_[RequestKey{ 2 }] = OpenRequest{};
+  EXPECT_FALSE(exits(1, 4100ms));
+  state.shards_.front().callers_.open_.clear();
+  EXPECT_TRUE(exits(0, 4200ms));
 }
 
 // Guards against shards of which one has most of the VMs or most of the jobs.
