Read the last report of a worker before its runs count as lost

An owner that learns of the end of a worker, from the VM list or from the response to a move, marked all its runs lost at once and dropped the worker. A report that had arrived before, and that a late owner had not read yet, was then ignored with the ends in it.

While a lease renewal is in flight and the worker has runs, the worker is now kept, without new runs, until the response or the failure of that renewal has been handled, or for 300 ms in which the owner handles its events in time. The lateness is measured by the timer of the lease checks.

--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -8,6 +8,7 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 #include "verbenawell/jobs/workers/internal/WorkerCommands.h"
 #include "verbenawell/jobs/workers/internal/WorkerList.h"
+#include "verbenawell/jobs/workers/internal/WorkerLoss.h"
 #include "verbenawell/jobs/workers/internal/WorkerResponses.h"
 
 #include <algorithm>
@@ -24,7 +25,6 @@
 // Interval between reads of the worker list while VMs move. A moved VM is
 // unused until its new worker is found in the list.
 constexpr Duration kMovePollInterval = 150ms;
-constexpr Duration kLeaseCheckInterval = 200ms;
 // Delay of the next lease renewal. It lets several ends share one renewal,
 // since each renewal costs a call.
 constexpr Duration kRenewalDelay = 80ms;
@@ -69,7 +69,8 @@
     effects_.push_back(
       Observe{ LatencyMetric::TakeOver, context_.now_ - state_.takenAt_ });
     effects_.push_back(ReadWorkers{});
-    effects_.push_back(SetTimer{ LeaseTick{}, kLeaseCheckInterval });
+    state_.lateness_.Start(context_.now_);
+    effects_.push_back(SetTimer{ LeaseTick{}, LatenessMonitor::kInterval });
   }
 
   void On(const WorkersRead& aRead)
@@ -105,9 +106,13 @@
     const RunEndNumber previous =
       before == nullptr ? RunEndNumber{} : before->lastEnd_;
     if (!ApplyReport(state_, aReport, context_, effects_)) {
+      RemoveIfEnded(state_, aReport.worker_, context_, effects_);
       effects_.push_back(SetTimer{ LeaseRenewal{ aReport.worker_ }, {} });
       return;
     }
+    if (RemoveIfEnded(state_, aReport.worker_, context_, effects_)) {
+      return;
+    }
     if (const Worker* worker = state_.Find(aReport.worker_);
         worker != nullptr) {
       const bool hasEnds = worker->lastEnd_ != previous;
@@ -118,14 +123,7 @@
 
   void On(const WorkerEnded& aEnded)
   {
-    const auto found = state_.workers_.find(aEnded.worker_);
-    if (found == state_.workers_.end()) {
-      return;
-    }
-    MarkAllRunsLost(found->second, "worker has ended", effects_);
-    effects_.push_back(DisconnectWorker{ aEnded.worker_ });
-    state_.endedWorkers_.insert(aEnded.worker_);
-    state_.workers_.erase(found);
+    ApplyWorkerEnd(state_, aEnded, context_, effects_);
   }
 
   void On(const EndsPersisted& aStored)
@@ -234,7 +232,13 @@
         [&](const WorkerListPoll&) { effects_.push_back(ReadWorkers{}); },
         [&](const LeaseRenewal& aKey) { commands_.SendRenewal(aKey.worker_); },
         [&](const CommandRetry& aKey) { commands_.Resend(aKey.worker_); },
-        [&](const LeaseTick&) { CheckLeases(); },
+        [&](const LeaseTick&) {
+          state_.lateness_.Tick(context_.now_);
+          CheckLeases(state_, context_, effects_);
+          CheckEndedWorkers(state_, context_, effects_);
+          effects_.push_back(
+            SetTimer{ LeaseTick{}, LatenessMonitor::kInterval });
+        },
         [](const auto&) {} },
       aDue.key_);
   }
@@ -308,6 +312,9 @@
         found != state_.workers_.end()) {
       Worker& worker = found->second;
       worker.isRenewing_ = false;
+      if (RemoveIfEnded(state_, aWorker, context_, effects_)) {
+        return;
+      }
       if (!std::exchange(worker.isUnresponsive_, true)) {
         LogWorker("worker_silent", worker, effects_);
       }
@@ -341,36 +348,6 @@
     }
   }
 
-  // A start command without a response may have started the run in an
-  // incarnation whose clock is unknown. Such a run has a lease of
-  // `kMaxLeaseDuration` at most.
-  void MarkExpiredRunsLost(Worker& aWorker)
-  {
-    std::vector<TaskId> expired;
-    for (const auto& [task, run] : aWorker.runs_) {
-      const bool isCoveredByLease = run.AcknowledgedAt() || !run.isStored_;
-      if (isCoveredByLease ||
-          context_.now_ >= LatestExpiry(run.startSentAt_, kMaxLeaseDuration)) {
-        expired.push_back(task);
-      }
-    }
-    for (const TaskId& task : expired) {
-      MarkRunLost(aWorker, task, "lease is over", effects_);
-    }
-  }
-
-  void CheckLeases()
-  {
-    for (auto& [id, worker] : state_.workers_) {
-      if (context_.now_ < worker.lease_.expiresAt_ ||
-          worker.lastResponseAt_ >= worker.lease_.expiresAt_) {
-        continue;
-      }
-      MarkExpiredRunsLost(worker);
-    }
-    effects_.push_back(SetTimer{ LeaseTick{}, kLeaseCheckInterval });
-  }
-
   WorkersState& state_;
   const Views& views_;
   const Context& context_;
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Time.h"
+#include "verbenawell/jobs/workers/LatenessMonitor.h"
 #include "verbenawell/jobs/workers/Lease.h"
 #include "verbenawell/jobs/workers/WorkerEvents.h"
 
@@ -99,6 +100,10 @@
   /// A lease renewal is in flight.
   bool isRenewing_ = false;
   TimePoint lastResponseAt_;
+  /// When the end of the worker became known, while the response to a lease
+  /// renewal may still list ends; empty if the worker is not known to have
+  /// ended.
+  std::optional<TimePoint> endKnownAt_;
   /// The highest number of an end that the worker has listed.
   RunEndNumber lastEnd_;
   /// Ends up to this number are in the journal, so the worker may drop them.
@@ -123,6 +128,7 @@
   Epoch epoch_;
   /// The journal has been loaded under this epoch.
   bool isActive_ = false;
+  LatenessMonitor lateness_;
 
   [[nodiscard]] const Worker* Find(const WorkerId& aWorker) const
   {
--- /dev/null
+++ b/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
@@ -0,0 +1,112 @@
+#include "verbenawell/jobs/workers/internal/WorkerLoss.h"
+
+#include "verbenawell/jobs/workers/WorkersState.h"
+#include "verbenawell/jobs/workers/internal/WorkerList.h"
+
+#include <vector>
+
+namespace verbenawell::jobs {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A report that a worker sent before its end arrives within this time, unless
+// this daemon is late.
+constexpr Duration kMaxLastReportDelay = 300ms;
+
+// A late daemon may learn of the end of a worker before it reads the worker's
+// last response. The ends in that response are handled first.
+bool
+AwaitsLastReport(const WorkersState& aState,
+                 const Worker& aWorker,
+                 TimePoint aNow)
+{
+  return aWorker.isRenewing_ && !aWorker.runs_.empty() &&
+         (aNow - *aWorker.endKnownAt_ < kMaxLastReportDelay ||
+          !aState.lateness_.WasInTime(*aWorker.endKnownAt_, aNow));
+}
+
+// A start command without a response may have started the run in an
+// incarnation whose clock is unknown. Such a run has a lease of
+// `kMaxLeaseDuration` at most.
+void
+MarkExpiredRunsLost(Worker& aWorker, TimePoint aNow, Effects& aEffects)
+{
+  std::vector<TaskId> expired;
+  for (const auto& [task, run] : aWorker.runs_) {
+    const bool isCoveredByLease = run.AcknowledgedAt() || !run.isStored_;
+    if (isCoveredByLease ||
+        aNow >= LatestExpiry(run.startSentAt_, kMaxLeaseDuration)) {
+      expired.push_back(task);
+    }
+  }
+  for (const TaskId& task : expired) {
+    MarkRunLost(aWorker, task, "lease is over", aEffects);
+  }
+}
+
+} // namespace
+
+void
+ApplyWorkerEnd(WorkersState& aState,
+               const WorkerEnded& aEnded,
+               const Context& aContext,
+               Effects& aEffects)
+{
+  const auto found = aState.workers_.find(aEnded.worker_);
+  if (found == aState.workers_.end() || found->second.endKnownAt_) {
+    return;
+  }
+  aState.endedWorkers_.insert(aEnded.worker_);
+  Worker& worker = found->second;
+  worker.endKnownAt_ = aContext.now_;
+  worker.hasResponded_ = false;
+  worker.isUnresponsive_ = true;
+  RemoveIfEnded(aState, aEnded.worker_, aContext, aEffects);
+}
+
+bool
+RemoveIfEnded(WorkersState& aState,
+              const WorkerId& aWorker,
+              const Context& aContext,
+              Effects& aEffects)
+{
+  const auto found = aState.workers_.find(aWorker);
+  if (found == aState.workers_.end() || !found->second.endKnownAt_ ||
+      AwaitsLastReport(aState, found->second, aContext.now_)) {
+    return false;
+  }
+  MarkAllRunsLost(found->second, "worker has ended", aEffects);
+  aEffects.push_back(DisconnectWorker{ found->first });
+  aState.workers_.erase(found);
+  return true;
+}
+
+void
+CheckEndedWorkers(WorkersState& aState,
+                  const Context& aContext,
+                  Effects& aEffects)
+{
+  for (auto entry = aState.workers_.begin(); entry != aState.workers_.end();) {
+    const auto current = entry++;
+    if (current->second.endKnownAt_) {
+      RemoveIfEnded(aState, current->first, aContext, aEffects);
+    }
+  }
+}
+
+void
+CheckLeases(WorkersState& aState, const Context& aContext, Effects& aEffects)
+{
+  const TimePoint now = aContext.now_;
+  for (auto& [id, worker] : aState.workers_) {
+    if (now < worker.lease_.expiresAt_ ||
+        worker.lastResponseAt_ >= worker.lease_.expiresAt_) {
+      continue;
+    }
+    MarkExpiredRunsLost(worker, now, aEffects);
+  }
+}
+
+} // namespace verbenawell::jobs
