Take no lease for over while a response of the worker may be unread

An owner that was late or paused by itself for the length of a lease marked the runs of a worker lost although the worker had answered all the while and had listed their ends; so did one whose own lateness made a renewal time out.

The runs of a worker whose lease has expired are now lost only if a renewal was rejected since its last response, or failed while the owner handled its events in time, or if the platform's list has not shown the worker for 3 s. At a late check, a renewal that is in flight is waited for as well.

LateReports.CompleteATaskWhoseLeaseHasExpiredUnread and AreAwaitedAfterARenewalThatALateOwnerGaveUp fail with the condition switched off (the run is lost at the first check) and pass with it. The runs of a silent worker are lost as before (AreNotAwaitedFromASilentWorkerWhoseLeaseIsOver).

--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -141,19 +141,27 @@
   void On(const LeaseRenewalFailed& aFailed)
   {
     effects_.push_back(Count{ Counter::LeaseRenewalsFailed });
+    if (const auto found = state_.workers_.find(aFailed.worker_);
+        found != state_.workers_.end() && found->second.isRenewing_ &&
+        state_.lateness_.WasInTime(found->second.renewalSentAt_,
+                                   context_.now_)) {
+      found->second.isSilent_ = true;
+    }
     RetryRenewal(aFailed.worker_);
   }
 
   void On(const LeaseRenewalRefused& aRefused)
   {
-    const auto found = state_.workers_.find(aRefused.worker_);
-    if (found != state_.workers_.end() &&
-        std::exchange(found->second.loggedRefusal_, aRefused.reason_) !=
+    if (const auto found = state_.workers_.find(aRefused.worker_);
+        found != state_.workers_.end()) {
+      found->second.isSilent_ = true;
+      if (std::exchange(found->second.loggedRefusal_, aRefused.reason_) !=
           aRefused.reason_) {
-      effects_.push_back(LogLine{ LogLevel::Warning,
-                                  "hold_refused",
-                                  { { "worker", aRefused.worker_.Value() },
-                                    { "reason", aRefused.reason_ } } });
+        effects_.push_back(LogLine{ LogLevel::Warning,
+                                    "hold_refused",
+                                    { { "worker", aRefused.worker_.Value() },
+                                      { "reason", aRefused.reason_ } } });
+      }
     }
     RetryRenewal(aRefused.worker_);
   }
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -91,6 +91,9 @@
   std::string loggedRefusal_;
   /// The last lease renewal failed or was rejected.
   bool isUnresponsive_ = false;
+  /// Since the last response, a lease renewal was rejected, or it failed while
+  /// this daemon handled its events in time.
+  bool isSilent_ = false;
   WorkerIncarnation incarnation_;
   /// When the current incarnation became known.
   TimePoint incarnationKnownSince_;
@@ -99,6 +102,7 @@
   Lease lease_;
   /// A lease renewal is in flight.
   bool isRenewing_ = false;
+  TimePoint renewalSentAt_;
   TimePoint lastResponseAt_;
   /// When the end of the worker became known, while the response to a lease
   /// renewal may still list ends; empty if the worker is not known to have
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -48,6 +48,7 @@
     renewal.wait_ = kMaxRenewalWait;
   }
   worker.isRenewing_ = true;
+  worker.renewalSentAt_ = context_.now_;
   effects_.push_back(Count{ Counter::LeaseRenewalsSent });
   effects_.push_back(std::move(renewal));
 }
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -164,6 +164,7 @@
   aWorker.lastEnd_ = RunEndNumber{};
   aWorker.acknowledged_ = RunEndNumber{};
   aWorker.hasResponded_ = false;
+  aWorker.isSilent_ = false;
   aWorker.lease_.reading_.reset();
   // Commands that reached the new incarnation named lease ends on the clock of
   // the old one, so their leases may have any permitted length.
--- a/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
@@ -14,6 +14,9 @@
 // A report that a worker sent before its end arrives within this time, unless
 // this daemon is late.
 constexpr Duration kMaxLastReportDelay = 300ms;
+// The platform's list drops a worker after several seconds of silence. One that
+// stays out of it for this long has ended.
+constexpr Duration kMaxUnlistedTime = 3s;
 
 // A late daemon may learn of the end of a worker before it reads the worker's
 // last response. The ends in that response are handled first.
@@ -27,6 +30,20 @@
           !aState.lateness_.WasInTime(*aWorker.endKnownAt_, aNow));
 }
 
+// A worker that was not seen to be silent may have listed ends in a response
+// that this daemon has not read yet.
+bool
+MayHaveUnreadResponse(const WorkersState& aState,
+                      const Worker& aWorker,
+                      TimePoint aNow)
+{
+  if (!aWorker.isListed_ && aNow - aWorker.listedAt_ >= kMaxUnlistedTime) {
+    return false;
+  }
+  return !aWorker.isSilent_ ||
+         (aWorker.isRenewing_ && !aState.lateness_.WasInTime(aNow, aNow));
+}
+
 // A start command without a response may have started the run in an
 // incarnation whose clock is unknown. Such a run has a lease of
 // `kMaxLeaseDuration` at most.
@@ -102,7 +119,8 @@
   const TimePoint now = aContext.now_;
   for (auto& [id, worker] : aState.workers_) {
     if (now < worker.lease_.expiresAt_ ||
-        worker.lastResponseAt_ >= worker.lease_.expiresAt_) {
+        worker.lastResponseAt_ >= worker.lease_.expiresAt_ ||
+        MayHaveUnreadResponse(aState, worker, now)) {
       continue;
     }
     MarkExpiredRunsLost(worker, now, aEffects);
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -292,6 +292,7 @@
   }
   worker.lease_.reading_ = ClockReading{ aReport.clock_, aContext.now_ };
   worker.lastResponseAt_ = aContext.now_;
+  worker.isSilent_ = false;
   if (!std::exchange(worker.hasResponded_, true)) {
     aEffects.push_back(Raise{ CapacityChanged{} });
   }
--- a/tests/jobs/LateReportsTest.cpp
+++ b/tests/jobs/LateReportsTest.cpp
@@ -46,6 +46,7 @@
     worker.lease_.reading_ = ClockReading{ WorkerTime{ 0 }, now_ };
     worker.lease_.expiresAt_ = now_ + 8s;
     worker.isRenewing_ = true;
+    worker.renewalSentAt_ = now_;
     worker.lastResponseAt_ = now_;
     Assignment& run = worker.runs_[task_];
     run.run_ = RunNumber{ 1 };
@@ -130,5 +131,34 @@
   EXPECT_EQ(state_.workers_.Find(worker_), nullptr);
 }
 
+// Guards against a task that starts again after it is done. The owner was late,
+// and the lease counted as over before the owner read the worker's report.
+TEST_F(LateReports, CompleteATaskWhoseLeaseHasExpiredUnread)
+{
+  ApplyAt(now_ + 9s, TimerDue{ LeaseTick{} });
+  EXPECT_TRUE(IsPlaced());
+  ApplyAt(now_ + 10ms, Report());
+  EXPECT_TRUE(IsDone());
+}
+
+// Guards against the same task if the late owner gave up the lease renewal.
+TEST_F(LateReports, AreAwaitedAfterARenewalThatALateOwnerGaveUp)
+{
+  ApplyAt(now_ + 3s, LeaseRenewalFailed{ worker_ });
+  ApplyAt(now_ + 10ms, TimerDue{ LeaseTick{} });
+  RunTicksUntil(now_ + 7s);
+  ASSERT_GT(now_, state_.workers_.Find(worker_)->lease_.expiresAt_);
+  EXPECT_TRUE(IsPlaced());
+}
+
+// Guards against a task that never runs again after the loss of its worker.
+TEST_F(LateReports, AreNotAwaitedFromASilentWorkerWhoseLeaseIsOver)
+{
+  RunTicksUntil(now_ + 2s);
+  ApplyAt(now_ + 10ms, LeaseRenewalFailed{ worker_ });
+  RunTicksUntil(now_ + 7s);
+  EXPECT_FALSE(IsPlaced());
+}
+
 } // namespace
 } // namespace verbenawell::jobs
