Read the list of a worker before its overdue maintenance

The drain of a VM in a wave ends after 5 s, whatever its worker runs by the owner's knowledge. An owner that was late, or that had given up a renewal, ordered the maintenance without a look at the worker, which may have listed ends since the last report.

An overdue drain now ends only if the last report is at most 1.5 s old, or if the worker is silent by the evidence that ends its lease. A worker that responds reports at least once a second, so that a wave is not delayed by an owner that is in time.

LateReports.DelayTheMaintenanceOfAnOverdueVm fails with the check switched off (1 command before the report) and passes with it.

--- a/src/verbenawell/jobs/workers/WorkersState.cpp
+++ b/src/verbenawell/jobs/workers/WorkersState.cpp
@@ -20,6 +20,10 @@
 // response or has failed within a second.
 constexpr Duration kUnresponsiveAfter = kIdleRenewalDelay + 1s;
 
+// A worker responds to a lease renewal within a second, or a little later if it
+// is slow. Older reports show that this daemon is late.
+constexpr Duration kMaxReportAge = 1500ms;
+
 } // namespace
 
 std::optional<TimePoint>
@@ -56,6 +60,13 @@
          aNow - aWorker.lastResponseAt_ >= kUnresponsiveAfter;
 }
 
+bool
+HasCurrentReport(const Worker& aWorker, TimePoint aNow)
+{
+  return aWorker.isSilent_ || (!aWorker.isUnresponsive_ &&
+                               aNow - aWorker.lastResponseAt_ <= kMaxReportAge);
+}
+
 bool
 IsSchedulable(const Worker& aWorker, TimePoint aNow)
 {
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -145,6 +145,11 @@
 bool
 IsUnresponsive(const Worker& aWorker, TimePoint aNow);
 
+/// Returns whether the ends that a worker has listed are known or will be read
+/// from a response in flight, so that the worker may be ended by a command.
+bool
+HasCurrentReport(const Worker& aWorker, TimePoint aNow);
+
 /// Returns whether a worker may get new runs.
 bool
 IsSchedulable(const Worker& aWorker, TimePoint aNow);
--- a/tests/jobs/LateReportsTest.cpp
+++ b/tests/jobs/LateReportsTest.cpp
@@ -3,6 +3,7 @@
 
 #include "SimulatedDeployment.h"
 
+#include <algorithm>
 #include <variant>
 
 #include <gtest/gtest.h>
@@ -94,6 +95,7 @@
 
   static constexpr WorkerIncarnation kIncarnation{ 1 };
   const WorkerId worker_{ "w" };
+  const VmId vm_{ "vm" };
   const TaskId task_{ JobId{ "0000000000000001" }, {}, {}, {} };
   TimePoint now_ = TimePoint{} + 100s;
   State state_;
@@ -160,5 +162,32 @@
   EXPECT_FALSE(IsPlaced());
 }
 
+// Guards against a maintenance command to a VM whose worker may have listed
+// ends that the owner has not read.
+TEST_F(LateReports, DelayTheMaintenanceOfAnOverdueVm)
+{
+  const auto commands = [&] {
+    state_.maintenance_.readAt_ = now_;
+    const Effects effects = ApplyAt(
+      now_ + 10ms, VmsRead{ { { vm_, kService, VmState::Up, worker_ } } });
+    return std::ranges::count_if(effects, [](const Effect& aEffect) {
+      return std::holds_alternative<StartMaintenance>(aEffect);
+    });
+  };
+  ApplyAt(now_,
+          WaveRequested{ { WaveNumber{ 1 }, { vm_ }, 30s, VmCount{ 1 } } });
+  now_ += 10ms;
+  EXPECT_EQ(commands(), 0);
+  now_ += 6s;
+  auto& owning = std::get<Owning>(state_.ownership_.role_);
+  owning.renewalSentAt_ = now_;
+  EXPECT_EQ(commands(), 0);
+  WorkerReported report = Report();
+  report.running_.push_back({ task_, RunNumber{ 1 }, {}, {}, 0 });
+  report.ended_.clear();
+  ApplyAt(now_ + 10ms, report);
+  EXPECT_EQ(commands(), 1);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
