--- a/tests/jobs/WorkerListChangesTest.cpp
+++ b/tests/jobs/WorkerListChangesTest.cpp
@@ -88,6 +88,7 @@
     StoreAdapter adapter{
       io,
       address,
+      jobs::ShardIndex{},
       [&](const jobs::Event& aEvent) {
         if (const auto* read = std::get_if<jobs::WorkersRead>(&aEvent)) {
           readings.push_back(NamesOf(*read));
@@ -201,10 +202,13 @@
                         },
                          [](http::ExchangeId) {} });
   std::vector<Workers> readings;
-  StoreAdapter adapter{ io, address, [&](const jobs::Event& aEvent) {
-                         readings.push_back(
-                           NamesOf(std::get<jobs::WorkersRead>(aEvent)));
-                       } };
+  StoreAdapter adapter{ io,
+                        address,
+                        jobs::ShardIndex{},
+                        [&](const jobs::Event& aEvent) {
+                          readings.push_back(
+                            NamesOf(std::get<jobs::WorkersRead>(aEvent)));
+                        } };
   adapter.Run(jobs::ReadWorkers{});
   io.run_for(200ms);
   adapter.Run(jobs::ReadWorkers{});
