--- a/src/verbenawell/codec/jobs/RequestCodec.cpp
+++ b/src/verbenawell/codec/jobs/RequestCodec.cpp
@@ -61,7 +61,7 @@
   // A daemon holds a state for each shard.
   if (record.shards_ > kMaxShards) {
     throw DecodeError("an owner record names more than " +
-                             std::to_string(kMaxShards.Value()) + " shards");
+                      std::to_string(kMaxShards.Value()) + " shards");
   }
   return record;
 }
--- a/src/verbenawell/jobs/core/State.h
+++ b/src/verbenawell/jobs/core/State.h
@@ -16,8 +16,8 @@
 
 namespace verbenawell::jobs {
 
-/// The state of one shard in a daemon. Each member is changed only by the reducer of
-/// its module.
+/// The state of one shard in a daemon. Each member is changed only by the
+/// reducer of its module.
 struct State
 {
   OwnershipState ownership_;
--- a/src/verbenawell/jobs/maintenance/internal/VmDrain.cpp
+++ b/src/verbenawell/jobs/maintenance/internal/VmDrain.cpp
@@ -32,8 +32,8 @@
   if (worker == nullptr) {
     return true;
   }
-  const bool isOverdue = now_ - aProgress.since_ >= kMaxDrainTime &&
-                         HasCurrentReport(*worker, now_);
+  const bool isOverdue =
+    now_ - aProgress.since_ >= kMaxDrainTime && HasCurrentReport(*worker, now_);
   bool isDrained = true;
   for (const auto& [task, run] : worker->runs_) {
     const Job* job = views_.tasks_.Find(task.job_);
