--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Shows case 6. Exits with 1 if the rule was broken, with 0 if it held and with 2
+# if the case could not run. With TROUBLE=0, the store stays up and no worker is lost.
+set -uo pipefail
+cd "$(dirname "$0")"
+root=../..
+for program in "$root/target/verbenawell-entry" "$root/target/review-2/6"; do
+  [ -x "$program" ] || { echo "$program is missing; build it first" >&2; exit 2; }
+done
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout --kill-after=2 115 "$root/target/review-2/6" "$root/target/verbenawell-entry" "$folder" record.txt
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
