--- a/review/standins-2/VmService.cpp
+++ b/review/standins-2/VmService.cpp
@@ -1,5 +1,6 @@
 #include "VmService.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <nlohmann/json.hpp>
@@ -88,7 +89,7 @@
                      { "pool", machine.kind_.service_ },
                      { "state", machine.state_ },
                      { "zone", "zone-a" },
-                     { "labels", { "a", "rack-1" } },
+                     { "labels", { machine.kind_.kind_, "rack-1" } },
                      { "capacity",
                        { { "cpu", machine.kind_.cpu_ },
                          { "memoryRequestMb", machine.kind_.memoryMb_ },
@@ -134,6 +135,14 @@
         : aMachine.kind_.service_ == body.at("pool").get<std::string>()) {
     return 200;
   }
+  // A pool holds machines of one kind.
+  if (!isUpkeep && std::ranges::any_of(machines_, [&](const auto& aOther) {
+        const WorkerKind& other = aOther.second.kind_;
+        return other.service_ == body.at("pool").get<std::string>() &&
+               other.kind_ != aMachine.kind_.kind_;
+      })) {
+    return 400;
+  }
   if (aMachine.state_ != "up") {
     return 409;
   }
--- a/review/standins-2/Workers.cpp
+++ b/review/standins-2/Workers.cpp
@@ -139,7 +139,7 @@
                      { { "cpu", aWorker.kind_.cpu_ },
                        { "memoryRequestMb", aWorker.kind_.memoryMb_ },
                        { "gpu", 0 } } },
-                   { "labels", { "a", "rack-1" } },
+                   { "labels", { aWorker.kind_.kind_, "rack-1" } },
                    { "born", aWorker.bornMs_ },
                    { "clockMs", Clock(aWorker) },
                    { "sequence", ++aWorker.sequence_ } }
--- a/review/standins-2/Workers.h
+++ b/review/standins-2/Workers.h
@@ -56,6 +56,7 @@
   std::string service_;
   std::uint64_t cpu_ = 16000;
   std::uint64_t memoryMb_ = 32768;
+  std::string kind_ = "a";
 };
 
 /// The workers of a deployment, as PROTOCOL.md describes them.
