Create due occurrences of a scheduled job in bounded parts

The owner hung, and so did each successor that read the job from the store.

The tick created all due occurrences in one event, and the index of open jobs went through all occurrences of the job for each of them. Nothing bounded the occurrences that exist at a time.

An event now adds at most 500 tasks, jobs in turn, and a scheduled job holds 2,000 tasks at a time. Leading occurrences that are done are removed, with their progress records; a record of their number keeps a successor from running them again. The remaining work is counted by step, and a pass stops trying a step of a job that no worker has room for.

--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -129,6 +129,13 @@
   aArchive(aValue.job_, aValue.queue_, aValue.outcome_, aValue.endedAt_);
 }
 
+template<typename Archive, OneOf<jobs::OccurrencesDone> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.job_, aValue.count_);
+}
+
 template<typename Archive, OneOf<jobs::JobRemoved> T>
 void
 Fields(Archive& aArchive, T& aValue)
--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -35,6 +35,12 @@
   return ProgressKey(aJob) + "/" + std::to_string(aPart.Value());
 }
 
+std::string
+OccurrencesKey(const JobId& aJob)
+{
+  return "o/" + aJob.Value();
+}
+
 std::string
 Value(const JournalRecord& aRecord)
 {
@@ -92,6 +98,16 @@
         for (const ProgressPart part : aStored.parts_) {
           records.push_back({ ProgressKey(aStored.job_, part), {} });
         }
+        if (aStored.hasDoneOccurrences_) {
+          records.push_back({ OccurrencesKey(aStored.job_), {} });
+        }
+        return records;
+      },
+      [&](const OccurrencesDone& aDone) {
+        Records records{ { OccurrencesKey(aDone.job_), Value(aRecord) } };
+        for (const ProgressPart part : aDone.parts_) {
+          records.push_back({ ProgressKey(aDone.job_, part), {} });
+        }
         return records;
       },
       [](const JobRemoved& aRemoved) {
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -61,8 +61,20 @@
   JobOutcome outcome_ = JobOutcome::Open;
   /// By the clock of the owner that ended the job; for readers of the journal.
   WallTime endedAt_;
-  /// The parts of the job's progress, whose records are deleted. They are not
-  /// stored.
+  /// The parts of the job's progress, whose records are deleted. This and the
+  /// next field are not stored.
+  std::vector<ProgressPart> parts_{};
+  /// The job has an `OccurrencesDone` record, which is deleted too.
+  bool hasDoneOccurrences_ = false;
+};
+
+/// The leading occurrences of a scheduled job that are done.
+struct OccurrencesDone
+{
+  JobId job_;
+  Occurrence count_;
+  /// The parts of the job's progress that belong to these occurrences only,
+  /// whose records are deleted. They are not stored.
   std::vector<ProgressPart> parts_{};
 };
 
@@ -110,6 +122,7 @@
                                    JobRemoved,
                                    WorkersStored,
                                    WaveStored,
-                                   HomePoolsStored>;
+                                   HomePoolsStored,
+                                   OccurrencesDone>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/journal/RecordSize.cpp
+++ b/src/verbenawell/jobs/journal/RecordSize.cpp
@@ -82,6 +82,11 @@
                                 aStored.parts_.size() *
                                   (kItemBytes + aStored.job_.Value().size());
                        },
+                       [](const OccurrencesDone& aDone) {
+                         return aDone.job_.Value().size() * 2 +
+                                aDone.parts_.size() *
+                                  (kItemBytes + aDone.job_.Value().size());
+                       },
                        [](const JobRemoved& aRemoved) {
                          return aRemoved.job_.Value().size();
                        },
--- a/src/verbenawell/jobs/model/Job.cpp
+++ b/src/verbenawell/jobs/model/Job.cpp
@@ -5,6 +5,15 @@
 
 namespace verbenawell::jobs {
 
+namespace {
+
+// Limit of the tasks that a scheduled job has at a time, unless a single
+// occurrence has more. Occurrences that are due wait until earlier ones are
+// done. Each event of the job and each placement pass looks at all of them.
+constexpr std::uint64_t kMaxScheduledTasks = 2000;
+
+} // namespace
+
 std::string_view
 ToString(JobOutcome aOutcome)
 {
@@ -73,11 +82,27 @@
          });
 }
 
+// Occurrences of a long-running job never end. Their number was limited when
+// the job was accepted.
+bool
+Job::MayAddOccurrence(WallTime aNow) const
+{
+  if (!definition_.schedule_ || nextOccurrence_ >= OccurrenceCount() ||
+      aNow < DueTime(*definition_.schedule_, nextOccurrence_)) {
+    return false;
+  }
+  const std::uint64_t held = (nextOccurrence_ - doneOccurrences_).Value();
+  return held == 0 || IsLongRunning() ||
+         (held + 1) * TasksPerOccurrence(definition_) <= kMaxScheduledTasks;
+}
+
 void
 AddOccurrence(Job& aJob)
 {
+  aJob.openTasks_.resize(aJob.definition_.steps_.size());
   OccurrenceTasks& tasks = aJob.occurrences_[aJob.nextOccurrence_];
   for (const Step& step : aJob.definition_.steps_) {
+    aJob.openTasks_[tasks.steps_.size()] += step.count_.Value();
     StepTasks& added = tasks.steps_.emplace_back();
     added.tasks_.resize(step.count_.Value());
     added.waiting_ = step.count_;
@@ -85,6 +110,19 @@
   ++aJob.nextOccurrence_;
 }
 
+bool
+RemoveDoneOccurrences(Job& aJob)
+{
+  const Occurrence before = aJob.doneOccurrences_;
+  while (!aJob.occurrences_.empty() &&
+         std::ranges::all_of(aJob.occurrences_.begin()->second.steps_,
+                             &StepTasks::IsDone)) {
+    aJob.occurrences_.erase(aJob.occurrences_.begin());
+    ++aJob.doneOccurrences_;
+  }
+  return aJob.doneOccurrences_ != before;
+}
+
 void
 SetStatus(Job& aJob, const TaskId& aTask, TaskStatus aStatus)
 {
@@ -97,12 +135,14 @@
     --step.waiting_;
   } else if (std::holds_alternative<Done>(status)) {
     --step.done_;
+    ++aJob.openTasks_[aTask.step_.Value()];
   }
   status = std::move(aStatus);
   if (std::holds_alternative<Waiting>(status)) {
     ++step.waiting_;
   } else if (std::holds_alternative<Done>(status)) {
     ++step.done_;
+    --aJob.openTasks_[aTask.step_.Value()];
   }
 }
 
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -103,9 +103,14 @@
   JobPolicy policy_;
   JobDefinition definition_;
   TimePoint acceptedAt_;
+  /// The occurrences from `doneOccurrences_` up to `nextOccurrence_`.
   std::map<Occurrence, OccurrenceTasks> occurrences_;
   /// Number of the next occurrence to create, from 0.
   Occurrence nextOccurrence_;
+  /// All occurrences before this one are done, and their tasks were removed.
+  Occurrence doneOccurrences_;
+  /// Number of tasks of `occurrences_` that are not done, by step.
+  std::vector<std::uint64_t> openTasks_;
   JobOutcome outcome_ = JobOutcome::Open;
   TimePoint endedAt_;
   /// The submission is in the journal.
@@ -122,12 +127,20 @@
   [[nodiscard]] bool IsReady(Occurrence aOccurrence, StepIndex aStep) const;
   /// Returns whether all occurrences were created and are done.
   [[nodiscard]] bool IsDone() const;
+  /// Returns whether an occurrence is left to create, is due and leaves the
+  /// number of tasks that exist within its limit.
+  [[nodiscard]] bool MayAddOccurrence(WallTime aNow) const;
 };
 
 /// Adds the tasks of the next occurrence.
 void
 AddOccurrence(Job& aJob);
 
+/// Removes the tasks of the leading occurrences that are done. Returns whether
+/// there were any.
+bool
+RemoveDoneOccurrences(Job& aJob);
+
 /// Sets the status of a task and updates the counts of its step.
 void
 SetStatus(Job& aJob, const TaskId& aTask, TaskStatus aStatus);
--- a/src/verbenawell/jobs/model/JobDefinition.h
+++ b/src/verbenawell/jobs/model/JobDefinition.h
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/Resources.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -58,6 +59,11 @@
   Duration interval_{};
 };
 
+/// Returns when an occurrence is due, or the end of the range of times if that
+/// is later.
+WallTime
+DueTime(const Schedule& aSchedule, Occurrence aOccurrence);
+
 /// A job as its caller submitted it.
 struct JobDefinition
 {
@@ -66,6 +72,10 @@
   std::optional<Schedule> schedule_;
 };
 
+/// Number of tasks of all steps.
+std::uint64_t
+TasksPerOccurrence(const JobDefinition& aDefinition);
+
 /// Throws `std::invalid_argument` that describes the first error.
 void
 ValidateDefinition(const JobDefinition& aDefinition);
--- a/src/verbenawell/jobs/placement/JobOrder.cpp
+++ b/src/verbenawell/jobs/placement/JobOrder.cpp
@@ -12,11 +12,10 @@
 // A late job has a small value until this multiple of its objective.
 constexpr int kLateFactor = 3;
 
-void
-AddOccurrenceWork(const Job& aJob,
-                  const OccurrenceTasks& aTasks,
-                  RemainingWork& aWork)
+Duration
+CriticalPathOf(const Job& aJob, const OccurrenceTasks& aTasks)
 {
+  Duration longest{};
   std::vector<Duration> ends;
   for (std::size_t index = 0; index < aTasks.steps_.size(); ++index) {
     const Step& step = aJob.definition_.steps_[index];
@@ -24,28 +23,43 @@
     for (const StepIndex earlier : step.dependencies_) {
       start = std::max(start, ends[earlier.Value()]);
     }
-    const StepTasks& tasks = aTasks.steps_[index];
-    const bool isDone = tasks.IsDone();
+    const bool isDone = aTasks.steps_[index].IsDone();
     ends.push_back(isDone ? start : start + step.estimatedRunTime_);
-    aWork.criticalPath_ = std::max(aWork.criticalPath_, ends.back());
-    const std::uint64_t left = tasks.tasks_.size() - tasks.done_.Value();
-    const std::uint64_t cpuTime = SaturatingMultiply(
-      step.resources_.cpu_.Value(),
-      static_cast<std::uint64_t>(step.estimatedRunTime_.count()));
-    aWork.cpu_ = SaturatingAdd(aWork.cpu_, SaturatingMultiply(left, cpuTime));
+    longest = std::max(longest, ends.back());
   }
+  return longest;
+}
+
+// The newest occurrences are the least advanced ones, and none has a longer
+// path than one that has not begun.
+Duration
+RemainingCriticalPath(const Job& aJob)
+{
+  const Duration whole = CriticalPathTime(aJob.definition_);
+  Duration longest{};
+  for (auto entry = aJob.occurrences_.rbegin();
+       entry != aJob.occurrences_.rend() && longest < whole;
+       ++entry) {
+    longest = std::max(longest, CriticalPathOf(aJob, entry->second));
+  }
+  return longest;
 }
 
 } // namespace
 
-RemainingWork
-Remaining(const Job& aJob)
+std::uint64_t
+RemainingCpuTime(const Job& aJob)
 {
-  RemainingWork work;
-  for (const auto& [occurrence, tasks] : aJob.occurrences_) {
-    AddOccurrenceWork(aJob, tasks, work);
+  std::uint64_t sum = 0;
+  for (std::size_t index = 0; index < aJob.openTasks_.size(); ++index) {
+    const Step& step = aJob.definition_.steps_[index];
+    const std::uint64_t cpuTime = SaturatingMultiply(
+      step.resources_.cpu_.Value(),
+      static_cast<std::uint64_t>(step.estimatedRunTime_.count()));
+    sum =
+      SaturatingAdd(sum, SaturatingMultiply(aJob.openTasks_[index], cpuTime));
   }
-  return work;
+  return sum;
 }
 
 JobRank
@@ -56,15 +70,16 @@
       Urgency::LongRunning, aJob.policy_.priority_, 0, aJob.acceptedAt_
     };
   }
-  const RemainingWork work = Remaining(aJob);
-  const Duration age = aNow + work.criticalPath_ - aJob.acceptedAt_;
+  const Duration age = aNow + RemainingCriticalPath(aJob) - aJob.acceptedAt_;
   Urgency urgency = Urgency::Overdue;
   if (age <= aJob.policy_.objective_) {
     urgency = Urgency::InTime;
   } else if (age <= kLateFactor * aJob.policy_.objective_) {
     urgency = Urgency::Late;
   }
-  return { urgency, aJob.policy_.priority_, work.cpu_, aJob.acceptedAt_ };
+  return {
+    urgency, aJob.policy_.priority_, RemainingCpuTime(aJob), aJob.acceptedAt_
+  };
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/placement/JobOrder.h
+++ b/src/verbenawell/jobs/placement/JobOrder.h
@@ -8,17 +8,10 @@
 
 namespace verbenawell::jobs {
 
-/// Work that a job still needs, by the declared run times of its steps.
-struct RemainingWork
-{
-  /// CPU time, in millicores times microseconds.
-  std::uint64_t cpu_ = 0;
-  /// Duration of the longest chain of dependent steps that are not done.
-  Duration criticalPath_{};
-};
-
-RemainingWork
-Remaining(const Job& aJob);
+/// CPU time that the tasks of a job still need, by the declared run times of
+/// its steps, in millicores times microseconds.
+std::uint64_t
+RemainingCpuTime(const Job& aJob);
 
 /// Whether a job can still end in time.
 enum class Urgency : std::uint8_t
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -154,10 +154,12 @@
 
   void Place(const Job& aJob, ServiceCapacity& aCapacity)
   {
+    unplaceableSteps_.clear();
     for (const auto& [occurrence, tasks] : aJob.occurrences_) {
       for (std::uint32_t index = 0; index < tasks.steps_.size(); ++index) {
         const StepIndex step{ index };
         if (tasks.steps_[index].waiting_ > TaskCount{ 0 } &&
+            !unplaceableSteps_.contains(step) &&
             aJob.IsReady(occurrence, step)) {
           const TaskId first{ aJob.id_, occurrence, step, {} };
           if (aJob.definition_.steps_[index].gang_) {
@@ -191,6 +193,9 @@
         isAnyUnplaced_ = true;
         // All tasks of the step need the same resources.
         NoteMissingAdvice(aTask, step, permission, aCapacity);
+        if (!HasOwnConstraints(aJob, step, tasks[index])) {
+          unplaceableSteps_.insert(aTask.step_);
+        }
         return;
       }
       const RunNumber run{ tasks[index].lastRun_.Value() + 1 };
@@ -203,6 +208,16 @@
     }
   }
 
+  /// Returns whether a worker that may not run a task may run the same step's
+  /// task of another occurrence.
+  static bool HasOwnConstraints(const Job& aJob,
+                                const Step& aStep,
+                                const Task& aTask)
+  {
+    return aJob.policy_.needsTickets_ || aStep.maxPerWorker_ > TaskCount{} ||
+           aTask.IsSuspect() || aTask.failures_ > TaskCount{};
+  }
+
   // A member that waits for the others wastes its resources, so a gang starts
   // only as a whole and under one run number.
   void PlaceGang(const Job& aJob, TaskId aTask, ServiceCapacity& aCapacity)
@@ -277,6 +292,9 @@
   Selection selection_ = Selection::Others;
   /// A task of the present round has found no worker.
   bool isAnyUnplaced_ = false;
+  /// The steps of the present job for which no worker has room, whatever the
+  /// occurrence.
+  std::set<StepIndex> unplaceableSteps_;
 };
 
 class Reducer
--- a/src/verbenawell/jobs/pools/PoolDemand.cpp
+++ b/src/verbenawell/jobs/pools/PoolDemand.cpp
@@ -112,7 +112,7 @@
     } else if (job.outcome_ == JobOutcome::Open &&
                Rank(job, aContext.now_).urgency_ != Urgency::Overdue) {
       std::uint64_t& sum = work[job.service_];
-      sum = SaturatingAdd(sum, Remaining(job).cpu_);
+      sum = SaturatingAdd(sum, RemainingCpuTime(job));
     }
   }
   std::map<ServiceId, PoolDemand> demand;
--- a/src/verbenawell/jobs/pools/PoolsReducer.cpp
+++ b/src/verbenawell/jobs/pools/PoolsReducer.cpp
@@ -61,7 +61,8 @@
   {
     const Job* job = views_.tasks_.Find(aPersisted.job_);
     if (job != nullptr && !job->IsLongRunning()) {
-      state_.arrivals_[job->service_].Add(context_.now_, Remaining(*job).cpu_);
+      state_.arrivals_[job->service_].Add(context_.now_,
+                                          RemainingCpuTime(*job));
     }
   }
 
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/tasks/internal/CrashSuspects.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace verbenawell::jobs {
@@ -14,14 +15,16 @@
 // bytes, so a record stays far below the store's limit of 262,144 bytes.
 constexpr std::uint64_t kTasksPerPart = 200;
 
-std::uint64_t
-TasksPerOccurrence(const Job& aJob)
+// Limits what a damaged record can make an owner hold. Records of earlier
+// versions may hold as many tasks.
+constexpr std::uint64_t kMaxRestoredTasks = 100'000;
+
+/// Number of leading parts whose occurrences are all done.
+ProgressPart
+DoneParts(const Job& aJob)
 {
-  std::uint64_t tasks = 0;
-  for (const Step& step : aJob.definition_.steps_) {
-    tasks += step.count_.Value();
-  }
-  return tasks;
+  return ProgressPart{ aJob.doneOccurrences_.Value() *
+                       TasksPerOccurrence(aJob.definition_) / kTasksPerPart };
 }
 
 /// Calls the function for each task of a part. The tasks of a job are numbered
@@ -30,7 +33,7 @@
 void
 VisitTasks(const Job& aJob, ProgressPart aPart, Function aFunction)
 {
-  const std::uint64_t perOccurrence = TasksPerOccurrence(aJob);
+  const std::uint64_t perOccurrence = TasksPerOccurrence(aJob.definition_);
   const std::uint64_t begin = aPart.Value() * kTasksPerPart;
   const std::uint64_t end = begin + kTasksPerPart;
   const Occurrence first{ static_cast<std::uint32_t>(begin / perOccurrence) };
@@ -63,8 +66,10 @@
 {
   std::vector<ProgressPart> parts;
   const std::uint64_t tasks =
-    aJob.nextOccurrence_.Value() * TasksPerOccurrence(aJob);
-  for (std::uint64_t part = 0; part * kTasksPerPart < tasks; ++part) {
+    aJob.nextOccurrence_.Value() * TasksPerOccurrence(aJob.definition_);
+  for (std::uint64_t part = DoneParts(aJob).Value();
+       part * kTasksPerPart < tasks;
+       ++part) {
     bool isStarted = false;
     VisitTasks(
       aJob, ProgressPart{ part }, [&](const TaskId&, const Task& aTask) {
@@ -116,6 +121,12 @@
 void
 RestoreTask(Job& aJob, const TaskProgress& aProgress, TimePoint aNow)
 {
+  const std::uint64_t tasks = TasksPerOccurrence(aJob.definition_);
+  if (aProgress.occurrence_ < aJob.doneOccurrences_ ||
+      (aProgress.occurrence_ - aJob.doneOccurrences_).Value() * tasks >=
+        kMaxRestoredTasks) {
+    return;
+  }
   while (aJob.nextOccurrence_ <= aProgress.occurrence_ &&
          aJob.nextOccurrence_ < aJob.OccurrenceCount()) {
     AddOccurrence(aJob);
@@ -147,6 +158,25 @@
   }
 }
 
+void
+RestoreDoneOccurrences(TasksState& aTasks,
+                       const std::vector<JournalRecord>& aRecords)
+{
+  for (const JournalRecord& record : aRecords) {
+    const auto* done = std::get_if<OccurrencesDone>(&record);
+    if (done == nullptr) {
+      continue;
+    }
+    if (const auto found = aTasks.jobs_.find(done->job_);
+        found != aTasks.jobs_.end() && found->second.definition_.schedule_) {
+      Job& job = found->second;
+      job.doneOccurrences_ = std::min(done->count_, job.OccurrenceCount());
+      job.nextOccurrence_ = job.doneOccurrences_;
+      job.started_ = true;
+    }
+  }
+}
+
 /// Restores the progress that the records of earlier versions hold, or that
 /// of the parts, which is newer.
 void
@@ -183,7 +213,8 @@
 {
   const auto& steps = aJob.definition_.steps_;
   std::uint64_t number =
-    aTask.occurrence_.Value() * TasksPerOccurrence(aJob) + aTask.index_.Value();
+    aTask.occurrence_.Value() * TasksPerOccurrence(aJob.definition_) +
+    aTask.index_.Value();
   for (std::uint32_t step = 0; step < aTask.step_.Value(); ++step) {
     number += steps[step].count_.Value();
   }
@@ -196,6 +227,9 @@
                std::vector<JournalRecord>& aRecords)
 {
   for (const ProgressPart part : aParts) {
+    if (part < DoneParts(aJob)) {
+      continue;
+    }
     ProgressStored progress{ aJob.id_, {}, part };
     VisitTasks(aJob, part, [&](const TaskId& aId, const Task& aTask) {
       if (aTask.lastRun_ > RunNumber{ 0 }) {
@@ -209,9 +243,23 @@
 OutcomeStored
 StoredOutcome(const Job& aJob, const Context& aContext)
 {
-  return {
-    aJob.id_, aJob.queue_, aJob.outcome_, aContext.wallNow_, StartedParts(aJob)
-  };
+  return { aJob.id_,           aJob.queue_,
+           aJob.outcome_,      aContext.wallNow_,
+           StartedParts(aJob), aJob.doneOccurrences_ > Occurrence{} };
+}
+
+std::optional<OccurrencesDone>
+RemoveDone(Job& aJob)
+{
+  const std::uint64_t before = DoneParts(aJob).Value();
+  if (!aJob.definition_.schedule_ || !RemoveDoneOccurrences(aJob)) {
+    return std::nullopt;
+  }
+  OccurrencesDone done{ aJob.id_, aJob.doneOccurrences_, {} };
+  for (std::uint64_t part = before; part < DoneParts(aJob).Value(); ++part) {
+    done.parts_.emplace_back(part);
+  }
+  return done;
 }
 
 void
@@ -235,6 +283,7 @@
       },
       record);
   }
+  RestoreDoneOccurrences(aTasks, aRecords);
   RestoreProgress(aTasks, aRecords, false, aContext.now_);
   RestoreProgress(aTasks, aRecords, true, aContext.now_);
   // The outcome and the deletion of the definition have separate keys, so a job
--- a/src/verbenawell/jobs/tasks/JobRecords.h
+++ b/src/verbenawell/jobs/tasks/JobRecords.h
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/journal/JournalRecord.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -25,6 +26,12 @@
 OutcomeStored
 StoredOutcome(const Job& aJob, const Context& aContext);
 
+/// Removes the leading occurrences of a scheduled job that are done. Returns
+/// the record that keeps a successor from running them again; empty if there
+/// were none.
+std::optional<OccurrencesDone>
+RemoveDone(Job& aJob);
+
 /// Restores the jobs that the records describe.
 void
 Restore(TasksState& aTasks,
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
@@ -12,7 +12,7 @@
 std::uint64_t
 CpuSeconds(const Job& aJob)
 {
-  const std::uint64_t cpuTime = Remaining(aJob).cpu_;
+  const std::uint64_t cpuTime = jobs::RemainingCpuTime(aJob);
   return cpuTime / kMicrosecondsPerSecond +
          (cpuTime % kMicrosecondsPerSecond == 0 ? 0 : 1);
 }
@@ -20,7 +20,11 @@
 bool
 HasTaskToStart(const Job& aJob)
 {
-  for (const auto& [occurrence, tasks] : aJob.occurrences_) {
+  // Usually the newest occurrences wait.
+  for (auto entry = aJob.occurrences_.rbegin();
+       entry != aJob.occurrences_.rend();
+       ++entry) {
+    const auto& [occurrence, tasks] = *entry;
     for (std::uint32_t step = 0; step < tasks.steps_.size(); ++step) {
       if (tasks.steps_[step].waiting_ > TaskCount{} &&
           aJob.IsReady(occurrence, StepIndex{ step })) {
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -10,6 +10,8 @@
 #include "verbenawell/jobs/tasks/internal/RunUpdates.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <utility>
@@ -21,6 +23,11 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kTickInterval = 250ms;
+// Many occurrences may come due at once, if a first time has passed or all
+// daemons were down. An event adds occurrences until they have this many tasks;
+// other events are handled before the next ones are added.
+constexpr std::uint64_t kMaxTasksAddedPerEvent = 500;
+constexpr Duration kNextPartDelay = 20ms;
 // Time for which an ended job is stored. Callers may ask for its state for 120
 // s. It is counted on the owner's monotonic clock, since the time of day may be
 // set, and begins anew with each owner.
@@ -152,9 +159,10 @@
   {
     if (std::holds_alternative<JobsTick>(aDue.key_) &&
         views_.ownership_.AsOwner() != nullptr) {
-      AddDueOccurrences();
+      const bool areMoreDue = AddDueOccurrences();
       RemoveOldJobs();
-      effects_.push_back(SetTimer{ JobsTick{}, kTickInterval });
+      effects_.push_back(
+        SetTimer{ JobsTick{}, areMoreDue ? kNextPartDelay : kTickInterval });
     }
   }
 
@@ -164,20 +172,43 @@
   }
 
 private:
-  void AddDueOccurrences()
-  {
-    for (auto& [id, job] : state_.jobs_) {
-      const auto& schedule = job.definition_.schedule_;
-      while (schedule && job.nextOccurrence_ < job.OccurrenceCount() &&
-             context_.wallNow_ >=
-               schedule->first_ +
-                 std::chrono::duration_cast<std::chrono::milliseconds>(
-                   schedule->interval_ * job.nextOccurrence_.Value())) {
+  /// Adds due occurrences of each job in turn, up to the limit of an event.
+  /// Returns whether the limit has left some out.
+  bool AddDueOccurrences()
+  {
+    std::uint64_t added = 0;
+    auto entry = state_.jobs_.lower_bound(state_.nextScheduledJob_);
+    for (std::size_t left = state_.jobs_.size(); left > 0; --left, ++entry) {
+      if (entry == state_.jobs_.end()) {
+        entry = state_.jobs_.begin();
+      }
+      Job& job = entry->second;
+      if (!job.definition_.schedule_ || job.outcome_ != JobOutcome::Open) {
+        continue;
+      }
+      const Occurrence before = job.nextOccurrence_;
+      const std::uint64_t tasks = TasksPerOccurrence(job.definition_);
+      while (added < kMaxTasksAddedPerEvent &&
+             job.MayAddOccurrence(context_.wallNow_)) {
         AddOccurrence(job);
+        added += tasks;
+      }
+      if (job.nextOccurrence_ != before) {
         state_.openJobs_.Update(job);
-        effects_.push_back(Raise{ CapacityChanged{} });
       }
+      if (added >= kMaxTasksAddedPerEvent) {
+        break;
+      }
+    }
+    if (added > 0) {
+      effects_.push_back(Raise{ CapacityChanged{} });
+    }
+    if (added < kMaxTasksAddedPerEvent) {
+      return false;
     }
+    state_.nextScheduledJob_ =
+      ++entry == state_.jobs_.end() ? JobId{} : entry->first;
+    return true;
   }
 
   void RemoveOldJobs()
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -31,6 +31,8 @@
 struct TasksState
 {
   std::map<JobId, Job> jobs_;
+  /// The job whose due occurrences are added first.
+  JobId nextScheduledJob_;
   OpenJobIndex openJobs_;
   LoadShedding shedding_;
   /// The suspects among the tasks of open jobs.
--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
@@ -225,6 +225,13 @@
   aState.suspects_.erase(begin, end);
 }
 
+void
+ForgetSuspects(TasksState& aState, const JobId& aJob, Occurrence aEnd)
+{
+  aState.suspects_.erase(aState.suspects_.lower_bound({ aJob, {}, {}, {} }),
+                         aState.suspects_.lower_bound({ aJob, aEnd, {}, {} }));
+}
+
 void
 RestoreSuspects(TasksState& aState)
 {
--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.h
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.h
@@ -39,6 +39,10 @@
 void
 ForgetSuspects(TasksState& aState, const JobId& aJob);
 
+/// Removes the suspects of the occurrences of a job before this one.
+void
+ForgetSuspects(TasksState& aState, const JobId& aJob, Occurrence aEnd);
+
 /// Finds the suspects among the tasks of restored jobs.
 void
 RestoreSuspects(TasksState& aState);
--- a/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
+++ b/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
@@ -62,18 +62,21 @@
         touched_.insert(end.task_.job_);
       }
     }
-    for (const JobId& id : touched_) {
-      state_.openJobs_.Update(state_.jobs_.at(id));
-    }
     JournalWriteRequested write{
       {}, EndsPersisted{ ended_.worker_, ended_.incarnation_, ended_.through_ }
     };
     for (const auto& [id, parts] : changed_) {
-      if (const Job& job = state_.jobs_.at(id);
-          job.outcome_ == JobOutcome::Open) {
+      if (Job& job = state_.jobs_.at(id); job.outcome_ == JobOutcome::Open) {
+        if (auto done = RemoveDone(job); done) {
+          ForgetSuspects(state_, id, job.doneOccurrences_);
+          write.records_.emplace_back(std::move(*done));
+        }
         AppendProgress(job, parts, write.records_);
       }
     }
+    for (const JobId& id : touched_) {
+      state_.openJobs_.Update(state_.jobs_.at(id));
+    }
     effects_.push_back(Raise{ std::move(write) });
   }
 
--- a/tests/jobs/MalformedRecordsTest.cpp
+++ b/tests/jobs/MalformedRecordsTest.cpp
@@ -196,7 +196,7 @@
   AddWorker(state, "i-1", 1);
   const Job& huge = AddJob(state, "j", 3, kHuge, 24h * 3650);
   AddJob(state, "k", 3, kHuge, 24h * 3650);
-  EXPECT_EQ(Remaining(huge).cpu_, std::numeric_limits<std::uint64_t>::max());
+  EXPECT_EQ(RemainingCpuTime(huge), std::numeric_limits<std::uint64_t>::max());
   EXPECT_TRUE(Admit(huge, state.View(), At(1s)));
   Job& small = AddJob(state, "l", 1, 1, 1ms);
   EXPECT_TRUE(Admit(small, state.View(), At(1s)));
--- a/tests/jobs/OpenJobIndexTest.cpp
+++ b/tests/jobs/OpenJobIndexTest.cpp
@@ -91,7 +91,7 @@
   index.Update(job);
   EXPECT_EQ(index.Waiting().at(kService).size(), 1U);
   EXPECT_EQ(index.Pending(kQueue), 1U);
-  EXPECT_EQ(index.RemainingCpuTime(kService), Remaining(job).cpu_);
+  EXPECT_EQ(index.RemainingCpuTime(kService), RemainingCpuTime(job));
   for (std::uint32_t task = 0; task < 2; ++task) {
     SetStatus(job,
               { job.id_, {}, StepIndex{ 0 }, TaskIndex{ task } },
@@ -127,7 +127,7 @@
   EXPECT_EQ(index.RemainingCpuTime(kService),
             std::numeric_limits<std::uint64_t>::max());
   index.Remove(huge.id_);
-  EXPECT_EQ(index.RemainingCpuTime(kService), Remaining(small).cpu_);
+  EXPECT_EQ(index.RemainingCpuTime(kService), RemainingCpuTime(small));
 }
 
 } // namespace
