Take back tasks whose start was not sent to a worker that is lost

Tasks that were assigned while the store was down, to a worker that was lost before it was back, never started again.

The check of the leases skipped a worker whose last response was younger than the end of its lease, since such a response settles the runs of then. It does not settle those that were assigned later.

The check no longer asks for that. A run whose start command was never sent has no lease, so it is taken back as soon as its worker does not respond, drains, has ended or is not listed; its start command is not sent then either.

--- a/src/verbenawell/jobs/workers/WorkerEvents.cpp
+++ b/src/verbenawell/jobs/workers/WorkerEvents.cpp
@@ -22,6 +22,8 @@
       return "lease is over";
     case LossCause::UnknownWorker:
       return "unknown worker";
+    case LossCause::StartNotSent:
+      return "start was not sent";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/workers/WorkerEvents.h
+++ b/src/verbenawell/jobs/workers/WorkerEvents.h
@@ -181,6 +181,8 @@
   LeaseExpired,
   /// Its worker is neither listed nor in the journal.
   UnknownWorker,
+  /// Its start command was never sent, and its worker takes none now.
+  StartNotSent,
 };
 
 /// Why a run is lost: the cause, or how its start command was rejected.
--- a/src/verbenawell/jobs/workers/WorkersState.cpp
+++ b/src/verbenawell/jobs/workers/WorkersState.cpp
@@ -67,6 +67,13 @@
                                aNow - aWorker.lastResponseAt_ <= kMaxReportAge);
 }
 
+bool
+TakesAssignedRuns(const Worker& aWorker, TimePoint aNow)
+{
+  return aWorker.isListed_ && !aWorker.entry_.draining_ &&
+         !aWorker.endKnownAt_ && !IsUnresponsive(aWorker, aNow);
+}
+
 bool
 IsSchedulable(const Worker& aWorker, TimePoint aNow)
 {
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -71,6 +71,13 @@
   /// This owner does not know the run, nor the resources that it takes.
   bool isUnknownRun_ = false;
 
+  /// No start command was sent yet, so the run cannot be on the worker.
+  [[nodiscard]] bool IsUnsent() const
+  {
+    return std::holds_alternative<Starting>(phase_) &&
+           startSentAt_ == TimePoint{};
+  }
+
   [[nodiscard]] bool IsPresent() const
   {
     return std::holds_alternative<Present>(phase_);
@@ -161,6 +168,11 @@
 bool
 HasCurrentReport(const Worker& aWorker, TimePoint aNow);
 
+/// Returns whether the start command of an assigned run may be sent for the
+/// first time. A worker may have become unfit since the run was assigned.
+bool
+TakesAssignedRuns(const Worker& aWorker, TimePoint aNow);
+
 /// Returns whether a worker may get new runs.
 bool
 IsSchedulable(const Worker& aWorker, TimePoint aNow);
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -93,6 +93,10 @@
                           Assignment& aRun,
                           Starting& aStarting)
 {
+  // The next lease check takes such a run back.
+  if (aRun.IsUnsent() && !TakesAssignedRuns(aWorker, context_.now_)) {
+    return;
+  }
   const Job* job = views_.tasks_.Find(aTask.job_);
   const Task* task = job == nullptr ? nullptr : job->Find(aTask);
   if (task == nullptr || !aWorker.lease_.reading_ || !IsOwnershipConfirmed()) {
--- a/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
@@ -64,6 +64,22 @@
   }
 }
 
+// A start command may wait for the store for any time. A run without one needs
+// no lease to end, so it can start elsewhere at once.
+void
+TakeBackUnsentRuns(Worker& aWorker, Effects& aEffects)
+{
+  std::vector<TaskId> unsent;
+  for (const auto& [task, run] : aWorker.runs_) {
+    if (run.IsUnsent()) {
+      unsent.push_back(task);
+    }
+  }
+  for (const TaskId& task : unsent) {
+    MarkRunLost(aWorker, task, LossCause::StartNotSent, aEffects);
+  }
+}
+
 } // namespace
 
 void
@@ -125,12 +141,15 @@
 {
   const TimePoint now = aContext.now_;
   for (auto& [id, worker] : aState.workers_) {
-    if (now < worker.lease_.expiresAt_ ||
-        worker.lastResponseAt_ >= worker.lease_.expiresAt_ ||
-        MayHaveUnreadResponse(aState, worker, now)) {
-      continue;
+    if (!TakesAssignedRuns(worker, now)) {
+      TakeBackUnsentRuns(worker, aEffects);
+    }
+    // A response after the end of the lease settles the runs of then, not those
+    // that were assigned later or whose ends a full list left out.
+    if (now >= worker.lease_.expiresAt_ &&
+        !MayHaveUnreadResponse(aState, worker, now)) {
+      MarkExpiredRunsLost(worker, now, aEffects);
     }
-    MarkExpiredRunsLost(worker, now, aEffects);
   }
 }
 
--- a/src/verbenawell/jobs/workers/internal/WorkerLoss.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerLoss.h
@@ -31,7 +31,8 @@
                   const Context& aContext,
                   Effects& aEffects);
 
-/// Marks the runs lost whose leases have expired.
+/// Marks the runs lost whose leases have expired, and those that were never
+/// sent to a worker that has become unfit for them.
 void
 CheckLeases(WorkersState& aState, const Context& aContext, Effects& aEffects);
 
