Hand jobs over to a shard whose workers can run them

A job runs on the workers of its own shard, and both belong to shards by hashes of their names, so a shard may have no worker of a small pool or with a required label.

An owner now looks for jobs that have not begun, that its listed workers could not run even if they were idle, and that those of another shard could. Requests for the job are redirected. Requests whose deadline has passed are no longer sent by a daemon that was paused.

--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -136,7 +136,14 @@
   aArchive(aValue.job_, aValue.count_);
 }
 
-template<typename Archive, OneOf<jobs::JobRemoved> T>
+template<typename Archive, OneOf<jobs::JobHandedOver> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.job_, aValue.queue_, aValue.to_, aValue.isConfirmed_);
+}
+
+template<typename Archive, OneOf<jobs::JobRemoved, jobs::HandOverRemoved> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
@@ -199,7 +206,22 @@
   aArchive(aValue.job_, aValue.definition_);
 }
 
-template<typename Archive, OneOf<jobs::ReadJob, jobs::CancelJob> T>
+template<typename Archive, OneOf<jobs::AdoptJob> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.job_);
+}
+
+template<typename Archive, OneOf<jobs::OtherShard> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.shard_);
+}
+
+template<typename Archive,
+         OneOf<jobs::ReadJob, jobs::CancelJob, jobs::FindAdoptedJob> T>
 void
 Fields(Archive& aArchive, T& aValue)
 {
--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -35,6 +35,12 @@
   return ProgressKey(aJob) + "/" + std::to_string(aPart.Value());
 }
 
+std::string
+HandOverKey(const JobId& aJob)
+{
+  return "h/" + aJob.Value();
+}
+
 std::string
 OccurrencesKey(const JobId& aJob)
 {
@@ -110,6 +116,16 @@
         }
         return records;
       },
+      [&](const JobHandedOver& aHandedOver) {
+        Records records{ { HandOverKey(aHandedOver.job_), Value(aRecord) } };
+        if (aHandedOver.isConfirmed_) {
+          records.push_back({ JobKey(aHandedOver.job_), {} });
+        }
+        return records;
+      },
+      [](const HandOverRemoved& aRemoved) {
+        return Records{ { HandOverKey(aRemoved.job_), {} } };
+      },
       [](const JobRemoved& aRemoved) {
         return Records{ { ProgressKey(aRemoved.job_), {} } };
       },
--- a/src/verbenawell/codec/jobs/RequestCodec.cpp
+++ b/src/verbenawell/codec/jobs/RequestCodec.cpp
@@ -32,6 +32,8 @@
   auto request = codec::DecodeCbor<CallerRequest>(aBytes);
   if (const auto* submit = std::get_if<SubmitJob>(&request.action_)) {
     codec::RequireValid(*submit->definition_);
+  } else if (const auto* adopt = std::get_if<AdoptJob>(&request.action_)) {
+    codec::RequireValid(adopt->job_->definition_);
   }
   return request;
 }
--- a/src/verbenawell/jobs/callers/CallerEvents.h
+++ b/src/verbenawell/jobs/callers/CallerEvents.h
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/callers/CallerRequest.h"
 
 #include <optional>
+#include <vector>
 
 namespace verbenawell::jobs {
 
@@ -42,6 +43,26 @@
   CallerAction action_;
 };
 
+/// These jobs have waited for workers that their shard lacks and that another
+/// one has.
+struct JobsStranded
+{
+  struct Entry
+  {
+    JobId job_;
+    ShardIndex to_;
+  };
+  std::vector<Entry> jobs_;
+};
+
+/// Another shard has responded to a request about a handed-over job, or no
+/// response came in time.
+struct ShardResponded
+{
+  JobId job_;
+  CallerResponse response_;
+};
+
 /// The owner's modules have decided on a request.
 struct RequestDecided
 {
--- a/src/verbenawell/jobs/callers/CallerRequest.cpp
+++ b/src/verbenawell/jobs/callers/CallerRequest.cpp
@@ -1,7 +1,27 @@
 #include "verbenawell/jobs/callers/CallerRequest.h"
 
+#include "verbenawell/core/Overloaded.h"
+#include "verbenawell/jobs/journal/JournalRecord.h"
+
 namespace verbenawell::jobs {
 
+JobId
+JobOf(const CallerAction& aAction)
+{
+  return std::visit(
+    Overloaded{ [](const CountPending&) { return JobId{}; },
+                [](const AdoptJob& aAdopt) { return aAdopt.job_->job_; },
+                [](const auto& aKnown) { return aKnown.job_; } },
+    aAction);
+}
+
+bool
+IsBetweenShards(const CallerAction& aAction)
+{
+  return std::holds_alternative<AdoptJob>(aAction) ||
+         std::holds_alternative<FindAdoptedJob>(aAction);
+}
+
 std::string_view
 ToString(RejectReason aReason)
 {
--- a/src/verbenawell/jobs/callers/CallerRequest.h
+++ b/src/verbenawell/jobs/callers/CallerRequest.h
@@ -12,6 +12,8 @@
 
 namespace verbenawell::jobs {
 
+struct JobStored;
+
 /// Submits a job.
 struct SubmitJob
 {
@@ -34,7 +36,33 @@
 struct CountPending
 {};
 
-using CallerAction = std::variant<SubmitJob, ReadJob, CancelJob, CountPending>;
+/// Only between shards: stores a job that another shard has accepted.
+struct AdoptJob
+{
+  std::shared_ptr<const JobStored> job_;
+};
+
+/// Only between shards: requests the state of an adopted job.
+struct FindAdoptedJob
+{
+  JobId job_;
+};
+
+using CallerAction = std::variant<SubmitJob,
+                                  ReadJob,
+                                  CancelJob,
+                                  CountPending,
+                                  AdoptJob,
+                                  FindAdoptedJob>;
+
+/// The job that an action names; empty for an action on a queue.
+JobId
+JobOf(const CallerAction& aAction);
+
+/// Returns whether an action comes from the owner of another shard. Such a
+/// request names no path of a queue.
+bool
+IsBetweenShards(const CallerAction& aAction);
 
 /// A caller's request to a queue.
 struct CallerRequest
@@ -46,6 +74,9 @@
   ConfigurationVersion configuration_{};
   /// The shard whose owner decides on the request.
   ShardIndex shard_{};
+  /// The job's own shard has handed the job over to `shard_`. Not sent to other
+  /// daemons.
+  bool isRedirected_ = false;
 };
 
 /// Why a submission was rejected. No task of a rejected job has run.
@@ -112,6 +143,12 @@
   bool mayHaveTakenEffect_ = false;
 };
 
+/// Only between daemons: another shard has the job.
+struct OtherShard
+{
+  ShardIndex shard_;
+};
+
 using CallerResponse = std::variant<JobAccepted,
                                     JobRejected,
                                     QueueUnknown,
@@ -120,6 +157,7 @@
                                     CancelAccepted,
                                     PendingJobsReported,
                                     OutcomeUnknown,
-                                    NotOwner>;
+                                    NotOwner,
+                                    OtherShard>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -24,9 +24,6 @@
 constexpr Duration kResponseMargin = 100ms;
 constexpr int kMarginDivisor = 4;
 constexpr Duration kRetryAfterNoConfiguration = 2s;
-// A submission that has reached no owner by then is rejected, so that its
-// caller can repeat it before the deadline.
-constexpr Duration kNoOwnerTimeout = 500ms;
 // An owner counts as overdue when its last renewal is this old. It renews its
 // ownership every second, so the next renewal is missing by then and not only
 // delayed.
@@ -177,8 +174,10 @@
 private:
   void Tick()
   {
-    RouteWaiting();
+    // A daemon that was paused must not send requests whose deadline has
+    // passed.
     Expire();
+    RouteWaiting();
     state_.isTicking_ = !state_.open_.empty();
     if (state_.isTicking_) {
       effects_.push_back(SetTimer{ CallersTick{}, kTickPeriod });
@@ -224,9 +223,11 @@
       Respond(aKey, response);
       return;
     }
-    const Queue* queue =
-      configuration->Resolve(aOpen.request_.host_, aOpen.request_.path_);
-    if (queue == nullptr) {
+    const bool hasQueue = !IsBetweenShards(aOpen.request_.action_);
+    const Queue* queue = hasQueue ? configuration->Resolve(aOpen.request_.host_,
+                                                           aOpen.request_.path_)
+                                  : nullptr;
+    if (hasQueue && queue == nullptr) {
       // An owner without access to the store may not know a queue yet that the
       // forwarding daemon has already resolved.
       const bool isBehind =
@@ -246,7 +247,9 @@
         aOpen.sentTo_ = views_.ownership_.self_.daemon_;
         ++aOpen.attemptsWithoutResponse_;
         effects_.push_back(Raise{
-          OwnerRequestReceived{ aKey, queue->id_, aOpen.request_.action_ } });
+          OwnerRequestReceived{ aKey,
+                                queue == nullptr ? QueueId{} : queue->id_,
+                                aOpen.request_.action_ } });
       }
       return;
     }
@@ -281,25 +284,15 @@
 
   [[nodiscard]] bool EndsWithoutOwner(const OpenRequest& aOpen) const
   {
-    if (state_.isStopping_ &&
-        (now_ - state_.stopAt_ >= kLastResponsesAfter ||
-         (aOpen.stage_ == RequestStage::Waiting && IsOwnerMissing()))) {
+    if (state_.isStopping_ && (now_ - state_.stopAt_ >= kLastResponsesAfter ||
+                               (aOpen.stage_ == RequestStage::Waiting &&
+                                IsOwnerMissing(views_.ownership_, now_)))) {
       return true;
     }
     return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
            !aOpen.forwarded_ && now_ - aOpen.arrivedAt_ >= kNoOwnerTimeout;
   }
 
-  // If all daemons are stopping, the next owner is the first one that has
-  // started again. A daemon whose requests wait for an owner would exit late.
-  [[nodiscard]] bool IsOwnerMissing() const
-  {
-    const auto& ownership = views_.ownership_;
-    return (!ownership.owner_ || ownership.owner_->resigned_) &&
-           now_ - std::max(ownership.renewedAt_, ownership.readingSince_) >=
-             kNoOwnerTimeout;
-  }
-
   void Expire()
   {
     std::vector<std::pair<RequestKey, CallerResponse>> expired;
@@ -338,9 +331,29 @@
                OutcomeOf(aOpen, aResponse, aHasEarlierAttempt));
   }
 
+  /// Passes a request on to the shard that its job was handed over to.
+  void Redirect(RequestKey aKey, OpenRequest& aOpen, ShardIndex aShard)
+  {
+    // A job is handed over once.
+    if (aOpen.request_.isRedirected_) {
+      Respond(aKey, OutcomeUnknown{});
+      return;
+    }
+    RedirectRequest redirect{ aKey, aOpen.request_, aOpen.deadline_ - now_ };
+    redirect.request_.shard_ = aShard;
+    redirect.request_.isRedirected_ = true;
+    state_.open_.erase(aKey);
+    effects_.push_back(std::move(redirect));
+  }
+
   void Respond(RequestKey aKey, const CallerResponse& aResponse)
   {
     const auto found = state_.open_.find(aKey);
+    if (const auto* other = std::get_if<OtherShard>(&aResponse);
+        other != nullptr && !found->second.forwarded_) {
+      Redirect(aKey, found->second, other->shard_);
+      return;
+    }
     if (const auto* rejected = std::get_if<JobRejected>(&aResponse)) {
       effects_.push_back(Count{ rejected->reason_ });
       LogRequest("request_failed",
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
@@ -1,6 +1,9 @@
 #include "verbenawell/jobs/callers/internal/AttemptOutcome.h"
 
 #include "verbenawell/core/Overloaded.h"
+#include "verbenawell/jobs/ownership/OwnershipState.h"
+
+#include <algorithm>
 
 namespace verbenawell::jobs {
 
@@ -30,6 +33,16 @@
 
 } // namespace
 
+// If all daemons are stopping, the next owner is the first one that has
+// started again. A daemon whose requests wait for an owner would exit late.
+bool
+IsOwnerMissing(const OwnershipState& aOwnership, TimePoint aNow)
+{
+  return (!aOwnership.owner_ || aOwnership.owner_->resigned_) &&
+         aNow - std::max(aOwnership.renewedAt_, aOwnership.readingSince_) >=
+           kNoOwnerTimeout;
+}
+
 bool
 IsSubmission(const OpenRequest& aOpen)
 {
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
@@ -6,6 +6,16 @@
 
 namespace verbenawell::jobs {
 
+struct OwnershipState;
+
+/// A submission that has reached no owner by then is rejected, so that its
+/// caller can repeat it before the deadline.
+constexpr Duration kNoOwnerTimeout = std::chrono::milliseconds(500);
+
+/// Returns whether there has been no owner for `kNoOwnerTimeout`.
+bool
+IsOwnerMissing(const OwnershipState& aOwnership, TimePoint aNow);
+
 /// The response to an attempt is the response to the request.
 struct PassOn
 {
--- a/src/verbenawell/jobs/callers/internal/RequestLogLine.cpp
+++ b/src/verbenawell/jobs/callers/internal/RequestLogLine.cpp
@@ -1,22 +1,11 @@
 #include "verbenawell/jobs/callers/internal/RequestLogLine.h"
 
-#include "verbenawell/core/Overloaded.h"
-
 #include <chrono>
 
 namespace verbenawell::jobs {
 
 namespace {
 
-JobId
-JobOf(const CallerAction& aAction)
-{
-  return std::visit(
-    Overloaded{ [](const CountPending&) { return JobId{}; },
-                [](const auto& aKnown) { return aKnown.job_; } },
-    aAction);
-}
-
 std::string
 Milliseconds(Duration aTime)
 {
--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -77,6 +77,22 @@
   Duration timeLeft_{};
 };
 
+/// Passes a caller's request on to the shard that its job was handed over to.
+struct RedirectRequest
+{
+  RequestKey key_;
+  CallerRequest request_;
+  Duration timeLeft_{};
+};
+
+/// Sends a request about a handed-over job to the owner of another shard. The
+/// result is a `ShardResponded`.
+struct RequestFromShard
+{
+  ShardIndex to_;
+  CallerAction action_;
+};
+
 struct ReadWorkers
 {};
 
@@ -217,6 +233,8 @@
                             ReadOperatorRecords,
                             SendResponse,
                             ForwardRequest,
+                            RedirectRequest,
+                            RequestFromShard,
                             ReadWorkers,
                             RenewLease,
                             StartTask,
--- a/src/verbenawell/jobs/journal/JournalEvents.h
+++ b/src/verbenawell/jobs/journal/JournalEvents.h
@@ -88,6 +88,19 @@
   JobId job_;
 };
 
+/// The hand-over of a job is persisted, so the other shard may be asked to
+/// store it.
+struct HandOverPersisted
+{
+  JobId job_;
+};
+
+/// It is persisted that the other shard has the job.
+struct HandOverConfirmed
+{
+  JobId job_;
+};
+
 struct WorkersPersisted
 {
   std::vector<WorkerId> workers_;
@@ -112,6 +125,8 @@
                                      WorkersPersisted,
                                      StartsPersisted,
                                      WavePersisted,
+                                     HandOverPersisted,
+                                     HandOverConfirmed,
                                      RequestDecided>;
 
 /// Asks the journal to persist records.
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -78,6 +78,23 @@
   std::vector<ProgressPart> parts_{};
 };
 
+/// A job that its shard hands over to another one, which has the workers for
+/// it. The other shard may not have stored the job yet.
+struct JobHandedOver
+{
+  JobId job_;
+  QueueId queue_;
+  ShardIndex to_;
+  /// The other shard has stored the job, so its record here is deleted.
+  bool isConfirmed_ = false;
+};
+
+/// Deletes the record of a handed-over job that the other shard has forgotten.
+struct HandOverRemoved
+{
+  JobId job_;
+};
+
 /// Deletes the record of a job that ended long ago.
 struct JobRemoved
 {
@@ -123,6 +140,8 @@
                                    WorkersStored,
                                    WaveStored,
                                    HomePoolsStored,
-                                   OccurrencesDone>;
+                                   OccurrencesDone,
+                                   JobHandedOver,
+                                   HandOverRemoved>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/journal/RecordSize.cpp
+++ b/src/verbenawell/jobs/journal/RecordSize.cpp
@@ -87,6 +87,13 @@
                                 aDone.parts_.size() *
                                   (kItemBytes + aDone.job_.Value().size());
                        },
+                       [](const JobHandedOver& aHandedOver) {
+                         return aHandedOver.job_.Value().size() * 3 +
+                                aHandedOver.queue_.Value().size();
+                       },
+                       [](const HandOverRemoved& aRemoved) {
+                         return aRemoved.job_.Value().size();
+                       },
                        [](const JobRemoved& aRemoved) {
                          return aRemoved.job_.Value().size();
                        },
--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -22,6 +22,8 @@
       return "jobs_failed";
     case Counter::JobsCancelled:
       return "jobs_cancelled";
+    case Counter::JobsHandedOver:
+      return "jobs_handed_over";
     case Counter::TasksStarted:
       return "tasks_started";
     case Counter::RunsLost:
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -21,6 +21,8 @@
   JobsCompleted,
   JobsFailed,
   JobsCancelled,
+  /// Jobs that another shard has stored because it has the workers for them.
+  JobsHandedOver,
   TasksStarted,
   RunsLost,
   /// Tasks that have crashed too many workers.
--- a/src/verbenawell/jobs/model/Job.cpp
+++ b/src/verbenawell/jobs/model/Job.cpp
@@ -82,6 +82,21 @@
          });
 }
 
+bool
+Job::HasRuns() const
+{
+  const auto hasRun = [](const Task& aTask) {
+    return aTask.lastRun_ > RunNumber{ 0 };
+  };
+  return started_ || doneOccurrences_ > Occurrence{} ||
+         std::ranges::any_of(occurrences_, [&](const auto& aEntry) {
+           return std::ranges::any_of(
+             aEntry.second.steps_, [&](const StepTasks& aStep) {
+               return std::ranges::any_of(aStep.tasks_, hasRun);
+             });
+         });
+}
+
 // Occurrences of a long-running job never end. Their number was limited when
 // the job was accepted.
 bool
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -118,6 +118,8 @@
   /// The outcome is in the journal, so it may be shown to callers.
   bool outcomeStored_ = false;
   bool started_ = false;
+  /// Another shard gets the job, so none of its tasks is started here.
+  bool isHandedOver_ = false;
 
   [[nodiscard]] Task* Find(const TaskId& aTask);
   [[nodiscard]] const Task* Find(const TaskId& aTask) const;
@@ -127,6 +129,8 @@
   [[nodiscard]] bool IsReady(Occurrence aOccurrence, StepIndex aStep) const;
   /// Returns whether all occurrences were created and are done.
   [[nodiscard]] bool IsDone() const;
+  /// Returns whether a run of any task may have been sent to a worker.
+  [[nodiscard]] bool HasRuns() const;
   /// Returns whether an occurrence is left to create, is due and leaves the
   /// number of tasks that exist within its limit.
   [[nodiscard]] bool MayAddOccurrence(WallTime aNow) const;
--- a/src/verbenawell/jobs/overload/EventClass.cpp
+++ b/src/verbenawell/jobs/overload/EventClass.cpp
@@ -32,6 +32,7 @@
   return std::visit(
     Overloaded{ [](const CancelJob&) { return EventClass::Cancel; },
                 [](const SubmitJob&) { return EventClass::Start; },
+                [](const AdoptJob&) { return EventClass::Start; },
                 [](const auto&) { return EventClass::Read; } },
     aAction);
 }
--- a/src/verbenawell/jobs/sharding/DaemonState.h
+++ b/src/verbenawell/jobs/sharding/DaemonState.h
@@ -11,6 +11,13 @@
 
 namespace verbenawell::jobs {
 
+/// A request of a shard's owner in this daemon to another shard.
+struct ShardRequest
+{
+  ShardIndex from_;
+  JobId job_;
+};
+
 /// The responses that a request to all shards still lacks.
 struct PendingSum
 {
@@ -37,6 +44,10 @@
   /// Workers of the newest list that no list of VMs has shown.
   std::set<WorkerId> workersWithoutVm_;
   std::map<RequestKey, PendingSum> pendingSums_;
+  std::map<RequestKey, ShardRequest> shardRequests_;
+  std::uint64_t lastShardRequest_ = 0;
+  /// By shard, the waiting job that is examined next for workers of its own.
+  std::map<ShardIndex, JobId> nextExaminedJob_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -4,11 +4,16 @@
 #include "verbenawell/jobs/core/Reduce.h"
 #include "verbenawell/jobs/sharding/DaemonState.h"
 #include "verbenawell/jobs/sharding/Shards.h"
+#include "verbenawell/jobs/sharding/internal/DaemonDecisions.h"
 #include "verbenawell/jobs/sharding/internal/FleetLists.h"
+#include "verbenawell/jobs/sharding/internal/PendingSums.h"
 #include "verbenawell/jobs/sharding/internal/SharedWaves.h"
+#include "verbenawell/jobs/sharding/internal/StrandedJobs.h"
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -22,10 +27,11 @@
 // Time after which the owner of a new deployment no longer waits for the list
 // of VMs.
 constexpr Duration kMaxWaitForVms = 10s;
-// The number of shards is known a few milliseconds after a daemon has started,
-// or once a new deployment has its first owner.
-constexpr Duration kRetryAfterNoShards = 2s;
 constexpr Duration kExitPoll = 100ms;
+// Requests of a shard's owner to another shard have keys of their own, beyond
+// those of the daemon's callers.
+constexpr std::uint64_t kFirstShardRequest = std::uint64_t{ 1 } << 63U;
+constexpr Duration kShardRequestTimeout = 3s;
 
 class Reducer
 {
@@ -72,7 +78,7 @@
 
   void On(ShardIndex aShard, const OwnerRead& aRead)
   {
-    CompareWithOtherShards(aShard);
+    CompareWithOtherShards(state_, aShard);
     Apply(aShard, aRead);
     LearnShardCount();
     AssignWaves();
@@ -127,6 +133,11 @@
     if (selection.needsVmList_) {
       Apply(aShard, VmListRequired{});
     }
+    if (JobsStranded stranded =
+          FindStrandedJobs(state_, aShard, aRead, context_.now_);
+        !stranded.jobs_.empty()) {
+      Apply(aShard, std::move(stranded));
+    }
   }
 
   template<typename Other>
@@ -168,7 +179,22 @@
           return aShard != kFirstShard &&
                  std::holds_alternative<ConfigurationRetry>(aTimer.key_);
         },
-        [&](SendResponse& aResponse) { return IsPartOfSum(aResponse); },
+        [&](SendResponse& aResponse) {
+          return IsPartOfSum(state_, aResponse) || IsForShard(aResponse);
+        },
+        [&](RedirectRequest& aRedirect) {
+          const ShardIndex shard = aRedirect.request_.shard_;
+          ApplyRequest(shard,
+                       { aRedirect.key_,
+                         std::move(aRedirect.request_),
+                         aRedirect.timeLeft_,
+                         false });
+          return true;
+        },
+        [&](RequestFromShard& aRequest) {
+          SendFromShard(aShard, std::move(aRequest));
+          return true;
+        },
         [&](const Exit&) { return MustWaitForOtherShards(aShard); },
         [&](LogLine& aLine) {
           if (Size() > 1) {
@@ -199,26 +225,38 @@
     return true;
   }
 
-  // Adds the response of one shard to the sum of all; the last one sends it.
-  bool IsPartOfSum(SendResponse& aResponse)
+  void ApplyRequest(ShardIndex aShard, const CallerRequested& aRequest)
   {
-    const auto found = state_.pendingSums_.find(aResponse.key_);
-    if (found == state_.pendingSums_.end()) {
-      return false;
+    if (aShard.Value() < Size()) {
+      Apply(aShard, aRequest);
+    } else {
+      effects_.push_back(
+        { kFirstShard, SendResponse{ aRequest.key_, NotOwner{} } });
     }
-    const auto* pending =
-      std::get_if<PendingJobsReported>(&aResponse.response_);
-    if (pending == nullptr) {
-      state_.pendingSums_.erase(found);
+  }
+
+  void SendFromShard(ShardIndex aFrom, RequestFromShard aRequest)
+  {
+    const RequestKey key{ kFirstShardRequest + state_.lastShardRequest_++ };
+    state_.shardRequests_[key] = { aFrom, JobOf(aRequest.action_) };
+    CallerRequest request;
+    request.action_ = std::move(aRequest.action_);
+    request.shard_ = aRequest.to_;
+    ApplyRequest(aRequest.to_,
+                 { key, std::move(request), kShardRequestTimeout, false });
+  }
+
+  // Passes the response to a request of a shard's owner on to that shard.
+  bool IsForShard(const SendResponse& aResponse)
+  {
+    const auto found = state_.shardRequests_.find(aResponse.key_);
+    if (found == state_.shardRequests_.end()) {
       return false;
     }
-    found->second.jobs_ += pending->jobs_;
-    if (--found->second.missing_ > 0) {
-      return true;
-    }
-    aResponse.response_ = PendingJobsReported{ found->second.jobs_ };
-    state_.pendingSums_.erase(found);
-    return false;
+    const ShardRequest request = found->second;
+    state_.shardRequests_.erase(found);
+    Apply(request.from_, ShardResponded{ request.job_, aResponse.response_ });
+    return true;
   }
 
   [[nodiscard]] std::optional<ConfigurationVersion> VersionInUse() const
@@ -239,19 +277,18 @@
   void Route(CallerRequested aRequest)
   {
     if (!state_.count_) {
-      RejectWithoutShards(aRequest);
+      std::ranges::move(RejectionWithoutShards(aRequest),
+                        std::back_inserter(effects_));
+    } else if (aRequest.forwarded_) {
+      // The job may have been handed over to this shard.
+      ApplyRequest(aRequest.request_.shard_, aRequest);
     } else if (const auto shard =
                  ShardOf(aRequest.request_.action_, *state_.count_);
                shard) {
       aRequest.request_.shard_ = *shard;
       Apply(*shard, aRequest);
-    } else if (!aRequest.forwarded_) {
-      RequestSum(aRequest);
-    } else if (aRequest.request_.shard_.Value() < Size()) {
-      Apply(aRequest.request_.shard_, aRequest);
     } else {
-      effects_.push_back(
-        { kFirstShard, SendResponse{ aRequest.key_, NotOwner{} } });
+      RequestSum(aRequest);
     }
   }
 
@@ -266,20 +303,6 @@
     }
   }
 
-  void RejectWithoutShards(const CallerRequested& aRequest)
-  {
-    const CallerResponse response =
-      aRequest.forwarded_
-        ? CallerResponse{ NotOwner{} }
-        : JobRejected{ RejectReason::NoOwner, kRetryAfterNoShards };
-    effects_.push_back({ kFirstShard, Count{ Counter::RequestsReceived } });
-    if (!aRequest.forwarded_) {
-      effects_.push_back({ kFirstShard, Count{ RejectReason::NoOwner } });
-    }
-    effects_.push_back(
-      { kFirstShard, SendResponse{ aRequest.key_, response } });
-  }
-
   // The number is decided before the first job and the first command to a
   // worker. A journal with content is that of a version without shards.
   void DecideShardCount(std::optional<std::size_t> aVms)
@@ -342,27 +365,6 @@
     }
   }
 
-  void CompareWithOtherShards(ShardIndex aShard)
-  {
-    OwnershipState& own = StateOf(aShard).ownership_;
-    own.ownedElsewhere_ = 0;
-    own.isOwnerBusyElsewhere_ = false;
-    for (std::uint32_t index = 0; index < Size(); ++index) {
-      const OwnershipState& other = state_.shards_[index].ownership_;
-      if (ShardIndex{ index } == aShard) {
-        continue;
-      }
-      if (!std::holds_alternative<Following>(other.role_)) {
-        ++own.ownedElsewhere_;
-      }
-      if (index < aShard.Value() && own.owner_ && other.owner_ &&
-          !other.owner_->resigned_ &&
-          own.owner_->daemon_ == other.owner_->daemon_) {
-        own.isOwnerBusyElsewhere_ = true;
-      }
-    }
-  }
-
   void AssignWaves()
   {
     for (const auto& [shard, event] : WaveEvents(state_)) {
--- a/src/verbenawell/jobs/sharding/Shards.cpp
+++ b/src/verbenawell/jobs/sharding/Shards.cpp
@@ -50,8 +50,8 @@
 {
   return std::visit(
     Overloaded{ [](const CountPending&) { return std::optional<ShardIndex>{}; },
-                [&](const auto& aKnown) {
-                  return std::optional{ ShardOf(aKnown.job_, aCount) };
+                [&](const auto&) {
+                  return std::optional{ ShardOf(JobOf(aAction), aCount) };
                 } },
     aAction);
 }
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -99,6 +99,8 @@
            placed == nullptr ? WorkerIncarnation{} : placed->incarnation_ };
 }
 
+} // namespace
+
 Job
 RestoredJob(const JobStored& aStored, const Context& aContext)
 {
@@ -118,6 +120,8 @@
   return job;
 }
 
+namespace {
+
 void
 RestoreTask(Job& aJob, const TaskProgress& aProgress, TimePoint aNow)
 {
@@ -158,6 +162,16 @@
   }
 }
 
+// A successor repeats the request to the other shard.
+HandOver
+RestoredHandOver(const JobHandedOver& aStored)
+{
+  return { aStored.queue_,
+           aStored.to_,
+           aStored.isConfirmed_ ? HandOverPhase{ HandOverComplete{} }
+                                : HandOverPhase{ HandOverOffered{} } };
+}
+
 void
 RestoreDoneOccurrences(TasksState& aTasks,
                        const std::vector<JournalRecord>& aRecords)
@@ -279,10 +293,19 @@
             aStored.job_,
             EndedJob{ aStored.queue_, aStored.outcome_, aContext.now_ });
         },
+        [&](const JobHandedOver& aHandedOver) {
+          aTasks.handOvers_.emplace(aHandedOver.job_,
+                                    RestoredHandOver(aHandedOver));
+        },
         [](const auto&) {},
       },
       record);
   }
+  for (const auto& [id, handOver] : aTasks.handOvers_) {
+    if (const auto job = aTasks.jobs_.find(id); job != aTasks.jobs_.end()) {
+      job->second.isHandedOver_ = true;
+    }
+  }
   RestoreDoneOccurrences(aTasks, aRecords);
   RestoreProgress(aTasks, aRecords, false, aContext.now_);
   RestoreProgress(aTasks, aRecords, true, aContext.now_);
--- a/src/verbenawell/jobs/tasks/JobRecords.h
+++ b/src/verbenawell/jobs/tasks/JobRecords.h
@@ -10,6 +10,10 @@
 
 namespace verbenawell::jobs {
 
+/// Returns the job that a record describes, without its progress.
+Job
+RestoredJob(const JobStored& aStored, const Context& aContext);
+
 JobStored
 StoredJob(const Job& aJob, const Context& aContext);
 
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
@@ -47,7 +47,8 @@
   const Entry entry{ aJob.service_,
                      aJob.queue_,
                      aJob.IsLongRunning() ? 0 : CpuSeconds(aJob),
-                     aJob.stored_ && HasTaskToStart(aJob),
+                     aJob.stored_ && !aJob.isHandedOver_ &&
+                       HasTaskToStart(aJob),
                      aJob.stored_ && !aJob.started_ };
   cpuSeconds_[entry.service_] += entry.cpuSeconds_;
   if (entry.isWaiting_) {
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.h
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.h
@@ -16,7 +16,7 @@
 {
 public:
   /// Replaces what is known of a job. Has to follow each change of its tasks,
-  /// its outcome, `stored_` or `started_`.
+  /// its outcome, `stored_`, `started_` or `isHandedOver_`.
   void Update(const Job& aJob);
 
   void Remove(const JobId& aJob);
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/tasks/internal/CallerActions.h"
 #include "verbenawell/jobs/tasks/internal/CrashSuspects.h"
+#include "verbenawell/jobs/tasks/internal/HandOvers.h"
 #include "verbenawell/jobs/tasks/internal/JobOutcomes.h"
 #include "verbenawell/jobs/tasks/internal/RunUpdates.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -102,6 +103,26 @@
     ApplyStoredOutcome(state_, aStored.job_, context_, effects_);
   }
 
+  void On(const JobsStranded& aStranded)
+  {
+    BeginHandOvers(state_, aStranded, effects_);
+  }
+
+  void On(const HandOverPersisted& aStored)
+  {
+    OfferJob(state_, aStored.job_, context_, effects_);
+  }
+
+  void On(const ShardResponded& aResponse)
+  {
+    ApplyShardResponse(state_, aResponse, effects_);
+  }
+
+  void On(const HandOverConfirmed& aStored)
+  {
+    CompleteHandOver(state_, aStored.job_, context_, effects_);
+  }
+
   void On(const RunsReported& aReported)
   {
     ApplyReportedRuns(state_, aReported, context_, effects_);
@@ -161,6 +182,7 @@
         views_.ownership_.AsOwner() != nullptr) {
       const bool areMoreDue = AddDueOccurrences();
       RemoveOldJobs();
+      ContinueHandOvers(state_, context_, effects_);
       effects_.push_back(
         SetTimer{ JobsTick{}, areMoreDue ? kNextPartDelay : kTickInterval });
     }
@@ -183,7 +205,8 @@
         entry = state_.jobs_.begin();
       }
       Job& job = entry->second;
-      if (!job.definition_.schedule_ || job.outcome_ != JobOutcome::Open) {
+      if (!job.definition_.schedule_ || job.isHandedOver_ ||
+          job.outcome_ != JobOutcome::Open) {
         continue;
       }
       const Occurrence before = job.nextOccurrence_;
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -6,7 +6,9 @@
 #include "verbenawell/jobs/tasks/OpenJobIndex.h"
 
 #include <map>
+#include <optional>
 #include <set>
+#include <variant>
 #include <vector>
 
 namespace verbenawell::jobs {
@@ -20,6 +22,38 @@
   TimePoint knownSince_;
 };
 
+/// The hand-over is being written to the journal.
+struct HandOverDecided
+{};
+
+/// The other shard is asked to store the job.
+struct HandOverOffered
+{
+  TimePoint sentAt_;
+};
+
+/// The other shard has stored the job, which is being written to the journal.
+struct HandOverAccepted
+{};
+
+/// The other shard has the job, so requests for it are redirected.
+struct HandOverComplete
+{
+  /// When the other shard was last asked whether it still has the job.
+  TimePoint checkedAt_;
+};
+
+using HandOverPhase = std::
+  variant<HandOverDecided, HandOverOffered, HandOverAccepted, HandOverComplete>;
+
+/// A job of this shard that another one gets, which has the workers for it.
+struct HandOver
+{
+  QueueId queue_;
+  ShardIndex to_;
+  HandOverPhase phase_;
+};
+
 /// A worker has crashed between these times.
 struct CrashTime
 {
@@ -41,6 +75,7 @@
   /// be recognized.
   std::vector<CrashTime> recentCrashes_;
   std::map<JobId, EndedJob> endedJobs_;
+  std::map<JobId, HandOver> handOvers_;
   /// Requests to respond to once the submission is in the journal.
   std::multimap<JobId, RequestKey> submitters_;
   /// Requests to respond to once the outcome is in the journal.
@@ -51,6 +86,16 @@
     const auto found = jobs_.find(aJob);
     return found == jobs_.end() ? nullptr : &found->second;
   }
+
+  /// The shard that has a job of this one; empty if no other shard has it.
+  [[nodiscard]] std::optional<ShardIndex> HandedOverTo(const JobId& aJob) const
+  {
+    const auto found = handOvers_.find(aJob);
+    return found != handOvers_.end() &&
+               std::holds_alternative<HandOverComplete>(found->second.phase_)
+             ? std::optional{ found->second.to_ }
+             : std::nullopt;
+  }
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -120,7 +120,8 @@
       }
       return;
     }
-    if (state_.endedJobs_.contains(aSubmit.job_)) {
+    if (state_.endedJobs_.contains(aSubmit.job_) ||
+        state_.HandedOverTo(aSubmit.job_)) {
       Respond(JobAccepted{});
       return;
     }
@@ -143,17 +144,44 @@
     } else if (const auto ended = state_.endedJobs_.find(aRead.job_);
                ended != state_.endedJobs_.end()) {
       Respond(JobStateReported{ StateOf(ended->second) });
+    } else if (const auto other = state_.HandedOverTo(aRead.job_); other) {
+      Respond(OtherShard{ *other });
     } else {
       RespondUnknown();
     }
   }
 
+  void operator()(const FindAdoptedJob& aFind)
+  {
+    (*this)(ReadJob{ aFind.job_ });
+  }
+
+  void operator()(const AdoptJob& aAdopt)
+  {
+    const JobStored& stored = *aAdopt.job_;
+    if (const auto known = state_.jobs_.find(stored.job_);
+        known != state_.jobs_.end() && !known->second.stored_) {
+      state_.submitters_.emplace(stored.job_, request_.key_);
+    } else if (known != state_.jobs_.end() ||
+               state_.endedJobs_.contains(stored.job_)) {
+      Respond(JobAccepted{});
+    } else if (views_.journal_.IsStoreUnresponsive(context_.now_)) {
+      Respond(StoreUnavailableResponse());
+    } else {
+      Job job = RestoredJob(stored, context_);
+      job.stored_ = false;
+      Store(std::move(job), stored);
+    }
+  }
+
   void operator()(const CancelJob& aCancel)
   {
     const auto found = state_.jobs_.find(aCancel.job_);
     if (found == state_.jobs_.end()) {
       if (state_.endedJobs_.contains(aCancel.job_)) {
         Respond(CancelAccepted{});
+      } else if (const auto other = state_.HandedOverTo(aCancel.job_); other) {
+        Respond(OtherShard{ *other });
       } else {
         RespondUnknownToCanceller(aCancel.job_);
       }
@@ -161,7 +189,9 @@
     }
     Job& job = found->second;
     state_.cancellers_.emplace(job.id_, request_.key_);
-    if (job.outcome_ == JobOutcome::Open) {
+    // A job that is being handed over may run in the other shard already, which
+    // gets the cancel once it is known to have the job.
+    if (job.outcome_ == JobOutcome::Open && !job.isHandedOver_) {
       DecideOutcome(state_, job, JobOutcome::Cancelled, context_, effects_);
     }
   }
@@ -202,12 +232,18 @@
         { "configuration",
           std::to_string(
             views_.configuration_.configuration_->version_.Value()) } } });
-    effects_.push_back(Raise{ JournalWriteRequested{
-      { StoredJob(job, context_) }, SubmissionPersisted{ job.id_ } } });
-    state_.submitters_.emplace(job.id_, request_.key_);
-    const JobId id = job.id_;
+    const JobStored stored = StoredJob(job, context_);
+    Store(std::move(job), stored);
+  }
+
+  void Store(Job aJob, const JobStored& aStored)
+  {
+    effects_.push_back(Raise{
+      JournalWriteRequested{ { aStored }, SubmissionPersisted{ aJob.id_ } } });
+    state_.submitters_.emplace(aJob.id_, request_.key_);
+    const JobId id = aJob.id_;
     state_.openJobs_.Update(
-      state_.jobs_.emplace(id, std::move(job)).first->second);
+      state_.jobs_.emplace(id, std::move(aJob)).first->second);
   }
 
   std::optional<JobRejected> RefusalOf(const Job& aJob)
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -274,7 +274,10 @@
       [&](const LogLine& aLine) { Log(aDaemon, aLine); },
       [](const SetReady&) {},
       [&](const Exit&) { Kill(aDaemon); },
+      // The reducer of the daemon handles these itself.
       [](const Raise&) {},
+      [](const RedirectRequest&) {},
+      [](const RequestFromShard&) {},
       [&](const WriteWaveStatus& aStatus) {
         if (aStatus.completed_ && wave_) {
           oracle_.WaveReportedCompleted(*wave_, maintenanceBegun_);
