Send lease ends only to the incarnation whose clock they name

An owner that did not know yet that a worker had restarted sent it starts and renewals on a new connection. Their lease ends were times on the clock of the former incarnation, which the new one took for the longest lease, 10 s. The owner allowed for that once it learned of the incarnation, but its successor counts the 8 s that an owner grants, so it started the tasks of the cut worker elsewhere while they still ran.

A renewal now carries a lease end, and a start is sent, only on a connection on which the intended incarnation has responded: such a connection leads to that incarnation or breaks. The first start on a connection waits for a query of the lists. A start that could not be sent is reported as such, so its run can be taken back without a wait.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -59,6 +59,20 @@
 
 void
 Channel::Call(Request aRequest, CallLimits aLimits, ResultHandler aHandler)
+{
+  AddCall(std::move(aRequest), aLimits, std::move(aHandler));
+}
+
+void
+Channel::Call(RequestSource aSource, CallLimits aLimits, ResultHandler aHandler)
+{
+  AddCall(std::move(aSource), aLimits, std::move(aHandler));
+}
+
+void
+Channel::AddCall(std::variant<Request, RequestSource> aRequest,
+                 CallLimits aLimits,
+                 ResultHandler aHandler)
 {
   using Clock = std::chrono::steady_clock;
   calls_.push_back({ std::move(aRequest),
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -58,6 +58,8 @@
 
   void Call(Request aRequest, CallLimits aLimits, ResultHandler aHandler);
 
+  void Call(RequestSource aSource, CallLimits aLimits, ResultHandler aHandler);
+
   /// Fails all pending calls and closes the connection.
   void Close();
 
@@ -75,6 +77,9 @@
     int extensions_ = 0;
   };
 
+  void AddCall(std::variant<Request, RequestSource> aRequest,
+               CallLimits aLimits,
+               ResultHandler aHandler);
   void StartNextCall();
   void Connect();
   void Send();
--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -105,8 +105,9 @@
   Epoch epoch_;
   /// The worker's incarnation as known now.
   WorkerIncarnation incarnation_;
-  /// The worker may remove ended runs up to this number from its list. Must not
-  /// reach another incarnation, whose ends have the same numbers.
+  /// The worker may remove ended runs up to this number from its list. This and
+  /// the next field must not reach another incarnation, whose ends have the
+  /// same numbers and whose clock shows other times.
   RunEndNumber acknowledged_;
   std::optional<WorkerTime> leaseEnd_;
   /// How long the worker may delay its response until a run ends.
@@ -124,6 +125,9 @@
   std::string specification_;
   std::string checkpoint_;
   std::string ticket_;
+  /// The worker's incarnation as known now. `leaseEnd_` is a time on its clock,
+  /// so the command must not reach another incarnation.
+  WorkerIncarnation incarnation_{};
 };
 
 struct StopTask
--- a/src/verbenawell/jobs/workers/WorkerEvents.h
+++ b/src/verbenawell/jobs/workers/WorkerEvents.h
@@ -134,7 +134,13 @@
 struct StartUnconfirmed
 {};
 
-using StartResult = std::variant<StartAccepted, StartRefusal, StartUnconfirmed>;
+/// The command was not sent, for lack of a connection to the incarnation that
+/// it is meant for.
+struct StartNotSent
+{};
+
+using StartResult =
+  std::variant<StartAccepted, StartRefusal, StartUnconfirmed, StartNotSent>;
 
 struct StartCommandCompleted
 {
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -119,7 +119,8 @@
                                 leaseEnd,
                                 job->definition_.specification_,
                                 task->checkpoint_,
-                                aRun.ticket_ });
+                                aRun.ticket_,
+                                aWorker.incarnation_ });
 }
 
 void
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -339,6 +339,13 @@
         starting->hasUnconfirmedStart_ = true;
         aEffects.push_back(
           SetTimer{ CommandRetry{ aCompletion.worker_ }, kCommandRetryDelay });
+      },
+      [&](StartNotSent) {
+        if (!starting->hasUnconfirmedStart_) {
+          run->startSentAt_ = TimePoint{};
+        }
+        aEffects.push_back(
+          SetTimer{ CommandRetry{ aCompletion.worker_ }, kCommandRetryDelay });
       } },
     aCompletion.result_);
 }
--- a/tests/jobs/FakeWorker.cpp
+++ b/tests/jobs/FakeWorker.cpp
@@ -158,6 +158,9 @@
   };
   if (!isAlive_ || faults_.isUnreachable_) {
     respond(StartUnconfirmed{}, kCallTimeout);
+  } else if (aStart.incarnation_ != entry_.incarnation_) {
+    // The client starts tasks only on a connection to the incarnation.
+    respond(StartRefusal::OtherIncarnation, kLatency);
   } else if (random_.Below(100) <
              static_cast<std::uint64_t>(faults_.delayedCommandPercent_)) {
     RunDelayed([this, aStart] { Handle(aStart, CommandTiming::Delayed); });
@@ -249,12 +252,12 @@
     return;
   }
   ++renewals_;
-  if (aRenewal.leaseEnd_) {
-    ExtendLease(*aRenewal.leaseEnd_);
-  }
-  // Incarnations have separate connections, and the client acknowledges ends
-  // only on the connection to their incarnation.
+  // Incarnations have separate connections, and the client extends leases and
+  // acknowledges ends only on the connection to their incarnation.
   if (aRenewal.incarnation_ == entry_.incarnation_) {
+    if (aRenewal.leaseEnd_) {
+      ExtendLease(*aRenewal.leaseEnd_);
+    }
     Acknowledge(aRenewal.acknowledged_);
   }
   RespondToLeaseRenewal(aRenewal, aReply, sentAt, aRenewal.wait_, lastEnd_);
--- a/tests/jobs/IncarnationTest.cpp
+++ b/tests/jobs/IncarnationTest.cpp
@@ -135,6 +135,56 @@
   }
 }
 
+/// How the owner is replaced, and when the restarted worker is cut off after
+/// that.
+struct OwnerChange
+{
+  bool isKilled_ = false;
+  Duration cutAfter_{};
+};
+
+class RestartedWorker : public testing::TestWithParam<OwnerChange>
+{};
+
+// Guards against a task that runs twice at the same time. The former owner did
+// not know that the worker had restarted under its id, and its commands named
+// lease ends on the clock from before, of which the next owner knows nothing.
+TEST_P(RestartedWorker, HasNoLeaseThatTheNextOwnerDoesNotKnow)
+{
+  const auto [isKilled, cutAfter] = GetParam();
+  for (Duration offset = 0ms; offset < 2s; offset += 50ms) {
+    SCOPED_TRACE(offset.count());
+    SimulatedDeployment deployment{ 98, {} };
+    deployment.RunFor(kStartUpTime + 20s);
+    deployment.Submit(kJob, MakeJob(8, 1, 12s));
+    deployment.RunFor(1s);
+    deployment.KillWorker(0);
+    deployment.RunFor(300ms);
+    deployment.RestartWorker(0);
+    deployment.Submit("0000000000000002", MakeJob(12, 1, 12s));
+    deployment.RunFor(offset);
+    if (isKilled) {
+      deployment.Kill(deployment.NewestOwner());
+    } else {
+      deployment.Stop(deployment.NewestOwner());
+    }
+    deployment.RunFor(cutAfter);
+    deployment.WorkerAt(0).faults_.isUnreachable_ = true;
+    deployment.RunFor(25s);
+    ExpectNoViolations(deployment);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(OwnerChanges,
+                         RestartedWorker,
+                         testing::Values(OwnerChange{ false, 100ms },
+                                         OwnerChange{ false, 400ms },
+                                         OwnerChange{ false, 1s },
+                                         OwnerChange{ false, 2s },
+                                         OwnerChange{ true, 2800ms },
+                                         OwnerChange{ true, 3200ms },
+                                         OwnerChange{ true, 4s }));
+
 // Guards against a report of the former incarnation that arrives after the list
 // has shown a new one and is ignored without a trace, or brings back the old
 // runs.
--- a/tests/jobs/StubServer.h
+++ b/tests/jobs/StubServer.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -37,6 +38,7 @@
                     http::ExchangeId aExchange,
                     const http::Request& aRequest) {
                    target_ = aRequest.target_;
+                   targets_.push_back(target_);
                    body_ = aRequest.body_;
                    listener_.Respond(aExchange, response);
                  },
@@ -46,6 +48,8 @@
 
   Endpoint address_;
   std::string target_;
+  /// The targets of all requests.
+  std::vector<std::string> targets_;
   std::string body_;
 
 private:
--- a/tests/jobs/WorkerClientTest.cpp
+++ b/tests/jobs/WorkerClientTest.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -181,6 +182,103 @@
   EXPECT_TRUE(Acknowledges(worker->body_));
 }
 
+// Guards against a lease end that reaches a new incarnation of the worker, on
+// whose clock it is a longer lease than the owner knows of.
+TEST(WorkerClient, ExtendsLeasesOnlyOnAConnectionToTheIncarnation)
+{
+  LeaseRenewals renewals;
+  auto worker = std::make_unique<StubServer>(
+    renewals.io_, http::Response{ 200, {}, ReportOf(100, 0) });
+  const Endpoint address = worker->address_;
+  const auto extends = [&](std::int64_t aIncarnation) {
+    jobs::RenewLease renewal = Renewal(address, aIncarnation);
+    renewal.leaseEnd_ = jobs::WorkerTime{ 8000 };
+    renewals.Send(renewal);
+    return worker->body_.find(R"("deadlineMs":8000)") != std::string::npos;
+  };
+  EXPECT_FALSE(extends(100));
+  EXPECT_TRUE(extends(100));
+  worker.reset();
+  worker = std::make_unique<StubServer>(
+    renewals.io_, http::Response{ 200, {}, ReportOf(200, 0) }, address);
+  EXPECT_FALSE(extends(100));
+  EXPECT_FALSE(extends(100));
+  EXPECT_TRUE(extends(200));
+}
+
+/// Sends start commands, one after the other.
+class Starts
+{
+public:
+  jobs::StartResult Send(const Endpoint& aAddress, std::int64_t aIncarnation)
+  {
+    jobs::StartTask start;
+    start.worker_ = jobs::WorkerId{ "i-1" };
+    start.address_ = aAddress;
+    start.incarnation_ = jobs::WorkerIncarnation{ aIncarnation };
+    start.leaseEnd_ = jobs::WorkerTime{ 8000 };
+    client_.Run(start);
+    io_.restart();
+    io_.run_for(5s);
+    return result_;
+  }
+
+  asio::io_context io_;
+
+private:
+  jobs::StartResult result_;
+  WorkerClient client_{
+    io_,
+    [] { return TimePoint{}; },
+    [this](const jobs::Event& aEvent) {
+      result_ = std::get<jobs::StartCommandCompleted>(aEvent).result_;
+      io_.stop();
+    }
+  };
+};
+
+// Guards against a start on a new incarnation of the worker, which takes the
+// lease end of the former one for a longer lease (TWICE after a change of
+// owner).
+TEST(WorkerClient, StartsTasksOnlyOnAConnectionToTheIncarnation)
+{
+  using Targets = std::vector<std::string>;
+  const std::string query = "/api/hold";
+  const std::string start = "/api/run-start";
+  Starts starts;
+  auto worker = std::make_unique<StubServer>(
+    starts.io_, http::Response{ 200, {}, ReportOf(100, 0) });
+  const Endpoint address = worker->address_;
+  EXPECT_TRUE(
+    std::holds_alternative<jobs::StartAccepted>(starts.Send(address, 100)));
+  EXPECT_EQ(worker->targets_, (Targets{ query, start }));
+  EXPECT_TRUE(
+    std::holds_alternative<jobs::StartAccepted>(starts.Send(address, 100)));
+  EXPECT_EQ(worker->targets_, (Targets{ query, start, start }));
+  worker.reset();
+  worker = std::make_unique<StubServer>(
+    starts.io_, http::Response{ 200, {}, ReportOf(200, 0) }, address);
+  // The first attempt finds the connection to the former incarnation broken.
+  starts.Send(address, 100);
+  const jobs::StartResult refused = starts.Send(address, 100);
+  ASSERT_TRUE(std::holds_alternative<jobs::StartRefusal>(refused));
+  EXPECT_EQ(std::get<jobs::StartRefusal>(refused),
+            jobs::StartRefusal::OtherIncarnation);
+  EXPECT_EQ(worker->targets_, Targets{ query });
+  EXPECT_TRUE(
+    std::holds_alternative<jobs::StartAccepted>(starts.Send(address, 200)));
+  EXPECT_EQ(worker->targets_, (Targets{ query, start }));
+}
+
+// Guards against a wait for the lease of a run whose start command had no
+// connection to the worker.
+TEST(WorkerClient, ReportsAStartThatWasNotSent)
+{
+  Starts starts;
+  EXPECT_TRUE(std::holds_alternative<jobs::StartNotSent>(
+    starts.Send(FreeEndpoint(), 100)));
+}
+
 // Guards against a full list of ends that is taken for a complete one.
 TEST(WorkerClient, ReportsThatAFullListOfEndsMayBeIncomplete)
 {
