Name the incarnation in simulated commands that reach a worker

The simulated worker refuses a start that names another incarnation, since the client sends none on such a connection. Three tests of RestoredRuns and one of StopCommands play commands that do reach a new incarnation and named none, so they would have passed without effect. They name it now, and pass.

--- a/tests/jobs/RestoredRunsTest.cpp
+++ b/tests/jobs/RestoredRunsTest.cpp
@@ -65,7 +65,8 @@
                             kLeaseEnd,
                             deployment_.Definition(kJob)->specification_,
                             {},
-                            {} },
+                            {},
+                            Worker().Entry().incarnation_ },
                  [](const Event&) {});
     Worker().faults_.isUnreachable_ = isUnreachable;
   }
--- a/tests/jobs/StopCommandsTest.cpp
+++ b/tests/jobs/StopCommandsTest.cpp
@@ -156,7 +156,8 @@
                WorkerTime{ 8000 },
                deployment_.Definition(kJob)->specification_,
                {},
-               {} },
+               {},
+               worker.Entry().incarnation_ },
     [](const Event&) {});
   deployment_.Cancel(kJob);
   deployment_.RunFor(4s);
