Do not reject jobs for the backlog of a scheduled job

Callers saw their jobs rejected as overload for as long as a scheduled job of the same service had many due occurrences, though such a backlog ranks behind jobs that can still end in time. The admission counted the work of all occurrences that exist.

The index of open jobs now counts one occurrence of a scheduled job at most.

ScheduledJob.DoesNotMakeOthersBeRejected failed without the change in the index and passes with it.

--- a/src/verbenawell/jobs/placement/JobOrder.cpp
+++ b/src/verbenawell/jobs/placement/JobOrder.cpp
@@ -12,6 +12,14 @@
 // A late job has a small value until this multiple of its objective.
 constexpr int kLateFactor = 3;
 
+std::uint64_t
+CpuTimeOfTask(const Step& aStep)
+{
+  return SaturatingMultiply(
+    aStep.resources_.cpu_.Value(),
+    static_cast<std::uint64_t>(aStep.estimatedRunTime_.count()));
+}
+
 Duration
 CriticalPathOf(const Job& aJob, const OccurrenceTasks& aTasks)
 {
@@ -52,12 +60,21 @@
 {
   std::uint64_t sum = 0;
   for (std::size_t index = 0; index < aJob.openTasks_.size(); ++index) {
-    const Step& step = aJob.definition_.steps_[index];
-    const std::uint64_t cpuTime = SaturatingMultiply(
-      step.resources_.cpu_.Value(),
-      static_cast<std::uint64_t>(step.estimatedRunTime_.count()));
-    sum =
-      SaturatingAdd(sum, SaturatingMultiply(aJob.openTasks_[index], cpuTime));
+    sum = SaturatingAdd(
+      sum,
+      SaturatingMultiply(aJob.openTasks_[index],
+                         CpuTimeOfTask(aJob.definition_.steps_[index])));
+  }
+  return sum;
+}
+
+std::uint64_t
+CpuTimeOfOccurrence(const JobDefinition& aDefinition)
+{
+  std::uint64_t sum = 0;
+  for (const Step& step : aDefinition.steps_) {
+    sum = SaturatingAdd(
+      sum, SaturatingMultiply(step.count_.Value(), CpuTimeOfTask(step)));
   }
   return sum;
 }
--- a/src/verbenawell/jobs/placement/JobOrder.h
+++ b/src/verbenawell/jobs/placement/JobOrder.h
@@ -13,6 +13,10 @@
 std::uint64_t
 RemainingCpuTime(const Job& aJob);
 
+/// CPU time of all tasks of an occurrence, in the same unit.
+std::uint64_t
+CpuTimeOfOccurrence(const JobDefinition& aDefinition);
+
 /// Whether a job can still end in time.
 enum class Urgency : std::uint8_t
 {
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
@@ -3,6 +3,8 @@
 #include "verbenawell/core/Saturating.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 
+#include <algorithm>
+
 namespace verbenawell::jobs {
 
 namespace {
@@ -12,7 +14,12 @@
 std::uint64_t
 CpuSeconds(const Job& aJob)
 {
-  const std::uint64_t cpuTime = jobs::RemainingCpuTime(aJob);
+  std::uint64_t cpuTime = jobs::RemainingCpuTime(aJob);
+  // A backlog of occurrences ranks behind the jobs that can still be in time,
+  // so it must not make the admission reject them.
+  if (aJob.definition_.schedule_) {
+    cpuTime = std::min(cpuTime, CpuTimeOfOccurrence(aJob.definition_));
+  }
   return cpuTime / kMicrosecondsPerSecond +
          (cpuTime % kMicrosecondsPerSecond == 0 ? 0 : 1);
 }
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.h
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.h
@@ -32,7 +32,8 @@
   [[nodiscard]] std::size_t WaitingCount() const { return waitingCount_; }
 
   /// CPU time that the open jobs of a service still need, in millicores times
-  /// microseconds; without jobs that run until they are cancelled.
+  /// microseconds; without jobs that run until they are cancelled, and with one
+  /// occurrence of each scheduled job at most.
   [[nodiscard]] std::uint64_t RemainingCpuTime(const ServiceId& aService) const;
 
   /// Number of open jobs of a queue that are stored and have not begun.
--- a/tests/jobs/ScheduledJobTest.cpp
+++ b/tests/jobs/ScheduledJobTest.cpp
@@ -141,6 +141,23 @@
   ExpectNoViolations(deployment);
 }
 
+// Guards against jobs that are rejected for the backlog of a scheduled job,
+// though they would start before it.
+TEST(ScheduledJob, DoesNotMakeOthersBeRejected)
+{
+  SimulatedDeployment deployment{ 205, {} };
+  deployment.RunFor(kStartUpTime);
+  JobDefinition definition = MakeDueJob(2000);
+  definition.steps_[0].resources_.cpu_ = MilliCores{ 8000 };
+  definition.steps_[0].estimatedRunTime_ = 1s;
+  deployment.Submit(kScheduledJob, definition);
+  deployment.RunFor(3s);
+  deployment.Submit(kOrdinaryJob, MakeJob(2, 1, 500ms));
+  deployment.RunFor(5s);
+  EXPECT_EQ(deployment.StateOfJob(kOrdinaryJob), JobState::Completed);
+  ExpectNoViolations(deployment);
+}
+
 // Guards against progress records of a job that grow for as long as it repeats.
 TEST(ScheduledJob, DeletesTheRecordsOfDoneOccurrences)
 {
