Start all members of a gang from one checkpoint

Each member of a gang kept the checkpoint that its own worker had reported last, so the member whose worker had crashed resumed from an older one than the others, and all of them waited for each other.

The owner now gives all members the checkpoint that was reported last when it decides on their start, and stores it with the start.

GangCheckpoint.IsTheSameForAllMembersOfARun and IsStoredWithTheStart failed without the call of ShareCheckpoint and pass with it.

--- a/src/verbenawell/jobs/model/Job.cpp
+++ b/src/verbenawell/jobs/model/Job.cpp
@@ -161,6 +161,24 @@
   }
 }
 
+// Any member's checkpoint is valid for all of them. An empty one is replaced
+// whenever it was reported: its member has just lost its progress.
+void
+ShareCheckpoint(StepTasks& aGang)
+{
+  const auto newest =
+    std::ranges::max_element(aGang.tasks_, {}, [](const Task& aTask) {
+      return std::pair{ !aTask.checkpoint_.empty(), aTask.checkpointAt_ };
+    });
+  if (newest == aGang.tasks_.end()) {
+    return;
+  }
+  const std::string checkpoint = newest->checkpoint_;
+  for (Task& task : aGang.tasks_) {
+    task.checkpoint_ = checkpoint;
+  }
+}
+
 std::vector<std::pair<TaskId, Placed>>
 PlacedTasks(const Job& aJob)
 {
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -49,6 +49,8 @@
   /// A suspect proves harmless by running this long.
   Duration probation_{};
   std::string checkpoint_;
+  /// When a worker last reported the checkpoint; not stored in the journal.
+  TimePoint checkpointAt_;
   /// Progress of the start-up or of the work that the worker last reported.
   Percent percent_;
   /// A stop was requested; the task counts as unavailable from then on.
@@ -149,6 +151,11 @@
 void
 SetStatus(Job& aJob, const TaskId& aTask, TaskStatus aStatus);
 
+/// Gives all members of a gang the checkpoint that was reported last, so that
+/// they resume at the same point.
+void
+ShareCheckpoint(StepTasks& aGang);
+
 /// Returns the tasks that are assigned to workers.
 std::vector<std::pair<TaskId, Placed>>
 PlacedTasks(const Job& aJob);
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -148,6 +148,10 @@
     std::map<JobId, std::set<ProgressPart>> changed;
     for (const StartDecision& start : aDecided.starts_) {
       Job& job = state_.jobs_.at(start.task_.job_);
+      if (job.definition_.steps_[start.task_.step_.Value()].gang_) {
+        ShareCheckpoint(job.occurrences_.at(start.task_.occurrence_)
+                          .steps_[start.task_.step_.Value()]);
+      }
       Task* task = job.Find(start.task_);
       task->lastRun_ = start.run_;
       task->percent_ = Percent{ 0 };
--- a/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
+++ b/src/verbenawell/jobs/tasks/internal/RunUpdates.cpp
@@ -117,6 +117,7 @@
     }
     if (!aEnd.checkpoint_.empty()) {
       aTask.checkpoint_ = aEnd.checkpoint_;
+      aTask.checkpointAt_ = context_.now_;
       MarkChanged(aJob, aEnd.task_);
     }
     aTask.percent_ = Percent{ 0 };
@@ -189,6 +190,7 @@
       ClearAfterProbation(aState, run.task_, *task, aContext.now_);
       if (!run.checkpoint_.empty()) {
         task->checkpoint_ = run.checkpoint_;
+        task->checkpointAt_ = aContext.now_;
       }
       continue;
     }
