Ask for the permission of an order when it is sent

The permission was asked when the order was decided, and the time limits of a call are checked before it connects and by a timer that is late after a pause.

Commands for VMs and starts of tasks now name a time before which they are sent, from the last confirmed renewal of the ownership. The clients compare it with the clock that counts suspensions when the connection is there, just before the bytes are written. A call without a request fails as not sent.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -199,14 +199,16 @@
 void
 Channel::Send()
 {
-  output_ =
-    std::visit(Overloaded{ [&](const Request& aRequest) {
-                            return Serialize(aRequest, host_);
-                          },
-                           [&](const RequestSource& aSource) {
-                             return Serialize(aSource(connection_), host_);
-                           } },
-               calls_.front().request_);
+  const std::optional<Request> request = std::visit(
+    Overloaded{
+      [](const Request& aRequest) { return std::optional{ aRequest }; },
+      [&](const RequestSource& aSource) { return aSource(connection_); } },
+    calls_.front().request_);
+  if (!request) {
+    CompleteCall(Failure{ false });
+    return;
+  }
+  output_ = Serialize(*request, host_);
   isSent_ = true;
   asio::async_write(socket_,
                     asio::buffer(output_),
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -28,8 +28,8 @@
 using ConnectionNumber = Quantity<struct ConnectionTag, std::uint64_t>;
 
 /// Makes the request of a call when it is sent, for the connection that carries
-/// it.
-using RequestSource = std::function<Request(ConnectionNumber)>;
+/// it. Without a request, the call fails and nothing is sent.
+using RequestSource = std::function<std::optional<Request>(ConnectionNumber)>;
 
 /// Time limits of a call that may wait behind others.
 struct CallLimits
--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -128,6 +128,9 @@
   /// The worker's incarnation as known now. `leaseEnd_` is a time on its clock,
   /// so the command must not reach another incarnation.
   WorkerIncarnation incarnation_{};
+  /// The ownership may have passed on by then, so the command is not sent
+  /// later.
+  TimePoint sendBefore_ = TimePoint::max();
 };
 
 struct StopTask
@@ -175,6 +178,7 @@
   VmId vm_;
   WaveNumber wave_;
   Epoch epoch_;
+  TimePoint sendBefore_ = TimePoint::max();
 };
 
 /// Moves a VM to another pool, which ends all runs on it.
@@ -183,6 +187,7 @@
   VmId vm_;
   ServiceId pool_;
   Epoch epoch_;
+  TimePoint sendBefore_ = TimePoint::max();
 };
 
 /// Writes the status of a wave if the statuses end at the expected offset.
--- a/src/verbenawell/jobs/explain/Explain.cpp
+++ b/src/verbenawell/jobs/explain/Explain.cpp
@@ -58,6 +58,11 @@
       return ended->Field("outcome") + " after " + ended->Field("age_ms") +
              " ms";
     }
+    if (const LoggedEvent* handedOver = LastEvent("job_handed_over");
+        handedOver != nullptr) {
+      return "handed over to shard " + handedOver->Field("to_shard") +
+             " and not ended there";
+    }
     return "accepted and not ended";
   }
 
--- a/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
+++ b/src/verbenawell/jobs/maintenance/MaintenanceReducer.cpp
@@ -329,8 +329,10 @@
       LogLevel::Info,
       "upkeep_ordered",
       { { "vm", aVm.Value() }, { "wave", std::to_string(aWave.Value()) } } });
-    effects_.push_back(
-      StartMaintenance{ aVm, aWave, views_.ownership_.AsOwner()->epoch_ });
+    effects_.push_back(StartMaintenance{ aVm,
+                                         aWave,
+                                         views_.ownership_.AsOwner()->epoch_,
+                                         SendVmCommandsBefore(views_) });
   }
 
   void PersistProgress(const WaveProgress& aWave)
--- a/src/verbenawell/jobs/maintenance/VmCommands.cpp
+++ b/src/verbenawell/jobs/maintenance/VmCommands.cpp
@@ -21,10 +21,12 @@
 // An owner sends VM commands only while its last renewal is younger than this,
 // so that none is sent less than 3 s before those of its successor.
 constexpr Duration kMaxRenewalAgeForVmCommands = 1500ms;
+// Longest wait of a command for its connection.
+constexpr Duration kMaxSendDelay = 1s;
 // A live owner learns of a claim from its next renewal. Until then it sends
-// commands, and each may wait for a second before it is sent.
+// commands.
 constexpr Duration kMinIntervalAfterLiveOwner =
-  kMinIntervalBetweenOwners + kMaxRenewalAgeForVmCommands + 1s;
+  kMinIntervalBetweenOwners + kMaxRenewalAgeForVmCommands + kMaxSendDelay;
 
 std::optional<VmCommandFailure>
 FailureOf(const VmCommandResult& aResult)
@@ -102,4 +104,13 @@
                                        : kMinIntervalBetweenOwners);
 }
 
+TimePoint
+SendVmCommandsBefore(const Views& aViews)
+{
+  const Owning* owning = aViews.ownership_.AsOwner();
+  return owning == nullptr ? TimePoint{}
+                           : owning->renewalSentAt_ +
+                               kMaxRenewalAgeForVmCommands + kMaxSendDelay;
+}
+
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/maintenance/VmCommands.h
+++ b/src/verbenawell/jobs/maintenance/VmCommands.h
@@ -12,6 +12,11 @@
 bool
 MayCommandVms(const Views& aViews, TimePoint aNow);
 
+/// Until when a command that is decided now may be sent: a successor sends none
+/// before.
+TimePoint
+SendVmCommandsBefore(const Views& aViews);
+
 /// Logs and counts a command that was not accepted.
 void
 ReportResult(const MaintenanceCommandCompleted& aCommand, Effects& aEffects);
--- a/src/verbenawell/jobs/ownership/OwnershipState.h
+++ b/src/verbenawell/jobs/ownership/OwnershipState.h
@@ -39,7 +39,12 @@
   /// has taken this one for unresponsive.
   [[nodiscard]] bool IsConfirmed(TimePoint aNow) const
   {
-    return aNow - renewalSentAt_ < kOwnerTimeout;
+    return aNow < ConfirmedUntil();
+  }
+
+  [[nodiscard]] TimePoint ConfirmedUntil() const
+  {
+    return renewalSentAt_ + kOwnerTimeout;
   }
 };
 
--- a/src/verbenawell/jobs/pools/PoolsReducer.cpp
+++ b/src/verbenawell/jobs/pools/PoolsReducer.cpp
@@ -263,7 +263,10 @@
 
   void SendMove(const VmId& aVm, const ServiceId& aTo)
   {
-    effects_.push_back(MoveVm{ aVm, aTo, views_.ownership_.AsOwner()->epoch_ });
+    effects_.push_back(MoveVm{ aVm,
+                               aTo,
+                               views_.ownership_.AsOwner()->epoch_,
+                               SendVmCommandsBefore(views_) });
   }
 
   PoolsState& state_;
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -111,16 +111,18 @@
   aRun.startSentAt_ = context_.now_;
   const WorkerTime leaseEnd = LeaseEnd(aWorker);
   aWorker.lease_.Extend(leaseEnd);
-  effects_.push_back(StartTask{ aWorker.entry_.worker_,
-                                aWorker.entry_.address_,
-                                aTask,
-                                aRun.run_,
-                                state_.epoch_,
-                                leaseEnd,
-                                job->definition_.specification_,
-                                task->checkpoint_,
-                                aRun.ticket_,
-                                aWorker.incarnation_ });
+  effects_.push_back(
+    StartTask{ aWorker.entry_.worker_,
+               aWorker.entry_.address_,
+               aTask,
+               aRun.run_,
+               state_.epoch_,
+               leaseEnd,
+               job->definition_.specification_,
+               task->checkpoint_,
+               aRun.ticket_,
+               aWorker.incarnation_,
+               views_.ownership_.AsOwner()->ConfirmedUntil() });
 }
 
 void
--- a/tests/jobs/ExplainTest.cpp
+++ b/tests/jobs/ExplainTest.cpp
@@ -68,6 +68,19 @@
     << cause;
 }
 
+// Guards against a job whose log lines do not tell that another shard has it.
+TEST(Explain, NamesTheShardThatAJobWasHandedOverTo)
+{
+  const LoggedEvent accepted{
+    {}, "d0", "job_accepted", { { "job", kJob }, { "queue", "q" } }
+  };
+  const LoggedEvent handedOver{
+    {}, "d0", "job_handed_over", { { "job", kJob }, { "to_shard", "2" } }
+  };
+  EXPECT_EQ(Explain(JobId{ kJob }, { accepted, handedOver }).cause_,
+            "handed over to shard 2 and not ended there");
+}
+
 // Guards against a reader that stops at a line of another program or at a
 // truncated line.
 TEST(Explain, SkipsLinesThatAreNotLogLines)
--- a/tests/jobs/MalformedEntriesTest.cpp
+++ b/tests/jobs/MalformedEntriesTest.cpp
@@ -261,6 +261,7 @@
     VmServiceClient vms{ io,
                          service.address_,
                          DaemonId{ "d" },
+                         [] { return TimePoint{}; },
                          [&](jobs::Event aEvent) {
                            seen = std::move(aEvent);
                            io.stop();
--- a/tests/jobs/MalformedListsTest.cpp
+++ b/tests/jobs/MalformedListsTest.cpp
@@ -307,6 +307,7 @@
   VmServiceClient vms{ io,
                        service.address_,
                        DaemonId{ "d" },
+                       [] { return TimePoint{}; },
                        [&](const jobs::Event& aEvent) {
                          if (std::holds_alternative<jobs::VmsReadFailed>(
                                aEvent)) {
--- a/tests/jobs/VmServiceClientTest.cpp
+++ b/tests/jobs/VmServiceClientTest.cpp
@@ -24,9 +24,12 @@
 struct RecordedClient
 {
   RecordedClient(asio::io_context& aIo, const Endpoint& aService)
-    : client_(aIo, aService, DaemonId{ "d" }, [this](jobs::Event aEvent) {
-      events_.push_back(std::move(aEvent));
-    })
+    : client_(
+        aIo,
+        aService,
+        DaemonId{ "d" },
+        [this] { return now_; },
+        [this](jobs::Event aEvent) { events_.push_back(std::move(aEvent)); })
   {
   }
 
@@ -64,6 +67,7 @@
     });
   }
 
+  TimePoint now_;
   std::vector<jobs::Event> events_;
   VmServiceClient client_;
 };
@@ -200,6 +204,28 @@
   EXPECT_EQ(vms.Count<jobs::VmCommandAccepted>(), 33);
 }
 
+// Guards against a command of a former owner that is sent after one of its
+// successor: it waited for its connection while its daemon was paused (ONE).
+TEST(VmServiceClient, SendsNoCommandOnceItsOwnerMayHaveChanged)
+{
+  asio::io_context io;
+  SlowServer service{ io, 1ms };
+  RecordedClient vms{ io, service.address_ };
+  jobs::MoveVm move{ VmId{ "1" }, ServiceId{ "pool" }, jobs::Epoch{ 1 } };
+  move.sendBefore_ = vms.now_ + 2s;
+  vms.client_.Run(move);
+  vms.now_ += 7s;
+  io.run_for(200ms);
+  EXPECT_EQ(service.requests_, 0);
+  EXPECT_EQ(vms.Count<jobs::VmCommandBusy>(), 1);
+  move.sendBefore_ = vms.now_ + 2s;
+  vms.client_.Run(move);
+  io.restart();
+  io.run_for(200ms);
+  EXPECT_EQ(service.requests_, 1);
+  EXPECT_EQ(vms.Count<jobs::VmCommandAccepted>(), 1);
+}
+
 // Guards against two commands for one VM that overtake each other on two
 // connections.
 TEST(VmServiceClient, SendsTheCommandsForAVmInOrder)
--- a/tests/jobs/WorkerClientTest.cpp
+++ b/tests/jobs/WorkerClientTest.cpp
@@ -217,19 +217,24 @@
     start.address_ = aAddress;
     start.incarnation_ = jobs::WorkerIncarnation{ aIncarnation };
     start.leaseEnd_ = jobs::WorkerTime{ 8000 };
+    start.sendBefore_ = now_ + 2s;
     client_.Run(start);
+    now_ += pause_;
     io_.restart();
     io_.run_for(5s);
     return result_;
   }
 
   asio::io_context io_;
+  /// Time for which the daemon is paused once a start is decided.
+  Duration pause_{};
 
 private:
+  TimePoint now_;
   jobs::StartResult result_;
   WorkerClient client_{
     io_,
-    [] { return TimePoint{}; },
+    [this] { return now_; },
     [this](const jobs::Event& aEvent) {
       result_ = std::get<jobs::StartCommandCompleted>(aEvent).result_;
       io_.stop();
@@ -270,6 +275,18 @@
   EXPECT_EQ(worker->targets_, (Targets{ query, start }));
 }
 
+// Guards against a start that a daemon sends when it wakes, though its
+// ownership may have passed on meanwhile.
+TEST(WorkerClient, SendsNoStartOnceItsOwnerMayHaveChanged)
+{
+  Starts starts;
+  const StubServer worker{ starts.io_, { 200, {}, ReportOf(100, 0) } };
+  starts.pause_ = 7s;
+  EXPECT_TRUE(std::holds_alternative<jobs::StartNotSent>(
+    starts.Send(worker.address_, 100)));
+  EXPECT_TRUE(worker.targets_.empty());
+}
+
 // Guards against a wait for the lease of a run whose start command had no
 // connection to the worker.
 TEST(WorkerClient, ReportsAStartThatWasNotSent)
