Retry a start whose worker was silent only while it was stored

Callers would see a task that never starts (LOST). A start is not sent to a worker that has become unfit since it was assigned, and the next lease check takes it back. A worker that responds again before that check made neither happen, since no retry was set.

The start is retried like one that waits for the ownership. A worker is fit for assigned runs by the same age of its last response as for new ones, so a run is not taken back and placed there again at once.

--- a/src/verbenawell/jobs/workers/WorkersState.cpp
+++ b/src/verbenawell/jobs/workers/WorkersState.cpp
@@ -71,17 +71,16 @@
 TakesAssignedRuns(const Worker& aWorker, TimePoint aNow)
 {
   return aWorker.isListed_ && !aWorker.entry_.draining_ &&
-         !aWorker.endKnownAt_ && !IsUnresponsive(aWorker, aNow);
+         !aWorker.endKnownAt_ && !aWorker.isUnresponsive_ &&
+         aNow - aWorker.lastResponseAt_ < kMaxResponseAgeForStarts;
 }
 
 bool
 IsSchedulable(const Worker& aWorker, TimePoint aNow)
 {
-  return aWorker.isListed_ && aWorker.isStored_ && aWorker.hasResponded_ &&
-         !aWorker.entry_.draining_ && aWorker.lease_.reading_ &&
-         aNow >= aWorker.avoidUntil_ &&
-         aNow - aWorker.lastResponseAt_ < kMaxResponseAgeForStarts &&
-         !aWorker.isUnresponsive_ && !aWorker.HasUnknownRun();
+  return TakesAssignedRuns(aWorker, aNow) && aWorker.isStored_ &&
+         aWorker.hasResponded_ && aWorker.lease_.reading_ &&
+         aNow >= aWorker.avoidUntil_ && !aWorker.HasUnknownRun();
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCommands.cpp
@@ -93,13 +93,14 @@
                           Assignment& aRun,
                           Starting& aStarting)
 {
-  // The next lease check takes such a run back.
-  if (aRun.IsUnsent() && !TakesAssignedRuns(aWorker, context_.now_)) {
-    return;
-  }
   const Job* job = views_.tasks_.Find(aTask.job_);
   const Task* task = job == nullptr ? nullptr : job->Find(aTask);
-  if (task == nullptr || !aWorker.lease_.reading_ || !IsOwnershipConfirmed()) {
+  // The next lease check takes an unsent run back, unless its worker has become
+  // fit again by then.
+  const bool isUnfit =
+    aRun.IsUnsent() && !TakesAssignedRuns(aWorker, context_.now_);
+  if (isUnfit || task == nullptr || !aWorker.lease_.reading_ ||
+      !IsOwnershipConfirmed()) {
     effects_.push_back(
       SetTimer{ CommandRetry{ aWorker.entry_.worker_ }, kWorkerRetryDelay });
     return;
--- a/tests/jobs/StoreOutageTest.cpp
+++ b/tests/jobs/StoreOutageTest.cpp
@@ -147,6 +147,25 @@
   EXPECT_TRUE(IsTakenBackAfter(200ms));
 }
 
+// Guards against a task that is neither sent nor taken back, since its worker
+// was silent only while the start was stored.
+TEST_F(UnsentStart, IsSentToAWorkerThatRespondsAgain)
+{
+  Apply(LeaseRenewalFailed{ worker_ });
+  const Effects effects = Apply(StartsPersisted{ { Start() } });
+  EXPECT_TRUE(std::ranges::any_of(effects, [&](const Effect& aEffect) {
+    const auto* timer = std::get_if<SetTimer>(&aEffect);
+    return timer != nullptr &&
+           timer->key_ == TimerKey{ CommandRetry{ worker_ } };
+  }));
+  WorkerOfTask().isUnresponsive_ = false;
+  EXPECT_FALSE(IsTakenBackAfter(200ms));
+  const Effects retried = Apply(TimerDue{ CommandRetry{ worker_ } });
+  EXPECT_TRUE(std::ranges::any_of(retried, [](const Effect& aEffect) {
+    return std::holds_alternative<StartTask>(aEffect);
+  }));
+}
+
 // Guards against a start on a worker that has begun to drain since the task was
 // assigned.
 TEST_F(UnsentStart, IsTakenBackFromAWorkerThatDrains)
