Measure the events that create due occurrences

job_decisions_bench has a row for the longest event that creates occurrences of one and of three scheduled jobs, with all of 50, 5,000 and 50,000 due.

--- a/bench/JobDecisionsBench.cpp
+++ b/bench/JobDecisionsBench.cpp
@@ -2,6 +2,7 @@
 #include "verbenawell/jobs/placement/Admission.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/placement/PlacementReducer.h"
+#include "verbenawell/jobs/tasks/TasksReducer.h"
 
 #include "Row.h"
 
@@ -145,6 +146,64 @@
           kDecisions });
 }
 
+Job
+MakeScheduledJob(std::uint32_t aNumber, std::uint32_t aOccurrences)
+{
+  Job job = MakeJob(aNumber);
+  job.occurrences_.clear();
+  job.openTasks_.clear();
+  job.nextOccurrence_ = Occurrence{ 0 };
+  job.definition_.steps_.resize(1);
+  job.definition_.steps_[0].count_ = TaskCount{ 1 };
+  job.definition_.schedule_ =
+    Schedule{ TaskCount{ aOccurrences }, WallTime{}, 0ms };
+  return job;
+}
+
+/// The longest event that creates due occurrences, compared with one that
+/// creates all of them.
+void
+MeasureDueOccurrences(std::uint32_t aJobs, std::uint32_t aOccurrences)
+{
+  State state;
+  state.ownership_.role_ = Owning{};
+  for (std::uint32_t number = 0; number < aJobs; ++number) {
+    Job job = MakeScheduledJob(number, aOccurrences);
+    state.tasks_.jobs_.emplace(job.id_, std::move(job));
+  }
+  const auto elapsedSince = [](std::chrono::steady_clock::time_point aStart) {
+    return std::chrono::duration<double, std::nano>(
+             std::chrono::steady_clock::now() - aStart)
+      .count();
+  };
+  double longest = 0;
+  for (int tick = 0; tick < kDecisions; ++tick) {
+    const auto start = std::chrono::steady_clock::now();
+    Effects effects;
+    ReduceTasks(state.tasks_,
+                state.View(),
+                TimerDue{ JobsTick{} },
+                { kNow, WallTime{ 1h }, {} },
+                effects);
+    longest = std::max(longest, elapsedSince(start));
+  }
+  const auto start = std::chrono::steady_clock::now();
+  for (std::uint32_t number = 0; number < aJobs; ++number) {
+    Job job = MakeScheduledJob(number, aOccurrences);
+    while (job.nextOccurrence_ < job.OccurrenceCount()) {
+      AddOccurrence(job);
+    }
+  }
+  Print({ "job_decision_ns/due_occurrences/" + std::to_string(aJobs) + "/" +
+            std::to_string(aOccurrences),
+          longest,
+          "ns",
+          elapsedSince(start),
+          {},
+          FLAGS_seed,
+          kDecisions });
+}
+
 } // namespace
 } // namespace verbenawell::bench
 
@@ -160,5 +219,10 @@
       Measure(workers, jobs);
     }
   }
+  for (const std::uint32_t jobs : { 1U, 3U }) {
+    for (const std::uint32_t occurrences : { 50U, 5000U, 50000U }) {
+      MeasureDueOccurrences(jobs, occurrences);
+    }
+  }
   return 0;
 }
