Hand jobs over while an entry of another writer is listed

A job whose shard lacks the workers for it would wait for ever (LOST) while the list of workers has an entry that belongs to no VM, such as one of another writer: jobs were handed over only once the VMs of all workers were known.

A worker without a VM now counts for no shard. After a take-over the owner checks at most 20 hand-overs at a time.

HandOver.DoesNotWaitForAWorkerWithoutAVm failed before and passes.

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/callers/CallersState.h"
 #include "verbenawell/jobs/callers/internal/AttemptOutcome.h"
 #include "verbenawell/jobs/callers/internal/RequestLogLine.h"
+#include "verbenawell/jobs/callers/internal/ResponseMargin.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
@@ -18,11 +19,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kTickPeriod = 50ms;
-// A response sent this long before the deadline still reaches the caller. If a
-// request has little time left, the margin is only a part of that time, since
-// most responses need about 20 ms.
-constexpr Duration kResponseMargin = 100ms;
-constexpr int kMarginDivisor = 4;
 constexpr Duration kRetryAfterNoConfiguration = 2s;
 // An owner counts as overdue when its last renewal is this old. It renews its
 // ownership every second, so the next renewal is missing by then and not only
@@ -38,12 +34,6 @@
 constexpr Duration kLastResponsesAfter = 4500ms;
 constexpr Duration kMaxStopTime = 5s;
 
-Duration
-ResponseMargin(Duration aTimeLeft)
-{
-  return std::min(kResponseMargin, aTimeLeft / kMarginDivisor);
-}
-
 class Reducer
 {
 public:
--- a/src/verbenawell/jobs/sharding/internal/StrandedJobs.cpp
+++ b/src/verbenawell/jobs/sharding/internal/StrandedJobs.cpp
@@ -119,11 +119,10 @@
   JobsStranded stranded;
   const State& state = aState.shards_[aShard.Value()];
   const Owning* owning = state.ownership_.AsOwner();
-  // Until the VMs of all workers are known, a worker of this shard may be
-  // missing.
+  // A worker whose VM is not known yet counts for no shard. An entry of another
+  // writer never has a VM, so such workers are not waited for.
   if (*aState.count_ == ShardCount{ 1 } || owning == nullptr ||
-      aNow - owning->takenAt_ < kMinOwnership ||
-      !aState.workersWithoutVm_.empty()) {
+      aNow - owning->takenAt_ < kMinOwnership) {
     return stranded;
   }
   int lookUps = 0;
--- a/src/verbenawell/jobs/tasks/internal/HandOvers.cpp
+++ b/src/verbenawell/jobs/tasks/internal/HandOvers.cpp
@@ -22,6 +22,8 @@
 // An ended job is kept for 150 s, and the record of its hand-over a little
 // longer.
 constexpr Duration kCheckInterval = 60s;
+// A new owner checks all hand-overs of its predecessors.
+constexpr int kMaxChecksPerTick = 20;
 
 } // namespace
 
@@ -75,6 +77,7 @@
                   Effects& aEffects)
 {
   std::vector<JobId> offers;
+  int checks = 0;
   for (auto& [id, handOver] : aState.handOvers_) {
     const JobId& job = id;
     const ShardIndex to = handOver.to_;
@@ -86,7 +89,9 @@
           }
         },
         [&](HandOverComplete& aComplete) {
-          if (aContext.now_ - aComplete.checkedAt_ >= kCheckInterval) {
+          if (checks < kMaxChecksPerTick &&
+              aContext.now_ - aComplete.checkedAt_ >= kCheckInterval) {
+            ++checks;
             aComplete.checkedAt_ = aContext.now_;
             aEffects.push_back(RequestFromShard{ to, FindAdoptedJob{ job } });
           }
--- a/tests/jobs/HandOverTest.cpp
+++ b/tests/jobs/HandOverTest.cpp
@@ -89,6 +89,22 @@
   ExpectNoViolations(deployment);
 }
 
+// Guards against an entry of another writer in the list of workers, which never
+// has a VM and kept jobs from being handed over.
+TEST(HandOver, DoesNotWaitForAWorkerWithoutAVm)
+{
+  SimulatedDeployment deployment{ 228, kSize };
+  WorkerEntry foreign = deployment.WorkerAt(1).Entry();
+  foreign.worker_ = WorkerId{ "foreign" };
+  foreign.address_ = { "10.0.0.9", 9 };
+  deployment.store_.workers_[foreign.worker_] = foreign;
+  deployment.RunFor(kSettlingTime);
+  deployment.Submit(StrandedJobName(), MakeRareJob(500ms));
+  deployment.RunFor(6s);
+  EXPECT_EQ(deployment.StateOfJob(StrandedJobName()), JobState::Completed);
+  ExpectNoViolations(deployment);
+}
+
 // Guards against a gang that waits for ever in a shard with fewer workers than
 // it has members.
 TEST(HandOver, RunsAGangThatOnlyALargerShardCanHold)
