Continue scheduled jobs of an earlier version

The tick that adds occurrences removes leading ones that are done first, and stores that.

ScheduledJob.ContinuesAfterManyDoneOccurrencesOfAnEarlierVersion passes; it was not run without the change.

--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -213,6 +213,7 @@
           job.outcome_ != JobOutcome::Open) {
         continue;
       }
+      RemoveDoneOf(job);
       const Occurrence before = job.nextOccurrence_;
       const std::uint64_t tasks = TasksPerOccurrence(job.definition_);
       while (added < kMaxTasksAddedPerEvent &&
@@ -238,6 +239,17 @@
     return true;
   }
 
+  // The records of an earlier version may hold any number of occurrences that
+  // are done. Nothing follows the write.
+  void RemoveDoneOf(Job& aJob)
+  {
+    if (auto done = RemoveDone(aJob); done) {
+      ForgetSuspects(state_, aJob.id_, aJob.doneOccurrences_);
+      effects_.push_back(Raise{
+        JournalWriteRequested{ { std::move(*done) }, StartsPersisted{} } });
+    }
+  }
+
   void RemoveOldJobs()
   {
     for (auto entry = state_.endedJobs_.begin();
--- a/tests/jobs/ScheduledJobTest.cpp
+++ b/tests/jobs/ScheduledJobTest.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/codec/jobs/JournalCodec.h"
+#include "verbenawell/jobs/core/State.h"
 #include "verbenawell/jobs/tasks/JobRecords.h"
+#include "verbenawell/jobs/tasks/TasksReducer.h"
 
 #include "ExpectNoViolations.h"
 
@@ -200,6 +202,45 @@
   EXPECT_EQ(keys, std::set<std::string>{ "p/" + kScheduledJob });
 }
 
+// Guards against a job of an earlier version that is never continued: more of
+// its occurrences are done than a job may have at a time.
+TEST(ScheduledJob, ContinuesAfterManyDoneOccurrencesOfAnEarlierVersion)
+{
+  constexpr std::uint32_t kDone = 3000;
+  Job job;
+  job.id_ = JobId{ kScheduledJob };
+  job.definition_ = MakeDueJob(5000);
+  std::vector<JournalRecord> records{ StoredJob(job, Context{}) };
+  for (std::uint32_t occurrence = 0; occurrence < kDone; ++occurrence) {
+    TaskProgress task;
+    task.occurrence_ = Occurrence{ occurrence };
+    task.lastRun_ = RunNumber{ 1 };
+    task.done_ = true;
+    records.emplace_back(
+      ProgressStored{ job.id_, { task }, ProgressPart{ occurrence } });
+  }
+  State state;
+  state.ownership_.role_ = Owning{};
+  Restore(state.tasks_, records, Context{});
+  Effects effects;
+  ReduceTasks(state.tasks_,
+              state.View(),
+              TimerDue{ JobsTick{} },
+              { TimePoint{}, WallAt(TimePoint{ 1h }), {} },
+              effects);
+  const Job& restored = state.tasks_.jobs_.at(job.id_);
+  EXPECT_EQ(restored.doneOccurrences_, Occurrence{ kDone });
+  EXPECT_EQ(restored.nextOccurrence_, Occurrence{ kDone + kMaxTasksAdded });
+  EXPECT_TRUE(std::ranges::any_of(effects, [](const Effect& aEffect) {
+    const auto* raised = std::get_if<Raise>(&aEffect);
+    const auto* write = raised == nullptr
+                          ? nullptr
+                          : std::get_if<JournalWriteRequested>(&raised->event_);
+    return write != nullptr &&
+           std::holds_alternative<OccurrencesDone>(write->records_.at(0));
+  }));
+}
+
 // Guards against a record that makes each owner create billions of tasks.
 TEST(ScheduledJob, IgnoresProgressOfAnOccurrenceThatCannotExist)
 {
