Count no run as available that a former owner may have stopped

Callers saw two tasks of a long-running step away at the same time where one may be (AVAIL), when the owner changed while a wave drained VMs.

The former owner had stopped a task within the budget of its step. Its worker lists the run until it has ended, at most 0.9 s later. The next owner knew nothing of the stop, counted the run as available and stopped another task of the step.

A worker rejects stops of former owners from its first response to the new one, so its runs count as available 1.2 s after that.

--- a/src/verbenawell/jobs/maintenance/DisruptionBudget.cpp
+++ b/src/verbenawell/jobs/maintenance/DisruptionBudget.cpp
@@ -6,7 +6,12 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr Percent kStartupComplete{ 100 };
+// A run that a former owner has stopped is listed until it ends, at most 0.9 s
+// later. The worker rejects stops of former owners from its first response on.
+constexpr Duration kMaxStopTime = 1200ms;
 
 bool
 IsAvailable(const Task& aTask, const WorkersState& aWorkers, TimePoint aNow)
@@ -18,6 +23,7 @@
   }
   const Worker* worker = aWorkers.Find(placed->worker_);
   return worker != nullptr && worker->hasResponded_ &&
+         aNow - worker->respondingSince_ >= kMaxStopTime &&
          !IsUnresponsive(*worker, aNow);
 }
 
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -99,6 +99,8 @@
   bool isStored_ = false;
   /// The worker has responded under the current epoch.
   bool hasResponded_ = false;
+  /// When it first did so.
+  TimePoint respondingSince_;
   /// The logged reason for which the last lease renewal was rejected; empty if
   /// it was not.
   std::string loggedRefusal_;
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -292,6 +292,7 @@
   worker.silentSince_.reset();
   worker.isSilent_ = false;
   if (!std::exchange(worker.hasResponded_, true)) {
+    worker.respondingSince_ = aContext.now_;
     aEffects.push_back(Raise{ CapacityChanged{} });
   }
   if (std::exchange(worker.isUnresponsive_, false)) {
