Raise an appended record that is the next one without reading it back

Callers saw: while the log takes 500 ms for a call, bookings were refused as log-down again and again.

Cause: a batch of intents took two round trips to the log, one for the append and one to read the record back, about 1 s together. A request waits behind the batch in flight and for its own, and is refused after 1 s. Callers that retry at once come back at the same point of the next batch. A trace of 8 runs of the test shows one to five refusals in a row for the three bookings that no daemon had written before, 1.055 s apart.

Change: if the response to an append shows that its record is the next one of a stream that has been read to its end, the record is raised at once. Nothing can stand between it and the records that were raised before. All other records are still read, and a later page that holds the record doesn't raise it again.

--- a/src/verbenawell/log/ReadReducer.cpp
+++ b/src/verbenawell/log/ReadReducer.cpp
@@ -78,7 +78,8 @@
   void operator()(const LogAppended& aEvent)
   {
     if (const auto found = log_.streams_.find(aEvent.stream_);
-        found != log_.streams_.end()) {
+        found != log_.streams_.end() &&
+        !RaiseAppended(aEvent, found->second)) {
       Read(aEvent.stream_, found->second);
     }
   }
@@ -221,6 +222,25 @@
     effects_.emplace_back(SetTimer{ LogPoll{ aId }, interval });
   }
 
+  /// Raises the record of an append that is the next one to be read; returns
+  /// false if it has to be read from the log.
+  // Reading it back would take another round trip to the log. With a slow log,
+  // a batch of intents then took as long as its requests may wait.
+  bool RaiseAppended(const LogAppended& aEvent, StreamState& aStream)
+  {
+    const auto append = log_.pending_.find(aEvent.id_);
+    if (append == log_.pending_.end() || !aStream.followed_ ||
+        !aStream.caughtUp_ || aStream.discardRead_ ||
+        aEvent.offset_ != aStream.next_) {
+      return false;
+    }
+    ++aStream.next_;
+    effects_.emplace_back(Raise{ StreamAdvanced{
+      aEvent.stream_,
+      { { aEvent.offset_, aEvent.id_, append->second.body_ } } } });
+    return true;
+  }
+
   /// Raises the new records of a page; returns false if the page did not reach
   /// the end of the stream, so that the next read is due at once.
   bool Advance(const LogRead& aPage, StreamState& aStream)
--- a/tests/unit/LogReadTest.cpp
+++ b/tests/unit/LogReadTest.cpp
@@ -232,6 +232,44 @@
   EXPECT_TRUE(EffectsOfType<SetTimer>().empty());
 }
 
+// Guards against requests that wait for a second round trip to a slow log: their
+// batches took as long as the requests may wait, and the requests were refused.
+TEST_F(LogReadTest, RaisesAnAppendedRecordThatIsTheNextWithoutReadingIt)
+{
+  FollowStream(1);
+  ReceivePage(1, 1, {});
+  Append("a");
+  Run(LogAppended{ kStream, RecordId{ "a" }, Offset{ 1 } });
+  EXPECT_TRUE(EffectsOfType<ReadLog>().empty());
+  const auto advanced = RaisedEvents<StreamAdvanced>();
+  ASSERT_EQ(advanced.size(), 1U);
+  ASSERT_EQ(advanced[0].records_.size(), 1U);
+  EXPECT_EQ(advanced[0].records_[0].id_, RecordId{ "a" });
+  Run(advanced[0]);
+  EXPECT_TRUE(state_.log_.pending_.empty());
+  Run(TimerDue{ LogPoll{ kStream } });
+  ReceivePage(1, 2, { MakeRecord(1) });
+  EXPECT_TRUE(RaisedEvents<StreamAdvanced>().empty());
+}
+
+// Guards against a record that is raised before those that other daemons have
+// appended, and against one that a take-over raises before it has read the
+// stream to its end.
+TEST_F(LogReadTest, ReadsAnAppendedRecordThatIsNotTheNext)
+{
+  FollowStream(1);
+  Append("a");
+  Run(LogAppended{ kStream, RecordId{ "a" }, Offset{ 1 } });
+  EXPECT_TRUE(RaisedEvents<StreamAdvanced>().empty());
+  ReceivePage(1, 1, {});
+  EXPECT_FALSE(EffectsOfType<ReadLog>().empty());
+  ReceivePage(1, 2, { MakeRecord(1) });
+  Append("b");
+  Run(LogAppended{ kStream, RecordId{ "b" }, Offset{ 3 } });
+  EXPECT_TRUE(RaisedEvents<StreamAdvanced>().empty());
+  EXPECT_EQ(EffectsOfType<ReadLog>().at(0).from_, Offset{ 2 });
+}
+
 // Guards against a second append of a record whose first append succeeded but
 // whose response was lost.
 TEST_F(LogReadTest, ConfirmsAnAppendWithoutAResponseByReading)
