Try a suspect on another worker than the one that crashed under it

Cause: a suspect runs on a worker of its own, and long-running tasks prefer workers that have some. Nothing told the placement which worker had crashed, so it chose the same one again, and after three crashes the job was given up.

Change: the worker that crashed under a task is avoided in the same way as one on which the task failed, unless no other one can run it. A crash of another worker is also better proof against the task.

--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -39,7 +39,8 @@
   /// Highest run number that may have been sent to a worker.
   RunNumber lastRun_;
   TaskCount failures_;
-  /// Worker on which the last run failed; not stored in the journal.
+  /// Worker on which the last run failed, or that crashed under it; not stored
+  /// in the journal. The next run goes to another one if it can.
   WorkerId failedOn_;
   /// Workers that have crashed under the task since it last proved harmless.
   WorkerCount crashes_;
--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
@@ -127,6 +127,9 @@
     ++task->crashes_;
     // A successor must not count the same crash again.
     placed->incarnation_ = WorkerIncarnation{};
+    // A crash of another worker tells more about the task: this one may crash
+    // by itself.
+    task->failedOn_ = crashed_.worker_;
     task->probation_ = std::clamp(
       kProbationFactor * aRun.knownAge_, kMinProbation, kMaxProbation);
     state_.suspects_.insert(aRun.task_);
--- a/src/verbenawell/log/ReadReducer.cpp
+++ b/src/verbenawell/log/ReadReducer.cpp
@@ -78,8 +78,7 @@
   void operator()(const LogAppended& aEvent)
   {
     if (const auto found = log_.streams_.find(aEvent.stream_);
-        found != log_.streams_.end() &&
-        !RaiseAppended(aEvent, found->second)) {
+        found != log_.streams_.end() && !RaiseAppended(aEvent, found->second)) {
       Read(aEvent.stream_, found->second);
     }
   }
--- a/tests/unit/LogReadTest.cpp
+++ b/tests/unit/LogReadTest.cpp
@@ -232,8 +232,9 @@
   EXPECT_TRUE(EffectsOfType<SetTimer>().empty());
 }
 
-// Guards against requests that wait for a second round trip to a slow log: their
-// batches took as long as the requests may wait, and the requests were refused.
+// Guards against requests that wait for a second round trip to a slow log:
+// their batches took as long as the requests may wait, and the requests were
+// refused.
 TEST_F(LogReadTest, RaisesAnAppendedRecordThatIsTheNextWithoutReadingIt)
 {
   FollowStream(1);
