Count no crash of a whole zone as proof against a task

Callers saw: long-running jobs failed, and their other tasks were stopped (AVAIL), after the workers of a zone had crashed three times.

Cause: the third crash under a task counted in any case, whatever else crashed at that moment. Tasks that come back to the zone before they have run long enough to prove harmless were given up.

Change: if most workers of the same service and zone crash at the same moment, other than those that run tasks of the same job, and the task has run for 1 s, the crash counts like one of a start without a response: the task is given up after five crashes in all. A task that crashes its workers at once is judged as before.

Measured: RepeatedCrash.OfAZoneGivesUpNoTask failed before, passes. The simulated workers have zones now.

--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -44,8 +44,9 @@
   WorkerId failedOn_;
   /// Workers that have crashed under the task since it last proved harmless.
   WorkerCount crashes_;
-  /// Those of `crashes_` for which the start had no response, so that the task
-  /// may not have been there; not stored in the journal.
+  /// Those of `crashes_` that may have another cause: the start had no
+  /// response, so that the task may not have been there, or workers of the same
+  /// zone crashed at that moment. Not stored in the journal.
   WorkerCount unconfirmedCrashes_;
   /// A suspect proves harmless by running this long.
   Duration probation_{};
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -61,6 +61,23 @@
   TimePoint to_;
 };
 
+/// The workers of a service in one availability zone.
+struct PoolZone
+{
+  ServiceId service_;
+  ZoneId zone_;
+
+  friend bool operator==(const PoolZone&, const PoolZone&) = default;
+};
+
+struct RecentCrash
+{
+  CrashTime time_;
+  PoolZone zone_;
+  /// The jobs whose tasks the worker ran.
+  std::set<JobId> jobs_;
+};
+
 /// The jobs of the owner. Empty on daemons that are not the owner.
 struct TasksState
 {
@@ -73,7 +90,7 @@
   std::set<TaskId> suspects_;
   /// Crashes of workers, for as long as others that crashed with them may still
   /// be recognized.
-  std::vector<CrashTime> recentCrashes_;
+  std::vector<RecentCrash> recentCrashes_;
   std::map<JobId, EndedJob> endedJobs_;
   std::map<JobId, HandOver> handOvers_;
   /// Requests to respond to once the submission is in the journal.
--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -21,9 +22,9 @@
 // explanation, and after `kMaxCrashes` in any case.
 constexpr WorkerCount kProvenCrashes{ 2 };
 constexpr WorkerCount kMaxCrashes{ 3 };
-// The same for a task whose starts have no response because its workers crash
-// at once. Starts on a worker that is down look alike, so it takes more of
-// them.
+// The same if other causes may explain the crashes. The starts of a task whose
+// workers crash at once have no response, as on a worker that is down, and
+// several of its workers may crash with others of their zone.
 constexpr WorkerCount kMaxUnconfirmedCrashes{ 5 };
 // A suspect runs without a crash for this multiple of the time after which its
 // worker crashed before it counts as harmless.
@@ -36,6 +37,10 @@
 // Workers that crashed together are recognized within this time, when they
 // return or when their addresses are used again.
 constexpr Duration kMassCrashWindow = 10s;
+// Other causes explain only the crash of a worker under a task that had run for
+// this long. Most tasks that crash workers do so at once, and while many of
+// them are there, several workers of a small zone crash at the same moment.
+constexpr Duration kMinAgeForCommonCause = 1s;
 
 bool
 Overlaps(const CrashTime& aLeft, const CrashTime& aRight)
@@ -65,16 +70,16 @@
       std::ranges::any_of(crashed_.runs_, [&](const CrashedRun& aRun) {
         return state_.suspects_.contains(aRun.task_);
       });
-    const CrashTime time{ crashed_.lastResponseAt_, crashed_.silentSince_ };
-    const bool isProof =
-      hasSuspect && SuspectJobs().size() == 1 && !IsMassCrash(time);
-    std::erase_if(state_.recentCrashes_, [&](const CrashTime& aCrash) {
-      return aCrash.to_ < context_.now_ - kMassCrashWindow;
+    std::erase_if(state_.recentCrashes_, [&](const RecentCrash& aCrash) {
+      return aCrash.time_.to_ < context_.now_ - kMassCrashWindow;
     });
-    state_.recentCrashes_.push_back(time);
+    const std::vector<RecentCrash> others = CoincidingCrashes();
+    const bool isProof = hasSuspect && SuspectJobs().size() == 1 &&
+                         others.size() < kMassCrashWorkers;
+    state_.recentCrashes_.push_back(ThisCrash());
     for (const CrashedRun& run : crashed_.runs_) {
       if (!hasSuspect || state_.suspects_.contains(run.task_)) {
-        Accuse(run, isProof);
+        Accuse(run, isProof, HasCommonCause(others, run));
       }
     }
     Store();
@@ -92,24 +97,67 @@
     return jobs;
   }
 
-  [[nodiscard]] bool IsMassCrash(const CrashTime& aTime) const
+  [[nodiscard]] RecentCrash ThisCrash() const
   {
-    const auto coincides = [&](const CrashTime& aOther) {
-      return Overlaps(aTime, aOther);
-    };
-    auto others = static_cast<std::size_t>(
-      std::ranges::count_if(state_.recentCrashes_, coincides));
+    RecentCrash crash{ { crashed_.lastResponseAt_, crashed_.silentSince_ },
+                       { crashed_.service_, crashed_.zone_ },
+                       {} };
+    for (const CrashedRun& run : crashed_.runs_) {
+      crash.jobs_.insert(run.task_.job_);
+    }
+    return crash;
+  }
+
+  /// The other workers that may have crashed at the same moment.
+  [[nodiscard]] std::vector<RecentCrash> CoincidingCrashes() const
+  {
+    const CrashTime time{ crashed_.lastResponseAt_, crashed_.silentSince_ };
+    std::vector<RecentCrash> others;
+    std::ranges::copy_if(
+      state_.recentCrashes_,
+      std::back_inserter(others),
+      [&](const RecentCrash& aOther) { return Overlaps(time, aOther.time_); });
     // The others may still be down.
     for (const auto& [id, worker] : views_.workers_.workers_) {
-      if (id != crashed_.worker_ && worker.silentSince_ &&
-          coincides({ worker.lastResponseAt_, *worker.silentSince_ })) {
-        ++others;
+      if (id == crashed_.worker_ || !worker.silentSince_) {
+        continue;
       }
+      RecentCrash other{ { worker.lastResponseAt_, *worker.silentSince_ },
+                         { worker.entry_.service_, worker.entry_.zone_ },
+                         {} };
+      if (Overlaps(time, other.time_)) {
+        for (const auto& [task, run] : worker.runs_) {
+          other.jobs_.insert(task.job_);
+        }
+        others.push_back(std::move(other));
+      }
+    }
+    return others;
+  }
+
+  // Most workers of one zone crash together only for a common cause, such as
+  // the loss of the zone. Workers that ran tasks of the same job show none: all
+  // of its tasks may crash their workers.
+  [[nodiscard]] bool HasCommonCause(const std::vector<RecentCrash>& aOthers,
+                                    const CrashedRun& aRun) const
+  {
+    if (aRun.knownAge_ < kMinAgeForCommonCause) {
+      return false;
     }
-    return others >= kMassCrashWorkers;
+    const PoolZone zone{ crashed_.service_, crashed_.zone_ };
+    const auto crashed = static_cast<std::size_t>(
+      std::ranges::count_if(aOthers, [&](const RecentCrash& aOther) {
+        return aOther.zone_ == zone && !aOther.jobs_.contains(aRun.task_.job_);
+      }));
+    const auto all = static_cast<std::size_t>(
+      std::ranges::count_if(views_.workers_.workers_, [&](const auto& aWorker) {
+        const WorkerEntry& entry = aWorker.second.entry_;
+        return PoolZone{ entry.service_, entry.zone_ } == zone;
+      }));
+    return crashed >= kMassCrashWorkers && 2 * (crashed + 1) > all;
   }
 
-  void Accuse(const CrashedRun& aRun, bool aIsProof)
+  void Accuse(const CrashedRun& aRun, bool aIsProof, bool aHasCommonCause)
   {
     const auto found = state_.jobs_.find(aRun.task_.job_);
     if (found == state_.jobs_.end() ||
@@ -135,7 +183,7 @@
     state_.suspects_.insert(aRun.task_);
     changed_[job.id_].insert(PartOf(job, aRun.task_));
     // A worker that was down already carries out no start.
-    if (!aRun.isConfirmed_) {
+    if (!aRun.isConfirmed_ || aHasCommonCause) {
       ++task->unconfirmedCrashes_;
     }
     const WorkerCount confirmed = task->crashes_ - task->unconfirmedCrashes_;
--- a/src/verbenawell/jobs/workers/WorkerEvents.h
+++ b/src/verbenawell/jobs/workers/WorkerEvents.h
@@ -237,6 +237,8 @@
 struct WorkerCrashed
 {
   WorkerId worker_;
+  ServiceId service_;
+  ZoneId zone_;
   TimePoint lastResponseAt_;
   TimePoint silentSince_;
   std::vector<CrashedRun> runs_;
--- a/src/verbenawell/jobs/workers/internal/WorkerCrash.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerCrash.cpp
@@ -81,6 +81,8 @@
             Effects& aEffects)
 {
   WorkerCrashed crashed{ aWorker.entry_.worker_,
+                         aWorker.entry_.service_,
+                         aWorker.entry_.zone_,
                          aWorker.lastResponseAt_,
                          aWorker.silentSince_.value_or(aContext.now_),
                          {} };
--- a/tests/jobs/RepeatedCrashTest.cpp
+++ b/tests/jobs/RepeatedCrashTest.cpp
@@ -56,6 +56,24 @@
       kDowntime, [this, aIndex] { deployment_.RestartWorker(aIndex); });
   }
 
+  /// Crashes the worker of the task, and those of its zone if requested, as
+  /// soon as the task has run for this long.
+  void CrashAfter(Duration aTime, bool aIsWholeZone)
+  {
+    ASSERT_TRUE(RunUntilJobRuns());
+    deployment_.RunFor(aTime);
+    const auto worker = FindWorkerOfJob();
+    ASSERT_TRUE(worker);
+    const ZoneId zone = deployment_.WorkerAt(*worker).Entry().zone_;
+    for (std::size_t index = 0; index < deployment_.Workers(); ++index) {
+      if (index == *worker ||
+          (aIsWholeZone && deployment_.WorkerAt(index).Entry().zone_ == zone)) {
+        Crash(index);
+      }
+    }
+    deployment_.RunFor(kDowntime);
+  }
+
   void ExpectJobToRunToTheEnd()
   {
     deployment_.RunFor(30s);
@@ -66,8 +84,28 @@
   }
 
   SimulatedDeployment deployment_{ 101, { 3, 12, 2 } };
+
+private:
+  bool RunUntilJobRuns()
+  {
+    for (int tries = 0; tries < 300 && !FindWorkerOfJob(); ++tries) {
+      deployment_.RunFor(100ms);
+    }
+    return FindWorkerOfJob().has_value();
+  }
 };
 
+// Guards against a job that is given up because the workers of its zone crash
+// three times, together with many others, before its task has run long enough
+// to prove harmless.
+TEST_F(RepeatedCrash, OfAZoneGivesUpNoTask)
+{
+  for (int crash = 0; crash < kCrashes; ++crash) {
+    CrashAfter(1500ms, true);
+  }
+  ExpectJobToRunToTheEnd();
+}
+
 // Guards against a job that is given up because its task returns again and
 // again to a worker that crashes by itself.
 TEST_F(RepeatedCrash, OfOneWorkerGivesUpNoTask)
--- a/tests/jobs/SimulatedDeploymentVms.cpp
+++ b/tests/jobs/SimulatedDeploymentVms.cpp
@@ -33,6 +33,10 @@
   entry.rack_ =
     RackId{ "r" +
             std::to_string(aIndex / static_cast<std::size_t>(size_.perRack_)) };
+  // Two racks are in each zone.
+  entry.zone_ =
+    ZoneId{ "z" + std::to_string(
+                    aIndex / (2 * static_cast<std::size_t>(size_.perRack_))) };
   entry.labels_ = { "a", entry.rack_.Value() };
   entry.incarnation_ =
     WorkerIncarnation{ WallAt(time_.Now()).time_since_epoch().count() };
