Count the workers of a zone once per crash

The loss of a zone raises a crash for each of its workers, and each checked all workers of the shard for each of its runs. No change of behaviour: RepeatedCrash, CrashingTask, MassCrash and OwnerLostAfterCrash pass as before.

--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
@@ -76,10 +76,11 @@
     const std::vector<RecentCrash> others = CoincidingCrashes();
     const bool isProof = hasSuspect && SuspectJobs().size() == 1 &&
                          others.size() < kMassCrashWorkers;
+    const std::size_t workersOfZone = CountWorkersOfZone();
     state_.recentCrashes_.push_back(ThisCrash());
     for (const CrashedRun& run : crashed_.runs_) {
       if (!hasSuspect || state_.suspects_.contains(run.task_)) {
-        Accuse(run, isProof, HasCommonCause(others, run));
+        Accuse(run, isProof, HasCommonCause(run, others, workersOfZone));
       }
     }
     Store();
@@ -100,7 +101,7 @@
   [[nodiscard]] RecentCrash ThisCrash() const
   {
     RecentCrash crash{ { crashed_.lastResponseAt_, crashed_.silentSince_ },
-                       { crashed_.service_, crashed_.zone_ },
+                       ZoneOfCrash(),
                        {} };
     for (const CrashedRun& run : crashed_.runs_) {
       crash.jobs_.insert(run.task_.job_);
@@ -135,26 +136,34 @@
     return others;
   }
 
+  [[nodiscard]] PoolZone ZoneOfCrash() const
+  {
+    return { crashed_.service_, crashed_.zone_ };
+  }
+
+  [[nodiscard]] std::size_t CountWorkersOfZone() const
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      views_.workers_.workers_, [zone = ZoneOfCrash()](const auto& aWorker) {
+        const WorkerEntry& entry = aWorker.second.entry_;
+        return PoolZone{ entry.service_, entry.zone_ } == zone;
+      }));
+  }
+
   // Most workers of one zone crash together only for a common cause, such as
   // the loss of the zone. Workers that ran tasks of the same job show none: all
   // of its tasks may crash their workers.
-  [[nodiscard]] bool HasCommonCause(const std::vector<RecentCrash>& aOthers,
-                                    const CrashedRun& aRun) const
+  [[nodiscard]] bool HasCommonCause(const CrashedRun& aRun,
+                                    const std::vector<RecentCrash>& aOthers,
+                                    std::size_t aWorkersOfZone) const
   {
-    if (aRun.knownAge_ < kMinAgeForCommonCause) {
-      return false;
-    }
-    const PoolZone zone{ crashed_.service_, crashed_.zone_ };
+    const PoolZone zone = ZoneOfCrash();
     const auto crashed = static_cast<std::size_t>(
       std::ranges::count_if(aOthers, [&](const RecentCrash& aOther) {
         return aOther.zone_ == zone && !aOther.jobs_.contains(aRun.task_.job_);
       }));
-    const auto all = static_cast<std::size_t>(
-      std::ranges::count_if(views_.workers_.workers_, [&](const auto& aWorker) {
-        const WorkerEntry& entry = aWorker.second.entry_;
-        return PoolZone{ entry.service_, entry.zone_ } == zone;
-      }));
-    return crashed >= kMassCrashWorkers && 2 * (crashed + 1) > all;
+    return aRun.knownAge_ >= kMinAgeForCommonCause &&
+           crashed >= kMassCrashWorkers && 2 * (crashed + 1) > aWorkersOfZone;
   }
 
   void Accuse(const CrashedRun& aRun, bool aIsProof, bool aHasCommonCause)
--- a/tests/jobs/RepeatedCrashTest.cpp
+++ b/tests/jobs/RepeatedCrashTest.cpp
@@ -56,9 +56,9 @@
       kDowntime, [this, aIndex] { deployment_.RestartWorker(aIndex); });
   }
 
-  /// Crashes the worker of the task, and those of its zone if requested, as
-  /// soon as the task has run for this long.
-  void CrashAfter(Duration aTime, bool aIsWholeZone)
+  /// Crashes the workers of the zone where the task runs, once it has run for
+  /// this long.
+  void CrashZoneAfter(Duration aTime)
   {
     ASSERT_TRUE(RunUntilJobRuns());
     deployment_.RunFor(aTime);
@@ -66,8 +66,7 @@
     ASSERT_TRUE(worker);
     const ZoneId zone = deployment_.WorkerAt(*worker).Entry().zone_;
     for (std::size_t index = 0; index < deployment_.Workers(); ++index) {
-      if (index == *worker ||
-          (aIsWholeZone && deployment_.WorkerAt(index).Entry().zone_ == zone)) {
+      if (deployment_.WorkerAt(index).Entry().zone_ == zone) {
         Crash(index);
       }
     }
@@ -101,7 +100,7 @@
 TEST_F(RepeatedCrash, OfAZoneGivesUpNoTask)
 {
   for (int crash = 0; crash < kCrashes; ++crash) {
-    CrashAfter(1500ms, true);
+    CrashZoneAfter(1500ms);
   }
   ExpectJobToRunToTheEnd();
 }
