Check the keys of workspaces at the daemon that receives a request

Change: the configuration holds the workspaces, their weights and quotas, and an index of the keyed hashes of their keys. A request on a queue that is not public needs a key of a workspace; the daemon that received it responds with 401 otherwise, without the owner. The workspace is stored with the job and with its outcome, and a job is hidden from other workspaces. A configuration without tenants needs no keys, as before.

--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -17,7 +17,7 @@
   jobs::JobOutcome::Cancelled;
 template<>
 inline constexpr jobs::RejectReason kLastEnumerator<jobs::RejectReason> =
-  jobs::RejectReason::Overload;
+  jobs::RejectReason::IdInUse;
 template<>
 inline constexpr jobs::JobState kLastEnumerator<jobs::JobState> =
   jobs::JobState::Cancelled;
@@ -96,6 +96,7 @@
            aValue.policy_,
            aValue.acceptedAt_,
            aValue.definition_);
+  aArchive.OptionalField(aValue.workspace_);
 }
 
 template<typename Archive, OneOf<jobs::TaskProgress> T>
@@ -127,6 +128,7 @@
 Fields(Archive& aArchive, T& aValue)
 {
   aArchive(aValue.job_, aValue.queue_, aValue.outcome_, aValue.endedAt_);
+  aArchive.OptionalField(aValue.workspace_);
 }
 
 template<typename Archive, OneOf<jobs::OccurrencesDone> T>
@@ -234,7 +236,8 @@
                jobs::QueueUnknown,
                jobs::JobUnknown,
                jobs::CancelAccepted,
-               jobs::OutcomeUnknown> T>
+               jobs::OutcomeUnknown,
+               jobs::KeyRejected> T>
 void
 Fields(Archive& aArchive, T&)
 {
@@ -247,6 +250,7 @@
 {
   aArchive(aValue.host_, aValue.path_, aValue.action_, aValue.configuration_);
   aArchive.OptionalField(aValue.shard_);
+  aArchive.OptionalField(aValue.workspace_);
 }
 
 template<typename Archive, OneOf<jobs::JobRejected> T>
--- a/src/verbenawell/jobs/callers/CallerEvents.h
+++ b/src/verbenawell/jobs/callers/CallerEvents.h
@@ -41,6 +41,7 @@
   RequestKey key_;
   QueueId queue_;
   CallerAction action_;
+  WorkspaceId workspace_{};
 };
 
 /// These jobs have waited for workers that their shard lacks and that another
--- a/src/verbenawell/jobs/callers/CallerRequest.cpp
+++ b/src/verbenawell/jobs/callers/CallerRequest.cpp
@@ -34,6 +34,12 @@
       return "store_away";
     case RejectReason::Overload:
       return "overload";
+    case RejectReason::WorkspaceOverload:
+      return "workspace_overload";
+    case RejectReason::QuotaTooSmall:
+      return "quota_too_small";
+    case RejectReason::IdInUse:
+      return "id_in_use";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/callers/CallerRequest.h
+++ b/src/verbenawell/jobs/callers/CallerRequest.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/JobDefinition.h"
+#include "verbenawell/jobs/workspaces/Credential.h"
 
 #include <cstdint>
 #include <memory>
@@ -77,6 +78,11 @@
   /// The job's own shard has handed the job over to `shard_`. Not sent to other
   /// daemons.
   bool isRedirected_ = false;
+  /// The workspace of the caller, as the daemon that received the request found
+  /// it by the key; empty for a public queue.
+  WorkspaceId workspace_{};
+  /// Not sent to other daemons.
+  Credential credential_{};
 };
 
 /// Why a submission was rejected. No task of a rejected job has run.
@@ -86,6 +92,12 @@
   NoOwner,
   StoreUnavailable,
   Overload,
+  /// The workspace has more work than its share of the VMs completes in time.
+  WorkspaceOverload,
+  /// A task of the job needs more than the workspace may use.
+  QuotaTooSmall,
+  /// Another workspace has a job with the id.
+  IdInUse,
 };
 
 std::string_view
@@ -143,6 +155,10 @@
   bool mayHaveTakenEffect_ = false;
 };
 
+/// The queue is not public, and the request has no key of a workspace.
+struct KeyRejected
+{};
+
 /// Only between daemons: another shard has the job.
 struct OtherShard
 {
@@ -158,6 +174,7 @@
                                     PendingJobsReported,
                                     OutcomeUnknown,
                                     NotOwner,
-                                    OtherShard>;
+                                    OtherShard,
+                                    KeyRejected>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -8,6 +8,7 @@
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
+#include "verbenawell/jobs/workspaces/Access.h"
 
 #include <algorithm>
 #include <utility>
@@ -230,6 +231,16 @@
                hasAttempt);
       return;
     }
+    // The daemon that received the request has checked its key.
+    if (queue != nullptr && !aOpen.forwarded_) {
+      const Access access =
+        CheckAccess(*queue, *configuration, aOpen.request_.credential_);
+      if (const auto* denial = std::get_if<AccessDenial>(&access)) {
+        Deny(aKey, aOpen, *denial);
+        return;
+      }
+      aOpen.request_.workspace_ = std::get<AccessGranted>(access).workspace_;
+    }
     aOpen.request_.configuration_ = configuration->version_;
     if (views_.ownership_.AsOwner() != nullptr) {
       if (views_.journal_.IsReady()) {
@@ -239,7 +250,8 @@
         effects_.push_back(Raise{
           OwnerRequestReceived{ aKey,
                                 queue == nullptr ? QueueId{} : queue->id_,
-                                aOpen.request_.action_ } });
+                                aOpen.request_.action_,
+                                aOpen.request_.workspace_ } });
       }
       return;
     }
@@ -250,6 +262,12 @@
     Forward(aKey, aOpen);
   }
 
+  void Deny(RequestKey aKey, OpenRequest& aOpen, AccessDenial aDenial)
+  {
+    effects_.push_back(Count{ aDenial });
+    Conclude(aKey, aOpen, KeyRejected{}, aOpen.attemptsWithoutResponse_ > 0);
+  }
+
   void Forward(RequestKey aKey, OpenRequest& aOpen)
   {
     const auto& owner = views_.ownership_.owner_;
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
@@ -70,6 +70,9 @@
       [](const QueueUnknown&) {
         return AttemptOutcome{ PassOn{ OutcomeUnknown{} } };
       },
+      [](const KeyRejected&) {
+        return AttemptOutcome{ PassOn{ OutcomeUnknown{} } };
+      },
       [&](const auto&) { return AttemptOutcome{ PassOn{ aResponse } }; } },
     aResponse);
 }
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -22,6 +22,8 @@
   JobPolicy policy_;
   WallTime acceptedAt_;
   JobDefinition definition_;
+  /// Empty in records of earlier versions.
+  WorkspaceId workspace_{};
 };
 
 /// The progress of a task that was started at least once.
@@ -66,6 +68,8 @@
   std::vector<ProgressPart> parts_{};
   /// The job has an `OccurrencesDone` record, which is deleted too.
   bool hasDoneOccurrences_ = false;
+  /// Empty in records of earlier versions.
+  WorkspaceId workspace_{};
 };
 
 /// The leading occurrences of a scheduled job that are done.
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -3,6 +3,7 @@
 #include "verbenawell/jobs/callers/CallerRequest.h"
 #include "verbenawell/jobs/maintenance/MaintenanceEvents.h"
 #include "verbenawell/jobs/workers/WorkerEvents.h"
+#include "verbenawell/jobs/workspaces/Access.h"
 
 #include <cstdint>
 #include <string_view>
@@ -60,8 +61,12 @@
 ToString(Counter aCounter);
 
 /// The counter that a `Count` effect increments.
-using CounterKey =
-  std::variant<Counter, RejectReason, StartRefusal, EndKind, VmCommandFailure>;
+using CounterKey = std::variant<Counter,
+                                RejectReason,
+                                StartRefusal,
+                                EndKind,
+                                VmCommandFailure,
+                                AccessDenial>;
 
 /// Durations that are recorded as distributions.
 enum class LatencyMetric : std::uint8_t
--- a/src/verbenawell/jobs/metrics/JobMetrics.cpp
+++ b/src/verbenawell/jobs/metrics/JobMetrics.cpp
@@ -34,6 +34,9 @@
       [](EndKind aKind) { return LabeledName("runs_ended", ToString(aKind)); },
       [](VmCommandFailure aReason) {
         return LabeledName("vm_commands_failed", ToString(aReason));
+      },
+      [](AccessDenial aReason) {
+        return LabeledName("keys_rejected", ToString(aReason));
       } },
     aKey);
 }
@@ -66,10 +69,11 @@
 JobMetrics::JobMetrics()
 {
   AddZeroCounters(counters_, Counter::SlowRunsStopped);
-  AddZeroCounters(counters_, RejectReason::Overload);
+  AddZeroCounters(counters_, RejectReason::IdInUse);
   AddZeroCounters(counters_, StartRefusal::OtherIncarnation);
   AddZeroCounters(counters_, EndKind::GangIncomplete);
   AddZeroCounters(counters_, VmCommandFailure::Unconfirmed);
+  AddZeroCounters(counters_, AccessDenial::UnknownKey);
 }
 
 void
--- a/src/verbenawell/jobs/model/Configuration.cpp
+++ b/src/verbenawell/jobs/model/Configuration.cpp
@@ -32,4 +32,15 @@
   return found == services_.end() ? nullptr : &*found;
 }
 
+const Workspace*
+Configuration::Find(const WorkspaceId& aWorkspace) const
+{
+  if (!workspaces_) {
+    return nullptr;
+  }
+  const auto found =
+    std::ranges::find(*workspaces_, aWorkspace, &Workspace::id_);
+  return found == workspaces_->end() ? nullptr : &*found;
+}
+
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/model/Configuration.h
+++ b/src/verbenawell/jobs/model/Configuration.h
@@ -2,8 +2,10 @@
 
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
+#include "verbenawell/jobs/workspaces/Workspace.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +13,8 @@
 
 namespace verbenawell::jobs {
 
+class ApiKeyIndex;
+
 /// Response times and ticket validity of the advice service, which decides on
 /// which workers the steps of a queue may run.
 struct AdviceSettings
@@ -40,6 +44,8 @@
   Duration slack_{};
   /// If set, steps of the queue start only with a ticket of the advice service.
   std::optional<AdviceSettings> advice_;
+  /// Requests need no key, and the jobs belong to no workspace.
+  bool isPublic_ = false;
 };
 
 /// A service and its pool of VMs.
@@ -58,12 +64,18 @@
   ConfigurationVersion version_;
   std::vector<Queue> queues_;
   std::vector<Service> services_;
+  /// Empty if the deployment has no workspaces, so that requests need no keys.
+  std::optional<std::vector<Workspace>> workspaces_;
+  /// The keys of the workspaces; null without workspaces. Shared by the copies
+  /// of a configuration, of which each shard has one.
+  std::shared_ptr<const ApiKeyIndex> keys_;
 
   /// The queue with this host and the longest prefix of the path, if any.
   [[nodiscard]] const Queue* Resolve(std::string_view aHost,
                                      std::string_view aPath) const;
   [[nodiscard]] const Queue* Find(const QueueId& aQueue) const;
   [[nodiscard]] const Service* Find(const ServiceId& aService) const;
+  [[nodiscard]] const Workspace* Find(const WorkspaceId& aWorkspace) const;
 };
 
 /// Which VMs of an operator's wave a `Wave` holds.
--- a/src/verbenawell/jobs/model/Ids.h
+++ b/src/verbenawell/jobs/model/Ids.h
@@ -14,6 +14,9 @@
 using JobId = Id<struct JobTag>;
 using QueueId = Id<struct QueueTag>;
 
+/// A customer's part of the deployment. Workspaces share the VMs.
+using WorkspaceId = Id<struct WorkspaceTag>;
+
 /// Identifies a worker: a VM in one pool. A VM gets a new worker id with each
 /// move.
 using WorkerId = Id<struct WorkerTag>;
@@ -47,6 +50,10 @@
 /// 0 is the most urgent.
 using Priority = Quantity<struct PriorityTag, std::int32_t>;
 
+/// Share of a workspace when room is short, relative to the weights of the
+/// others.
+using WorkspaceWeight = Quantity<struct WorkspaceWeightTag, double>;
+
 using WorkerCount = Quantity<struct WorkerCountTag, std::uint32_t>;
 using TaskCount = Quantity<struct TaskCountTag, std::uint32_t>;
 using Percent = Quantity<struct PercentTag, std::uint32_t>;
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -104,6 +104,8 @@
   JobId id_;
   QueueId queue_;
   ServiceId service_;
+  /// Empty for a job of a public queue or of a deployment without workspaces.
+  WorkspaceId workspace_;
   JobPolicy policy_;
   JobDefinition definition_;
   TimePoint acceptedAt_;
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -108,6 +108,7 @@
   job.id_ = aStored.job_;
   job.queue_ = aStored.queue_;
   job.service_ = aStored.service_;
+  job.workspace_ = aStored.workspace_;
   job.policy_ = aStored.policy_;
   job.definition_ = aStored.definition_;
   const Duration age = std::max(WallTime::duration::zero(),
@@ -218,8 +219,8 @@
 JobStored
 StoredJob(const Job& aJob, const Context& aContext)
 {
-  return { aJob.id_,     aJob.queue_,       aJob.service_,
-           aJob.policy_, aContext.wallNow_, aJob.definition_ };
+  return { aJob.id_,          aJob.queue_,      aJob.service_,  aJob.policy_,
+           aContext.wallNow_, aJob.definition_, aJob.workspace_ };
 }
 
 ProgressPart
@@ -259,7 +260,8 @@
 {
   return { aJob.id_,           aJob.queue_,
            aJob.outcome_,      aContext.wallNow_,
-           StartedParts(aJob), aJob.doneOccurrences_ > Occurrence{} };
+           StartedParts(aJob), aJob.doneOccurrences_ > Occurrence{},
+           aJob.workspace_ };
 }
 
 std::optional<OccurrencesDone>
@@ -283,23 +285,25 @@
 {
   // The records have no particular order: progress may precede its job.
   for (const JournalRecord& record : aRecords) {
-    std::visit(
-      Overloaded{
-        [&](const JobStored& aStored) {
-          aTasks.jobs_.emplace(aStored.job_, RestoredJob(aStored, aContext));
-        },
-        [&](const OutcomeStored& aStored) {
-          aTasks.endedJobs_.emplace(
-            aStored.job_,
-            EndedJob{ aStored.queue_, aStored.outcome_, aContext.now_ });
-        },
-        [&](const JobHandedOver& aHandedOver) {
-          aTasks.handOvers_.emplace(aHandedOver.job_,
-                                    RestoredHandOver(aHandedOver));
-        },
-        [](const auto&) {},
-      },
-      record);
+    std::visit(Overloaded{
+                 [&](const JobStored& aStored) {
+                   aTasks.jobs_.emplace(aStored.job_,
+                                        RestoredJob(aStored, aContext));
+                 },
+                 [&](const OutcomeStored& aStored) {
+                   aTasks.endedJobs_.emplace(aStored.job_,
+                                             EndedJob{ aStored.queue_,
+                                                       aStored.outcome_,
+                                                       aContext.now_,
+                                                       aStored.workspace_ });
+                 },
+                 [&](const JobHandedOver& aHandedOver) {
+                   aTasks.handOvers_.emplace(aHandedOver.job_,
+                                             RestoredHandOver(aHandedOver));
+                 },
+                 [](const auto&) {},
+               },
+               record);
   }
   for (const auto& [id, handOver] : aTasks.handOvers_) {
     if (const auto job = aTasks.jobs_.find(id); job != aTasks.jobs_.end()) {
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -20,6 +20,7 @@
   JobOutcome outcome_ = JobOutcome::Completed;
   /// When this daemon ended the job or read its outcome.
   TimePoint knownSince_;
+  WorkspaceId workspace_{};
 };
 
 /// The hand-over is being written to the journal.
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -8,6 +8,7 @@
 #include "verbenawell/jobs/tasks/JobRecords.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/tasks/internal/JobOutcomes.h"
+#include "verbenawell/jobs/workspaces/Access.h"
 
 #include <algorithm>
 
@@ -18,6 +19,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kStoreRetryAfter = 2s;
+// The other workspace's job is stored under the id for 150 s after its end.
+constexpr Duration kIdInUseRetryAfter = 150s;
 // The owner reports a job as unknown only while its last renewal is younger
 // than this. An unresponsive owner is replaced 2.5 s after its last renewal at
 // the earliest. A daemon on a larger VM may claim before, so the response to a
@@ -61,9 +64,13 @@
 }
 
 Job
-NewJob(const SubmitJob& aSubmit, const Queue& aQueue, const Context& aContext)
+NewJob(const SubmitJob& aSubmit,
+       const Queue& aQueue,
+       const WorkspaceId& aWorkspace,
+       const Context& aContext)
 {
   Job job;
+  job.workspace_ = aWorkspace;
   job.id_ = aSubmit.job_;
   job.queue_ = aQueue.id_;
   job.service_ = aQueue.service_;
@@ -111,6 +118,10 @@
 
   void operator()(const SubmitJob& aSubmit)
   {
+    if (IsHidden(aSubmit.job_)) {
+      Respond(JobRejected{ RejectReason::IdInUse, kIdInUseRetryAfter });
+      return;
+    }
     if (const auto known = state_.jobs_.find(aSubmit.job_);
         known != state_.jobs_.end()) {
       if (known->second.stored_) {
@@ -134,7 +145,9 @@
 
   void operator()(const ReadJob& aRead)
   {
-    if (const Job* job = state_.Find(aRead.job_); job != nullptr) {
+    if (IsHidden(aRead.job_)) {
+      Respond(JobUnknown{});
+    } else if (const Job* job = state_.Find(aRead.job_); job != nullptr) {
       if (job->stored_) {
         Respond(JobStateReported{ StateOf(*job) });
       } else {
@@ -176,6 +189,10 @@
 
   void operator()(const CancelJob& aCancel)
   {
+    if (IsHidden(aCancel.job_)) {
+      Respond(JobUnknown{});
+      return;
+    }
     const auto found = state_.jobs_.find(aCancel.job_);
     if (found == state_.jobs_.end()) {
       if (state_.endedJobs_.contains(aCancel.job_)) {
@@ -210,7 +227,7 @@
       Respond(QueueUnknown{});
       return;
     }
-    Job job = NewJob(aSubmit, *queue, context_);
+    Job job = NewJob(aSubmit, *queue, request_.workspace_, context_);
     if (const auto refusal = RefusalOf(job); refusal) {
       effects_.push_back(LogLine{
         LogLevel::Info,
@@ -271,6 +288,17 @@
     }
   }
 
+  /// Returns whether the job belongs to another workspace than the caller.
+  [[nodiscard]] bool IsHidden(const JobId& aJob) const
+  {
+    if (const Job* job = state_.Find(aJob); job != nullptr) {
+      return !IsVisibleTo(request_.workspace_, job->workspace_);
+    }
+    const auto ended = state_.endedJobs_.find(aJob);
+    return ended != state_.endedJobs_.end() &&
+           !IsVisibleTo(request_.workspace_, ended->second.workspace_);
+  }
+
   void RespondUnknown() { Respond(UnknownJobResponse(views_, context_)); }
 
   void Respond(const CallerResponse& aResponse)
--- a/src/verbenawell/jobs/tasks/internal/JobOutcomes.cpp
+++ b/src/verbenawell/jobs/tasks/internal/JobOutcomes.cpp
@@ -79,7 +79,7 @@
   StopRuns(job, aEffects);
   RespondToCancellers(aState, aJob, CancelAccepted{}, aEffects);
   aState.endedJobs_.insert_or_assign(
-    aJob, EndedJob{ job.queue_, job.outcome_, aContext.now_ });
+    aJob, EndedJob{ job.queue_, job.outcome_, aContext.now_, job.workspace_ });
   aState.openJobs_.Remove(aJob);
   aState.jobs_.erase(found);
 }
