Place short tasks on few workers and power off idle borrowed VMs

Borrowed VMs also returned to the pool that had lent them, where they stood idle.

Now all tasks prefer workers with long-running tasks, whose VMs can't move in any case, and short tasks the most loaded worker. A VM that its pool does not need for its work, for the loss of a rack or as one of its own is released after 3 s: to its home pool if that has too few VMs, else to the spare pool.

--- a/src/verbenawell/jobs/placement/WorkerChoice.cpp
+++ b/src/verbenawell/jobs/placement/WorkerChoice.cpp
@@ -206,9 +206,12 @@
   }
 }
 
-// Chooses the least loaded worker, so that the loss of a rack affects the
-// fewest tasks. Long-running tasks are placed on few workers, since a VM that
-// runs one cannot change its pool.
+// Tasks are placed on few workers, so that the other VMs of the pool become
+// idle and can change their pool or be powered off. With the least loaded
+// worker first, nearly all VMs of a pool run a task until the last one has
+// ended. All tasks prefer workers with long-running ones, whose VMs can't move
+// in any case. Among these, a long-running task takes the least loaded one, and
+// the others take the most loaded one, which also leaves room for large tasks.
 std::optional<Choice>
 ServiceCapacity::ChooseWorkerOnRack(const TaskId& aTask,
                                     const Step& aStep,
@@ -218,8 +221,9 @@
 {
   const Resources resources = ResourcesOnWorker(aStep);
   const auto preference = [&](const Candidate& aCandidate) {
-    return std::pair{ aStep.longRunning_ ? aCandidate.longRunning_ : 0,
-                      -LoadAfter(aCandidate, resources) };
+    return std::pair{ aCandidate.longRunning_,
+                      aStep.longRunning_ ? -LoadAfter(aCandidate, resources)
+                                         : LoadAfter(aCandidate, resources) };
   };
   Candidate* best = nullptr;
   std::pair<std::size_t, double> bestPreference;
--- a/src/verbenawell/jobs/pools/PoolDemand.cpp
+++ b/src/verbenawell/jobs/pools/PoolDemand.cpp
@@ -28,6 +28,16 @@
 {
   std::uint32_t activeVms_ = 0;
   std::uint64_t cpu_ = 0;
+  std::map<RackId, std::uint32_t> vmsByRack_;
+
+  [[nodiscard]] std::uint32_t VmsOfLargestRack() const
+  {
+    std::uint32_t largest = 0;
+    for (const auto& [rack, vms] : vmsByRack_) {
+      largest = std::max(largest, vms);
+    }
+    return largest;
+  }
 };
 
 /// Tells whether the job has a waiting long-running task that one more VM like
@@ -94,6 +104,7 @@
     if (isActive) {
       PoolSize& size = sizes[worker.entry_.service_];
       ++size.activeVms_;
+      ++size.vmsByRack_[worker.entry_.rack_];
       size.cpu_ =
         SaturatingAdd(size.cpu_, worker.entry_.capacity_.cpu_.Value());
     }
@@ -132,7 +143,8 @@
     demand[service] = { size.activeVms_,
                         VmsForCpu(cpu, cpuOfOne),
                         VmsForCpu(arriving, cpuOfOne),
-                        vmsForSpread[service] + 1 };
+                        vmsForSpread[service] + 1,
+                        size.VmsOfLargestRack() };
     if (needingVm.contains(service)) {
       demand[service].requiredVms_ =
         std::max(demand[service].requiredVms_, size.activeVms_ + 1);
--- a/src/verbenawell/jobs/pools/PoolDemand.h
+++ b/src/verbenawell/jobs/pools/PoolDemand.h
@@ -22,6 +22,8 @@
   /// VMs over which the long-running tasks have to be spread, and one more to
   /// replace a lost VM.
   std::uint32_t minVms_ = 1;
+  /// Active VMs on the rack that has the most of them.
+  std::uint32_t vmsOfLargestRack_ = 0;
 };
 
 /// Computes the demand of each pool from its waiting work and its arrival rate.
--- a/src/verbenawell/jobs/pools/internal/MovePlan.cpp
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -24,10 +24,10 @@
 // A VM moves to another pool only after this idle time, which shows that its
 // present pool does not need it.
 constexpr Duration kMinIdleBeforeMove = 500ms;
-// A borrowed VM is returned after this idle time. Turning it off saves more
-// than its move costs after about a second; the remaining time keeps VMs in
-// pools whose work arrives in groups.
-constexpr Duration kMinIdleBeforeReturn = 3s;
+// An idle VM that its pool does not need is released after this idle time. It
+// covers a move away and back, so that a VM that is needed again within that
+// time stays.
+constexpr Duration kMinIdleBeforeRelease = 3s;
 // A pool lends VMs only while it has more than this share of its own, so that
 // it has capacity for its next burst until they are back.
 constexpr std::uint32_t kMinOwnVmsPercent = 70;
@@ -48,6 +48,19 @@
   return aActive > 1 && aRequired * kSurplusDivisor < aActive;
 }
 
+std::optional<ServiceId>
+FindSparePool(const Views& aViews)
+{
+  if (const auto& configuration = aViews.configuration_.configuration_) {
+    const auto service =
+      std::ranges::find(configuration->services_, true, &Service::isSparePool_);
+    if (service != configuration->services_.end()) {
+      return service->id_;
+    }
+  }
+  return std::nullopt;
+}
+
 class MovePlanner
 {
 public:
@@ -60,6 +73,7 @@
     , demand_(aDemand)
     , now_(aContext.now_)
     , maxMoves_(MaxMovesOfShard(aViews.ownership_.self_.shards_))
+    , sparePool_(FindSparePool(aViews))
   {
     for (const auto& [vm, pool] : state_.homePools_) {
       ++ownVms_[pool];
@@ -71,7 +85,7 @@
     for (const ServiceId& service : ServicesByArrivals()) {
       PlanMovesTo(service);
     }
-    ReturnBorrowedVms();
+    ReleaseIdleVms();
     return std::move(moves_);
   }
 
@@ -204,28 +218,58 @@
     return std::nullopt;
   }
 
-  void ReturnBorrowedVms()
+  /// VMs that a pool keeps although they are idle: its own ones, which serve
+  /// the first seconds of a burst, and those that it requires even if it loses
+  /// a rack.
+  [[nodiscard]] std::uint64_t RetainedVms(const ServiceId& aPool) const
+  {
+    const PoolDemand& pool = demand_.at(aPool);
+    const auto ownVms = ownVms_.find(aPool);
+    return std::max<std::uint64_t>(
+      { std::uint64_t{ pool.requiredVms_ } +
+          std::min(pool.requiredVms_, pool.vmsOfLargestRack_),
+        pool.minVms_,
+        ownVms == ownVms_.end() ? 0 : ownVms->second });
+  }
+
+  void ReleaseIdleVms()
   {
     for (const auto& [id, since] : state_.idleSince_) {
       const ListedVm& vm = views_.maintenance_.vms_.at(id);
       const auto pool = demand_.find(vm.pool_);
-      if (pool == demand_.end() || !IsBorrowed(vm) ||
-          now_ - since < kMinIdleBeforeReturn ||
-          !HasSurplus(pool->second.requiredVms_, pool->second.activeVms_)) {
+      if (pool == demand_.end() || now_ - since < kMinIdleBeforeRelease ||
+          pool->second.activeVms_ <= RetainedVms(vm.pool_)) {
         continue;
       }
-      if (const ServiceId& homePool = state_.homePools_.at(id);
-          MayMove(vm, homePool) && moves_.size() < maxMoves_) {
-        Add({ id, homePool, false });
+      if (auto target = TargetOfRelease(vm);
+          target && MayMove(vm, *target) && moves_.size() < maxMoves_) {
+        Add({ id, *target, false });
       }
     }
   }
 
+  /// A borrowed VM goes back to its home pool while that has too few VMs. All
+  /// others are powered off, or stay if there is no spare pool.
+  [[nodiscard]] std::optional<ServiceId> TargetOfRelease(
+    const ListedVm& aVm) const
+  {
+    const ServiceId& homePool = state_.homePools_.at(aVm.vm_);
+    if (const auto pool = demand_.find(homePool);
+        homePool != aVm.pool_ &&
+        (!sparePool_ || (pool != demand_.end() &&
+                         pool->second.activeVms_ + Incoming(homePool) <
+                           RetainedVms(homePool)))) {
+      return homePool;
+    }
+    return sparePool_;
+  }
+
   const PoolsState& state_;
   const Views& views_;
   std::map<ServiceId, PoolDemand> demand_;
   TimePoint now_;
   std::size_t maxMoves_;
+  std::optional<ServiceId> sparePool_;
   /// Number of VMs whose home pool is the pool.
   std::map<ServiceId, std::uint64_t> ownVms_;
   std::set<VmId> plannedVms_;
--- a/tests/jobs/PoolsTest.cpp
+++ b/tests/jobs/PoolsTest.cpp
@@ -152,5 +152,25 @@
   ExpectNoViolations(deployment);
 }
 
+// Guards against borrowed VMs that stay after a burst because the few tasks
+// that still arrive are spread over all VMs of the pool.
+TEST(Pools, ReturnVmsWhileAFewTasksStillArrive)
+{
+  SimulatedDeployment deployment{ 47, { 3, 8, 2, 6 } };
+  deployment.RunFor(kFirstMovesTime);
+  SubmitBurst(deployment, 10, 20, "/queue/");
+  deployment.RunFor(10s);
+  ASSERT_LT(CountVmsIn(deployment, kSpare), 6U);
+  // Eight tasks at a time, which fit on one VM.
+  JobDefinition smallTasks = MakeJob(8, 1, 300ms);
+  smallTasks.steps_[0].resources_.cpu_ = MilliCores{ 200 };
+  for (int job = 40; job < 60; ++job) {
+    deployment.Submit("00000000000000" + std::to_string(job), smallTasks);
+    deployment.RunFor(500ms);
+  }
+  EXPECT_EQ(CountVmsIn(deployment, kSpare), 6U);
+  ExpectNoViolations(deployment);
+}
+
 } // namespace
 } // namespace verbenawell::jobs
