Let daemons that the store turns away learn from other daemons

Callers saw: a daemon that the store turned away went on accepting keys that had been withdrawn and refusing new ones, and rejected each submission since it could not see that the owner was alive. A submission to an owner that was cut off ended with 504 at its deadline although it had never been sent.

Cause: the configuration and the owners were read from the store only. The time to connect to an owner was limited by the caller's deadline alone, and the outcome of a submission counted as unknown at its deadline even if no daemon had received it.

Change: with workspaces configured, a daemon whose reads of the operators' records fail for 500 ms, or are overdue, asks the owners and two other daemons each 500 ms for a report: a newer configuration with the hashes of the keys, its age, and the owners with the age of their renewals. A version never goes back. A connection to an owner has to be established within 500 ms, and a submission that reached no owner is rejected with Retry-After, also at its deadline.

--- a/src/verbenawell/adapters/http/HttpChannel.cpp
+++ b/src/verbenawell/adapters/http/HttpChannel.cpp
@@ -43,6 +43,7 @@
   calls_.push_back({ std::move(aRequest),
                      std::chrono::steady_clock::now() + aLimit,
                      std::nullopt,
+                     std::nullopt,
                      std::move(aHandler) });
   StartNextCall();
 }
@@ -53,6 +54,7 @@
   calls_.push_back({ std::move(aSource),
                      std::chrono::steady_clock::now() + aLimit,
                      std::nullopt,
+                     std::nullopt,
                      std::move(aHandler) });
   StartNextCall();
 }
@@ -79,6 +81,7 @@
                      aLimits.queue_ ? Clock::now() + *aLimits.queue_
                                     : Clock::time_point::max(),
                      aLimits.response_,
+                     aLimits.connect_,
                      std::move(aHandler) });
   StartNextCall();
 }
@@ -120,18 +123,30 @@
   if (PendingCall& call = calls_.front(); call.responseLimit_) {
     call.deadline_ = std::chrono::steady_clock::now() + *call.responseLimit_;
   }
-  ArmTimer();
   if (isConnected_) {
+    ArmTimer(calls_.front().deadline_);
     Send();
   } else {
+    ArmTimer(ConnectDeadline());
     Connect();
   }
 }
 
+std::chrono::steady_clock::time_point
+Channel::ConnectDeadline() const
+{
+  const PendingCall& call = calls_.front();
+  return call.connectLimit_
+           ? std::min(call.deadline_,
+                      std::chrono::steady_clock::now() + *call.connectLimit_)
+           : call.deadline_;
+}
+
 void
-Channel::ArmTimer()
+Channel::ArmTimer(std::chrono::steady_clock::time_point aDeadline)
 {
-  timer_.expires_at(calls_.front().deadline_);
+  timerDeadline_ = aDeadline;
+  timer_.expires_at(aDeadline);
   timer_.async_wait([weak = weak_from_this()](const std::error_code& aError) {
     const auto self = weak.lock();
     if (self && !aError && self->isBusy_ && !self->calls_.empty()) {
@@ -145,18 +160,19 @@
 {
   PendingCall& call = calls_.front();
   const auto now = std::chrono::steady_clock::now();
-  if (now < call.deadline_) {
+  if (now < timerDeadline_) {
     return;
   }
   // A timer that fires late shows that the event loop is overloaded. The
   // completed connect or the response may then be waiting to be processed as
   // well, and closing the connection would add to the load.
-  const auto late = now - call.deadline_;
+  const auto late = now - timerDeadline_;
   if (late >= kLateTimerThreshold && call.extensions_ < kMaxExtensions) {
     ++call.extensions_;
-    call.deadline_ = now + std::min<std::chrono::steady_clock::duration>(
-                             kExtensionFactor * late, kMaxExtension);
-    ArmTimer();
+    const auto extended = now + std::min<std::chrono::steady_clock::duration>(
+                                  kExtensionFactor * late, kMaxExtension);
+    call.deadline_ = std::max(call.deadline_, extended);
+    ArmTimer(extended);
     return;
   }
   ResetConnection();
@@ -191,6 +207,7 @@
       self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
       self->SetResetOnClose(true);
       self->isConnected_ = true;
+      self->ArmTimer(self->calls_.front().deadline_);
       self->Read();
       self->Send();
     });
--- a/src/verbenawell/adapters/http/HttpChannel.h
+++ b/src/verbenawell/adapters/http/HttpChannel.h
@@ -38,6 +38,8 @@
   Duration response_;
   /// Longest wait before that; unlimited if empty.
   std::optional<Duration> queue_;
+  /// Longest time to connect, within `response_`. Nothing was sent if it ends.
+  std::optional<Duration> connect_{};
 };
 
 /// One persistent connection to a server. It carries one call at a time;
@@ -72,6 +74,7 @@
     std::chrono::steady_clock::time_point deadline_;
     /// Sets the deadline anew when the wait in the queue ends.
     std::optional<Duration> responseLimit_;
+    std::optional<Duration> connectLimit_;
     ResultHandler handler_;
     /// How often the deadline was extended because its timer fired late.
     int extensions_ = 0;
@@ -81,11 +84,12 @@
                CallLimits aLimits,
                ResultHandler aHandler);
   void StartNextCall();
+  [[nodiscard]] std::chrono::steady_clock::time_point ConnectDeadline() const;
   void Connect();
   void Send();
   void Read();
   void OnBytes(std::size_t aCount);
-  void ArmTimer();
+  void ArmTimer(std::chrono::steady_clock::time_point aDeadline);
   void OnDeadline();
   void CompleteCall(Result aResult);
   /// Closes the connection and discards bytes that have not arrived.
@@ -101,6 +105,8 @@
   std::size_t maxBodyBytes_;
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
+  /// When the timer ends the call or, earlier, the attempt to connect.
+  std::chrono::steady_clock::time_point timerDeadline_;
   std::deque<PendingCall> calls_;
   Parser<Response> parser_;
   std::array<char, 16384> buffer_{};
--- a/src/verbenawell/adapters/http/RequestForwarder.h
+++ b/src/verbenawell/adapters/http/RequestForwarder.h
@@ -15,7 +15,8 @@
 namespace verbenawell::jobs {
 
 /// Forwards callers' requests to the daemons that own the shards and, in these
-/// daemons, sends the responses back.
+/// daemons, sends the responses back. Carries the reports that daemons request
+/// from each other.
 class RequestForwarder
 {
 public:
@@ -32,13 +33,20 @@
                    Sink aSink);
 
   void Run(const ForwardRequest& aEffect);
+  void Run(const RequestPeerReport& aEffect);
 
   /// Sends the response to a forwarded request. Returns false if no request of
   /// this key is open in this daemon.
   bool Respond(RequestKey aKey, const CallerResponse& aResponse);
 
+  /// Sends the response to a request for a report.
+  void Respond(const SendPeerReport& aEffect);
+
 private:
   void OnRequest(http::ExchangeId aExchange, const http::Request& aRequest);
+  void OnReportRequest(http::ExchangeId aExchange,
+                       const http::Request& aRequest);
+  void OnReport(const Endpoint& aPeer, const http::Result& aResult);
   void OnDisconnected(http::ExchangeId aExchange);
   http::Channel& IdleChannel(ShardIndex aShard, const Endpoint& aOwner);
 
@@ -49,9 +57,11 @@
   };
 
   asio::io_context& io_;
+  Endpoint address_;
   KeySource keys_;
   Sink sink_;
   std::map<ShardIndex, OwnerConnections> owners_;
+  std::map<Endpoint, std::shared_ptr<http::Channel>> reportChannels_;
   http::OpenExchanges open_;
   http::Listener listener_;
 };
--- a/src/verbenawell/jobs/callers/CallerEvents.h
+++ b/src/verbenawell/jobs/callers/CallerEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/core/Endpoint.h"
 #include "verbenawell/core/Ids.h"
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/callers/CallerRequest.h"
@@ -17,6 +18,8 @@
   Duration timeLeft_{};
   /// Forwarded by another daemon, which assumed that this daemon is the owner.
   bool forwarded_ = false;
+  /// Where the daemon that forwarded the request listens for other daemons.
+  std::optional<Endpoint> sender_{};
 };
 
 /// The caller closed the connection before it got a response.
--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -290,6 +290,14 @@
       aKey, owner->address_, aOpen.request_, aOpen.deadline_ - now_ });
   }
 
+  /// Returns whether the submission has reached no owner, so that its caller
+  /// may repeat it.
+  static bool IsUnsentSubmission(const OpenRequest& aOpen)
+  {
+    return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
+           !aOpen.forwarded_;
+  }
+
   [[nodiscard]] bool EndsWithoutOwner(const OpenRequest& aOpen) const
   {
     if (state_.isStopping_ && (now_ - state_.stopAt_ >= kLastResponsesAfter ||
@@ -297,15 +305,16 @@
                                 IsOwnerMissing(views_.ownership_, now_)))) {
       return true;
     }
-    return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
-           !aOpen.forwarded_ && now_ - aOpen.arrivedAt_ >= kNoOwnerTimeout;
+    return IsUnsentSubmission(aOpen) &&
+           (now_ >= aOpen.deadline_ ||
+            now_ - aOpen.arrivedAt_ >= kNoOwnerTimeout);
   }
 
   void Expire()
   {
     std::vector<std::pair<RequestKey, CallerResponse>> expired;
     for (const auto& [key, open] : state_.open_) {
-      if (now_ >= open.deadline_) {
+      if (now_ >= open.deadline_ && !IsUnsentSubmission(open)) {
         expired.emplace_back(key, OutcomeUnknown{});
       } else if (EndsWithoutOwner(open)) {
         expired.emplace_back(key, ResponseWithoutOwner(open));
--- a/src/verbenawell/jobs/configuration/ConfigurationEvents.h
+++ b/src/verbenawell/jobs/configuration/ConfigurationEvents.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "verbenawell/core/Endpoint.h"
+#include "verbenawell/core/Ids.h"
+#include "verbenawell/core/Time.h"
 #include "verbenawell/core/Units.h"
 #include "verbenawell/jobs/model/Configuration.h"
+#include "verbenawell/jobs/ownership/OwnerRecord.h"
 
 #include <optional>
 #include <string>
@@ -43,6 +47,41 @@
   Configuration configuration_;
 };
 
+/// The owner of a shard as a daemon knows it.
+struct KnownOwner
+{
+  ShardIndex shard_;
+  OwnerRecord owner_;
+  /// Time since the owner's newest known renewal.
+  Duration renewalAge_{};
+};
+
+/// What a daemon tells another one that cannot read the store.
+struct PeerReport
+{
+  /// Empty if the daemon has no configuration.
+  std::optional<ConfigurationVersion> version_;
+  /// Time since the version was the newest one in the store.
+  Duration age_{};
+  /// Set if it is newer than the version that the other daemon uses. Holds
+  /// hashes of the keys and no key.
+  std::optional<Configuration> configuration_;
+  std::vector<KnownOwner> owners_;
+};
+
+/// Another daemon cannot read the store and uses this version.
+struct PeerReportRequested
+{
+  RequestKey key_;
+  ConfigurationVersion known_;
+};
+
+struct PeerReportReceived
+{
+  Endpoint peer_;
+  PeerReport report_;
+};
+
 /// The VMs of a wave that belong to this shard may go down.
 struct WaveAssigned
 {
--- a/src/verbenawell/jobs/core/Effect.h
+++ b/src/verbenawell/jobs/core/Effect.h
@@ -61,6 +61,28 @@
   Offset from_;
 };
 
+/// Asks the daemons that this one knows for a `PeerReport`.
+struct PollPeers
+{
+  ConfigurationVersion known_;
+};
+
+/// Asks one daemon for a `PeerReport`. The result is a `PeerReportReceived`, or
+/// nothing.
+struct RequestPeerReport
+{
+  Endpoint peer_;
+  /// The version of the configuration that this daemon uses.
+  ConfigurationVersion known_;
+};
+
+/// Responds to the `PeerReportRequested` of another daemon.
+struct SendPeerReport
+{
+  RequestKey key_;
+  PeerReport report_;
+};
+
 /// Responds to a caller, or to the daemon that forwarded the request.
 struct SendResponse
 {
@@ -262,7 +284,10 @@
                             LogLine,
                             SetReady,
                             Exit,
-                            Raise>;
+                            Raise,
+                            PollPeers,
+                            RequestPeerReport,
+                            SendPeerReport>;
 
 using Effects = std::vector<Effect>;
 
--- a/src/verbenawell/jobs/core/TimerKey.h
+++ b/src/verbenawell/jobs/core/TimerKey.h
@@ -81,6 +81,13 @@
   auto operator<=>(const ExitTick&) const = default;
 };
 
+/// Asks other daemons what they have read from the store, while this one cannot
+/// read it.
+struct PeerPoll
+{
+  auto operator<=>(const PeerPoll&) const = default;
+};
+
 /// Identifies a timer. Setting a timer again under the same key replaces it.
 using TimerKey = std::variant<OwnershipTick,
                               JournalRetry,
@@ -94,6 +101,7 @@
                               JobsTick,
                               MaintenanceTick,
                               PoolsTick,
-                              ExitTick>;
+                              ExitTick,
+                              PeerPoll>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -78,6 +78,10 @@
       return "workers_cleared";
     case Counter::SlowRunsStopped:
       return "slow_runs_stopped";
+    case Counter::PeerReportsRequested:
+      return "peer_reports_requested";
+    case Counter::ConfigurationsFromPeers:
+      return "configurations_from_peers";
   }
   return "unknown";
 }
@@ -96,6 +100,8 @@
       return "loop_delay";
     case LatencyMetric::EventDelay:
       return "event_delay";
+    case LatencyMetric::ConfigurationAge:
+      return "configuration_age";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -55,6 +55,8 @@
   WorkersEjected,
   WorkersRecovered,
   SlowRunsStopped,
+  PeerReportsRequested,
+  ConfigurationsFromPeers,
 };
 
 std::string_view
@@ -83,6 +85,9 @@
   /// From the arrival of an event to its handling: the largest value of each
   /// second.
   EventDelay,
+  /// Time since the configuration in use was the newest one in the store: at
+  /// each read of the operators' records and each request to other daemons.
+  ConfigurationAge,
 };
 
 std::string_view
--- a/src/verbenawell/jobs/ownership/OwnershipEvents.h
+++ b/src/verbenawell/jobs/ownership/OwnershipEvents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/core/Time.h"
 #include "verbenawell/core/Units.h"
 #include "verbenawell/jobs/ownership/OwnerRecord.h"
 
@@ -36,6 +37,14 @@
 struct OwnerAppendFailed
 {};
 
+/// Another daemon has read this owner record from the store.
+struct OwnerReported
+{
+  OwnerRecord record_;
+  /// Time since the owner's newest renewal.
+  Duration renewalAge_{};
+};
+
 /// The owner of the first shard publishes this number with its next record.
 struct ShardCountDecided
 {
--- a/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
+++ b/src/verbenawell/jobs/ownership/OwnershipReducer.cpp
@@ -76,6 +76,24 @@
     }
   }
 
+  // Lets a daemon that cannot read the topic forward requests. It claims only
+  // after a read of its own.
+  void On(const OwnerReported& aReported)
+  {
+    const OwnerRecord& record = aReported.record_;
+    const TimePoint renewedAt = now_ - aReported.renewalAge_;
+    if (!std::holds_alternative<Following>(state_.role_) ||
+        record.instance_ == state_.self_.instance_ || !state_.owner_ ||
+        state_.owner_->epoch_ > record.epoch_ ||
+        renewedAt <= state_.renewedAt_) {
+      return;
+    }
+    state_.renewedAt_ = renewedAt;
+    if (SetOwner(record)) {
+      AnnounceOwner(record);
+    }
+  }
+
   void On(const OwnerReadFailed&)
   {
     state_.readingSince_ = TimePoint::max();
@@ -178,12 +196,8 @@
     if (record.epoch_ == Epoch{}) {
       record.epoch_ = EpochOf(aOffset);
     }
-    KeepShardCount(record);
-    const bool isNew = !state_.owner_ ||
-                       state_.owner_->instance_ != record.instance_ ||
-                       state_.owner_->epoch_ != record.epoch_;
+    const bool isNew = SetOwner(record);
     state_.renewedAt_ = now_;
-    state_.owner_ = record;
     const auto* owning = state_.AsOwner();
     if (record.instance_ == state_.self_.instance_ && !record.resigned_) {
       if (owning == nullptr) {
@@ -193,18 +207,35 @@
       LoseOwnership("another daemon has claimed");
     }
     if (isNew) {
-      state_.ownerSince_ = now_;
-      effects_.push_back(
-        LogLine{ LogLevel::Info,
-                 "owner_changed",
-                 { { "owner", record.daemon_.Value() },
-                   { "millicores", std::to_string(record.vmCpu_.Value()) },
-                   { "epoch", std::to_string(record.epoch_.Value()) },
-                   { "offset", std::to_string(state_.end_.Value()) } } });
-      effects_.push_back(Raise{ OwnerChanged{} });
+      AnnounceOwner(record);
     }
   }
 
+  /// Returns whether the record is of another process or epoch than the one
+  /// before.
+  bool SetOwner(OwnerRecord aRecord)
+  {
+    KeepShardCount(aRecord);
+    const bool isNew = !state_.owner_ ||
+                       state_.owner_->instance_ != aRecord.instance_ ||
+                       state_.owner_->epoch_ != aRecord.epoch_;
+    state_.owner_ = std::move(aRecord);
+    return isNew;
+  }
+
+  void AnnounceOwner(const OwnerRecord& aOwner)
+  {
+    state_.ownerSince_ = now_;
+    effects_.push_back(
+      LogLine{ LogLevel::Info,
+               "owner_changed",
+               { { "owner", aOwner.daemon_.Value() },
+                 { "millicores", std::to_string(aOwner.vmCpu_.Value()) },
+                 { "epoch", std::to_string(aOwner.epoch_.Value()) },
+                 { "offset", std::to_string(state_.end_.Value()) } } });
+    effects_.push_back(Raise{ OwnerChanged{} });
+  }
+
   // The number is never changed: each job and each VM belongs to one shard for
   // good.
   void KeepShardCount(OwnerRecord& aRecord)
--- a/src/verbenawell/jobs/sharding/DaemonState.h
+++ b/src/verbenawell/jobs/sharding/DaemonState.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Ids.h"
 #include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/sharding/RecentPeers.h"
 
 #include <cstdint>
 #include <map>
@@ -48,6 +49,7 @@
   std::uint64_t lastShardRequest_ = 0;
   /// By shard, the waiting job that is examined next for workers of its own.
   std::map<ShardIndex, JobId> nextExaminedJob_;
+  RecentPeers peers_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/sharding/Shards.h"
 #include "verbenawell/jobs/sharding/internal/DaemonDecisions.h"
 #include "verbenawell/jobs/sharding/internal/FleetLists.h"
+#include "verbenawell/jobs/sharding/internal/PeerPolls.h"
 #include "verbenawell/jobs/sharding/internal/PendingSums.h"
 #include "verbenawell/jobs/sharding/internal/SharedWaves.h"
 #include "verbenawell/jobs/sharding/internal/StrandedJobs.h"
@@ -68,18 +69,29 @@
     }
     OperatorRecordsRead records = aRead;
     records.waves_.clear();
-    const auto before = VersionInUse();
-    Apply(kFirstShard, records);
-    if (VersionInUse() != before) {
-      ShareConfiguration();
-    }
+    ApplyConfiguration(records);
     AssignWaves();
   }
 
+  void On(ShardIndex, const PeerReportReceived& aReceived)
+  {
+    ApplyConfiguration(aReceived);
+    for (const KnownOwner& known : aReceived.report_.owners_) {
+      if (known.shard_.Value() < Size()) {
+        Apply(known.shard_, OwnerReported{ known.owner_, known.renewalAge_ });
+      }
+    }
+  }
+
   void On(ShardIndex aShard, const OwnerRead& aRead)
   {
     CompareWithOtherShards(state_, aShard);
     Apply(aShard, aRead);
+    if (const auto& owner = StateOf(aShard).ownership_.owner_;
+        owner &&
+        owner->instance_ != StateOf(aShard).ownership_.self_.instance_) {
+      state_.peers_.Add(owner->address_);
+    }
     LearnShardCount();
     AssignWaves();
   }
@@ -182,6 +194,19 @@
         [&](SendResponse& aResponse) {
           return IsPartOfSum(state_, aResponse) || IsForShard(aResponse);
         },
+        [&](const PollPeers& aPoll) {
+          for (RequestPeerReport& request :
+               RequestsToPeers(state_, aPoll.known_)) {
+            effects_.push_back(
+              { aShard, Count{ Counter::PeerReportsRequested } });
+            effects_.push_back({ aShard, std::move(request) });
+          }
+          return true;
+        },
+        [&](SendPeerReport& aReport) {
+          aReport.report_.owners_ = KnownOwners(state_, context_.now_);
+          return false;
+        },
         [&](RedirectRequest& aRedirect) {
           const ShardIndex shard = aRedirect.request_.shard_;
           ApplyRequest(shard,
@@ -265,6 +290,15 @@
     return first ? std::optional{ first->version_ } : std::nullopt;
   }
 
+  void ApplyConfiguration(const Event& aEvent)
+  {
+    const auto before = VersionInUse();
+    Apply(kFirstShard, aEvent);
+    if (VersionInUse() != before) {
+      ShareConfiguration();
+    }
+  }
+
   void ShareConfiguration()
   {
     const Configuration configuration =
@@ -276,6 +310,9 @@
 
   void Route(CallerRequested aRequest)
   {
+    if (aRequest.sender_) {
+      state_.peers_.Add(*aRequest.sender_);
+    }
     if (!state_.count_) {
       std::ranges::move(RejectionWithoutShards(aRequest),
                         std::back_inserter(effects_));
--- a/src/verbenawell/jobs/workspaces/ApiKeyIndex.h
+++ b/src/verbenawell/jobs/workspaces/ApiKeyIndex.h
@@ -33,6 +33,19 @@
 
   [[nodiscard]] std::size_t Size() const { return workspaces_.size(); }
 
+  /// Adds a key by its hash, as another daemon sent it.
+  void Add(const Digest& aDigest, const WorkspaceId& aWorkspace)
+  {
+    workspaces_.insert_or_assign(aDigest, aWorkspace);
+  }
+
+  [[nodiscard]] const Salt& SaltOfKeys() const { return salt_; }
+
+  [[nodiscard]] const std::map<Digest, WorkspaceId>& Workspaces() const
+  {
+    return workspaces_;
+  }
+
 private:
   [[nodiscard]] Digest DigestOf(const ApiKey& aKey) const;
 
--- a/tests/jobs/ChannelTest.cpp
+++ b/tests/jobs/ChannelTest.cpp
@@ -68,6 +68,38 @@
   EXPECT_FALSE(std::get<http::Failure>(*result).mayHaveArrived_);
 }
 
+// Guards against a request that waits until its deadline, and then counts as
+// one that may have arrived, because its server is cut off. The server's queue
+// of new connections is full, so that the connection is never established.
+TEST(HttpChannel, LimitsTheTimeToConnect)
+{
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, asio::ip::tcp::v4());
+  acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.listen(0);
+  std::vector<asio::ip::tcp::socket> queued;
+  for (int count = 0; count < 8; ++count) {
+    queued.emplace_back(io).async_connect(acceptor.local_endpoint(),
+                                          [](const std::error_code&) {});
+  }
+  io.run_for(100ms);
+  io.restart();
+  const auto channel = std::make_shared<http::Channel>(
+    io, Endpoint{ "127.0.0.1", acceptor.local_endpoint().port() }, 1000);
+  std::optional<http::Result> result;
+  const auto begin = std::chrono::steady_clock::now();
+  channel->Call({ "GET", "/", {}, {} },
+                http::CallLimits{ 10s, std::nullopt, 200ms },
+                [&](http::Result aResult) {
+                  result = std::move(aResult);
+                  io.stop();
+                });
+  io.run_for(8s);
+  ASSERT_TRUE(result.has_value());
+  EXPECT_FALSE(std::get<http::Failure>(*result).mayHaveArrived_);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, 5s);
+}
+
 // Guards against a queued call that times out before it is sent and then closes
 // the connection, although a slower call still uses it. An owner with too
 // little CPU opened 41,856 connections in a minute in this way and had little
--- a/tests/jobs/RejectionTest.cpp
+++ b/tests/jobs/RejectionTest.cpp
@@ -3,6 +3,7 @@
 #include "ExpectNoViolations.h"
 #include "OneQueue.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -127,6 +128,31 @@
   EXPECT_TRUE(std::holds_alternative<JobRejected>(*response));
 }
 
+// Guards against an unknown outcome, which the caller cannot repeat, of a
+// submission that no owner received before its deadline.
+TEST_F(RepeatedSubmission, IsRejectedAtItsDeadlineIfItWasNeverSent)
+{
+  Reduce(CallerDisconnected{ kKey });
+  Reduce(CallerRequested{
+    kKey, { kCallerHost, kQueuePath, Submission() }, 100ms, false });
+  Reduce(ForwardCompleted{ kKey, std::nullopt, false });
+  Effects effects;
+  ReduceCallers(state_.callers_,
+                state_.View(),
+                TimerDue{ CallersTick{} },
+                { TimePoint{} + 1100ms, {}, {} },
+                effects);
+  const auto sent = std::ranges::find_if(effects, [](const Effect& aEffect) {
+    return std::holds_alternative<SendResponse>(aEffect);
+  });
+  ASSERT_NE(sent, effects.end());
+  const auto* rejected =
+    std::get_if<JobRejected>(&std::get<SendResponse>(*sent).response_);
+  ASSERT_NE(rejected, nullptr);
+  EXPECT_EQ(rejected->reason_, RejectReason::NoOwner);
+  EXPECT_GT(rejected->retryAfter_, 0s);
+}
+
 // Guards against a rejection by a daemon that has just started again and still
 // gets the requests that others forward to it as the owner.
 TEST(ForwardedRequests, GoBackToTheirSenderWithoutAConfiguration)
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -1,5 +1,6 @@
 #include "SimulatedDeployment.h"
 
+#include "verbenawell/codec/jobs/PeerReportCodec.h"
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/sharding/Shards.h"
 
@@ -278,6 +279,15 @@
       [](const Raise&) {},
       [](const RedirectRequest&) {},
       [](const RequestFromShard&) {},
+      [](const PollPeers&) {},
+      [&](const RequestPeerReport& aRequest) {
+        RequestReport(aDaemon, aRequest);
+      },
+      [&](const SendPeerReport& aReport) {
+        if (auto reply = reportReplies_.extract(aReport.key_); reply) {
+          reply.mapped()(EncodePeerReport(aReport.report_));
+        }
+      },
       [&](const WriteWaveStatus& aStatus) {
         if (aStatus.completed_ && wave_) {
           oracle_.WaveReportedCompleted(*wave_, maintenanceBegun_);
@@ -341,13 +351,16 @@
                name = target->first,
                incarnation = target->second.incarnationNumber_,
                key,
+               sender = aDaemon,
                aForward] {
-                Deliver(
-                  name,
-                  incarnation,
-                  { {},
-                    CallerRequested{
-                      key, aForward.request_, aForward.timeLeft_, true } });
+                Deliver(name,
+                        incarnation,
+                        { {},
+                          CallerRequested{ key,
+                                           aForward.request_,
+                                           aForward.timeLeft_,
+                                           true,
+                                           Endpoint{ sender, 1 } } });
               });
   time_.After(aForward.timeLeft_, [respond, done] {
     if (!*done) {
@@ -356,4 +369,31 @@
   });
 }
 
+void
+SimulatedDeployment::RequestReport(const std::string& aDaemon,
+                                   const RequestPeerReport& aRequest)
+{
+  const auto target = daemons_.find(aRequest.peer_.host_);
+  if (target == daemons_.end() || !target->second.isUp_) {
+    return;
+  }
+  const RequestKey key = ++lastKey_;
+  reportReplies_[key] =
+    [this, peer = aRequest.peer_, reply = ReplyTo(aDaemon, {})](
+      const std::string& aBytes) {
+      time_.After(kNetworkLatency, [peer, reply, aBytes] {
+        reply(PeerReportReceived{ peer, DecodePeerReport(aBytes) });
+      });
+    };
+  time_.After(
+    kNetworkLatency,
+    [this,
+     name = target->first,
+     incarnation = target->second.incarnationNumber_,
+     key,
+     known = aRequest.known_] {
+      Deliver(name, incarnation, { {}, PeerReportRequested{ key, known } });
+    });
+}
+
 } // namespace verbenawell::jobs
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -253,6 +253,9 @@
                            const WorkerId& aWorker,
                            LinkLoss aLoss) const;
   void Forward(const std::string& aDaemon, const ForwardRequest& aForward);
+  /// Carries a report between daemons in its encoded form.
+  void RequestReport(const std::string& aDaemon,
+                     const RequestPeerReport& aRequest);
   void ListVms(const std::string& aDaemon, ShardIndex aShard);
   void MoveToPool(const std::string& aDaemon,
                   ShardIndex aShard,
@@ -273,6 +276,7 @@
   std::vector<std::unique_ptr<FakeWorker>> formerWorkers_;
   std::map<std::string, JobDefinition> definitions_;
   std::map<RequestKey, ResponseHandler> responseHandlers_;
+  std::map<RequestKey, std::function<void(const std::string&)>> reportReplies_;
   RequestKey lastKey_;
   std::optional<Wave> wave_;
   bool requiresTickets_ = false;
