Keep the peers that a turned-away daemon knows, and test changing keys

Callers could see: where more than eight turned-away daemons still forwarded to a former owner, it forgot all daemons that can read the store, and then accepted keys that were withdrawn until the store served it again.

Change: 16 addresses are remembered, and none is added while the daemon asks its peers. The simulated store ends a read of the operators' records after 1 s, as the adapter asks the platform's store to: without this, all daemons took it for unresponsive.

--- a/src/verbenawell/jobs/sharding/RecentPeers.cpp
+++ b/src/verbenawell/jobs/sharding/RecentPeers.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-// If the store turns half of the daemons away, one of 8 can read it in 255 of
-// 256 cases.
-constexpr std::size_t kMaxPeers = 8;
+// If the store turns half of the daemons away, the chance that it turns all of
+// these away is 1 in 65,536. With two asked each 500 ms, a turn takes 4 s.
+constexpr std::size_t kMaxPeers = 16;
 
 } // namespace
 
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -310,7 +310,10 @@
 
   void Route(CallerRequested aRequest)
   {
-    if (aRequest.sender_) {
+    // Daemons that still take a turned-away daemon for the owner are turned
+    // away themselves. They must not displace those that can read the store.
+    if (aRequest.sender_ &&
+        !state_.shards_.front().configuration_.isPollingPeers_) {
       state_.peers_.Add(*aRequest.sender_);
     }
     if (!state_.count_) {
--- a/src/verbenawell/jobs/sharding/internal/PeerPolls.cpp
+++ b/src/verbenawell/jobs/sharding/internal/PeerPolls.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// With a poll each 500 ms, all remembered daemons are asked within 2 s.
+// With a poll each 500 ms, all remembered daemons are asked within 4 s.
 constexpr std::size_t kPeersPerPoll = 2;
 
 } // namespace
@@ -27,6 +27,7 @@
   }
   peers.erase(aState.shards_.front().ownership_.self_.address_);
   std::vector<RequestPeerReport> requests;
+  requests.reserve(peers.size());
   for (const Endpoint& peer : peers) {
     requests.push_back({ peer, aKnown });
   }
--- a/tests/jobs/FakeStore.cpp
+++ b/tests/jobs/FakeStore.cpp
@@ -14,6 +14,8 @@
 
 constexpr Duration kCallTimeout = 1s;
 constexpr Duration kWatchPollInterval = 20ms;
+// As long as the daemons let the platform's store wait for a record.
+constexpr Duration kOperatorReadWait = 1s;
 constexpr std::size_t kPageSize = 50;
 // Each record of an append follows its length.
 constexpr std::size_t kLengthBytes = 4;
@@ -279,19 +281,32 @@
 
 void
 FakeStore::Run(const DaemonId& aFrom,
-               ShardIndex aShard,
+               ShardIndex,
                const ReadOperatorRecords& aRead,
                const Reply& aReply)
 {
-  if (!Reaches(aFrom)) {
-    Fail(aFrom, aReply, OperatorReadFailed{});
-  } else if (aRead.from_ < Offset{ operators_.size() }) {
-    Respond(aFrom, aReply, OperatorSince(aRead.from_));
-  } else {
-    time_.After(kWatchPollInterval, [this, aFrom, aShard, aRead, aReply] {
-      Run(aFrom, aShard, aRead, aReply);
-    });
-  }
+  /// Checks for a record until the read has waited long enough.
+  struct Watch
+  {
+    void operator()() const
+    {
+      if (!store_.Reaches(from_)) {
+        store_.Fail(from_, reply_, OperatorReadFailed{});
+      } else if (start_ < Offset{ store_.operators_.size() } ||
+                 store_.time_.Now() >= until_) {
+        store_.Respond(from_, reply_, store_.OperatorSince(start_));
+      } else {
+        store_.time_.After(kWatchPollInterval, *this);
+      }
+    }
+
+    FakeStore& store_;
+    DaemonId from_;
+    Offset start_;
+    TimePoint until_;
+    Reply reply_;
+  };
+  Watch{ *this, aFrom, aRead.from_, time_.Now() + kOperatorReadWait, aReply }();
 }
 
 void
