Share a pool between workspaces by weight

Callers saw: when one workspace sent many times its usual, the jobs of all others became late, and the admission refused everybody.

Cause: the placement ordered all jobs of a service by their rank alone, so smaller jobs of one workspace went first; the admission and the load shedding counted the backlog and the submissions of all workspaces alike.

Change: within an urgency and a priority, the workspace with the lowest dominant share for its weight goes next. The admission counts the work ahead of a workspace by its share, the load shedding rejects those that send the most for their weight, and a backlog beyond a workspace's quota asks for no VM. Jobs of no workspace keep their order.

--- a/bench/JobDecisionsBench.cpp
+++ b/bench/JobDecisionsBench.cpp
@@ -146,6 +146,52 @@
           kDecisions });
 }
 
+/// The pass over the waiting jobs of some workspaces, compared with the same
+/// pass on a deployment without workspaces.
+void
+MeasureShares(std::uint32_t aWorkers,
+              std::uint32_t aJobs,
+              std::uint32_t aWorkspaces)
+{
+  const auto measure = [&](std::uint32_t aNumber) {
+    State state;
+    Fill(state, aWorkers, 0);
+    auto& workspaces =
+      state.configuration_.configuration_.emplace().workspaces_.emplace();
+    for (std::uint32_t number = 0; number < aNumber; ++number) {
+      workspaces.push_back(
+        { WorkspaceId{ "workspace" + std::to_string(number) },
+          WorkspaceWeight{ 1.0 },
+          {} });
+    }
+    for (std::uint32_t number = 0; number < aJobs; ++number) {
+      Job job = MakeJob(number);
+      if (aNumber > 0) {
+        job.workspace_ = workspaces[number % aNumber].id_;
+      }
+      state.tasks_.openJobs_.Update(
+        state.tasks_.jobs_.emplace(job.id_, std::move(job)).first->second);
+    }
+    return MeasureNanoseconds([&] {
+      Effects effects;
+      ReducePlacement(state.placement_,
+                      state.View(),
+                      TimerDue{ PlacementPass{} },
+                      { kNow, {}, {} },
+                      effects);
+    });
+  };
+  const double without = measure(0);
+  Print({ "job_decision_ns/placement_pass_shares/" + std::to_string(aWorkers) +
+            "/" + std::to_string(aJobs) + "/" + std::to_string(aWorkspaces),
+          measure(aWorkspaces),
+          "ns",
+          without,
+          {},
+          FLAGS_seed,
+          kDecisions });
+}
+
 Job
 MakeScheduledJob(std::uint32_t aNumber, std::uint32_t aOccurrences)
 {
@@ -219,6 +265,11 @@
       Measure(workers, jobs);
     }
   }
+  for (const std::uint32_t workers : { 350U, 3500U }) {
+    for (const std::uint32_t workspaces : { 20U, 340U }) {
+      MeasureShares(workers, 1000, workspaces);
+    }
+  }
   for (const std::uint32_t jobs : { 1U, 3U }) {
     for (const std::uint32_t occurrences : { 50U, 5000U, 50000U }) {
       MeasureDueOccurrences(jobs, occurrences);
--- a/src/verbenawell/requests/ShareOrder.h
+++ b/src/verbenawell/core/ShareOrder.h
@@ -8,11 +8,11 @@
 
 namespace verbenawell {
 
-/// How much of a pool a competitor (a service or a team) uses. The competitor
-/// with the least load is served first.
+/// How much of a pool a competitor (a service, a team or a workspace) uses. The
+/// competitor with the least load is served first.
 struct ShareLoad
 {
-  /// Slots in use divided by the competitor's weight.
+  /// Slots or the share of the pool in use, divided by the competitor's weight.
   double perWeight_ = 0.0;
   /// Number of the last grant. Among equals, the competitor whose last grant
   /// is the oldest is served first.
--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -1,6 +1,8 @@
 #include "verbenawell/jobs/placement/Admission.h"
 
 #include "verbenawell/core/Saturating.h"
+#include "verbenawell/jobs/configuration/ConfigurationState.h"
+#include "verbenawell/jobs/shares/FairBacklog.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
@@ -21,9 +23,12 @@
 constexpr int kMaxObjectives = 10;
 constexpr Duration kMinRetryAfter = 1s;
 constexpr Duration kMaxRetryAfter = 30s;
-// Upper limit of the computed wait. It is longer than any objective, and sums
-// with it do not overflow.
-constexpr std::uint64_t kMaxWaitMicroseconds = std::uint64_t{ 1 } << 60U;
+
+struct Wait
+{
+  Duration time_{};
+  RejectReason reason_ = RejectReason::Overload;
+};
 
 // Returns the CPU of a service's workers, or of the first of them that together
 // have `aEnough`. Each submission needs this, and the first workers suffice
@@ -57,6 +62,42 @@
            : aCpuTime / (static_cast<std::uint64_t>(aMaxWait.count()) + 1) + 1;
 }
 
+/// The wait for the backlog of a pool with this CPU. A workspace within its
+/// share does not wait for the backlog that another one builds up.
+Wait
+WaitForPool(const Job& aJob, std::uint64_t aCpu, const Views& aViews)
+{
+  const OpenJobIndex& openJobs = aViews.tasks_.openJobs_;
+  const std::uint64_t cpuTime = openJobs.RemainingCpuTime(aJob.service_);
+  const auto& configuration = aViews.configuration_.configuration_;
+  if (aJob.workspace_.IsEmpty() || !configuration) {
+    return { TimeFor(cpuTime, aCpu) };
+  }
+  const FairBacklog backlog =
+    ComputeFairBacklog(aJob.workspace_,
+                       openJobs.Workspaces().In(aJob.service_),
+                       cpuTime,
+                       *configuration);
+  return { TimeFor(backlog.cpuTimeAhead_, aCpu),
+           backlog.isBeyondShare_ ? RejectReason::WorkspaceOverload
+                                  : RejectReason::Overload };
+}
+
+/// The wait of a workspace that has more work than its quota lets it run.
+Wait
+WaitForQuota(const Job& aJob, const Views& aViews)
+{
+  const auto& configuration = aViews.configuration_.configuration_;
+  if (aJob.workspace_.IsEmpty() || !configuration) {
+    return {};
+  }
+  return { TimeWithinQuota(
+             aJob.workspace_,
+             aViews.tasks_.openJobs_.Workspaces().In(aJob.service_),
+             *configuration),
+           RejectReason::WorkspaceOverload };
+}
+
 } // namespace
 
 std::optional<JobRejected>
@@ -72,14 +113,22 @@
   const std::uint64_t enough = CpuFor(cpuTime, maxWait);
   const std::uint64_t cpu = CpuUpTo(enough, aViews.workers_, aJob.service_);
   // Without workers the capacity to come is unknown.
-  if (cpu == 0 || cpu >= enough) {
+  if (cpu == 0) {
+    return std::nullopt;
+  }
+  Wait wait = WaitForQuota(aJob, aViews);
+  if (cpu < enough) {
+    wait = std::max(
+      wait, WaitForPool(aJob, cpu, aViews), [](const Wait& aA, const Wait& aB) {
+        return aA.time_ < aB.time_;
+      });
+  }
+  if (wait.time_ <= maxWait) {
     return std::nullopt;
   }
-  const Duration wait{ static_cast<Duration::rep>(
-    std::min(cpuTime / cpu, kMaxWaitMicroseconds)) };
-  return JobRejected{ RejectReason::Overload,
+  return JobRejected{ wait.reason_,
                       std::clamp(
-                        wait - maxWait, kMinRetryAfter, kMaxRetryAfter) };
+                        wait.time_ - maxWait, kMinRetryAfter, kMaxRetryAfter) };
 }
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -1,12 +1,14 @@
 #include "verbenawell/jobs/placement/PlacementReducer.h"
 
+#include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/health/HealthState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
-#include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/placement/PlacementState.h"
 #include "verbenawell/jobs/placement/WorkerChoice.h"
 #include "verbenawell/jobs/pools/PoolsState.h"
+#include "verbenawell/jobs/shares/FairOrder.h"
+#include "verbenawell/jobs/shares/ShareReport.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
@@ -39,6 +41,7 @@
   Pass(const Views& aViews, const Context& aContext)
     : views_(aViews)
     , now_(aContext.now_)
+    , weights_(aViews.configuration_.configuration_)
   {
   }
 
@@ -47,15 +50,22 @@
     CollectCapacity();
     IsolateSuspects();
     for (auto& [service, capacity] : capacities_) {
-      const auto jobs =
-        OrderedJobs(views_.tasks_.openJobs_.Waiting().at(service));
+      auto jobs = OrderedJobs(views_.tasks_.openJobs_.Waiting().at(service));
       if (const auto suspects = suspectJobs_.find(service);
           suspects != suspectJobs_.end()) {
         PlaceSuspects(jobs, suspects->second, capacity);
       }
       selection_ = Selection::Others;
-      for (const Job* job : jobs) {
+      FairOrder order{ std::move(jobs),
+                       totals_.at(service),
+                       views_.tasks_.openJobs_.Workspaces().In(service),
+                       weights_ };
+      while (const Job* job = order.Next()) {
+        const std::size_t earlierStarts = starts_.size();
         Place(*job, capacity);
+        for (std::size_t i = earlierStarts; i < starts_.size(); ++i) {
+          order.Charge(job->workspace_, starts_[i].resources_);
+        }
       }
     }
   }
@@ -89,13 +99,13 @@
   }
 
   // Suspects go first, since the others would take the workers that are free.
-  void PlaceSuspects(const std::vector<const Job*>& aJobs,
+  void PlaceSuspects(const std::vector<RankedJob>& aJobs,
                      const std::set<JobId>& aSuspectJobs,
                      ServiceCapacity& aCapacity)
   {
     selection_ = Selection::Suspects;
     std::set<JobId> left = aSuspectJobs;
-    for (const Job* job : aJobs) {
+    for (const auto& [rank, job] : aJobs) {
       if (aSuspectJobs.contains(job->id_)) {
         isAnyUnplaced_ = false;
         Place(*job, aCapacity);
@@ -127,29 +137,23 @@
           !views_.maintenance_.draining_.contains(id) &&
           !views_.pools_.draining_.contains(id)) {
         capacities_[worker.entry_.service_].Add(worker, status);
+        totals_[worker.entry_.service_] += worker.entry_.capacity_;
       }
     }
   }
 
-  [[nodiscard]] std::vector<const Job*> OrderedJobs(
+  [[nodiscard]] std::vector<RankedJob> OrderedJobs(
     const std::set<JobId>& aWaiting) const
   {
-    std::vector<std::pair<JobRank, const Job*>> ranked;
+    std::vector<RankedJob> ranked;
     ranked.reserve(aWaiting.size());
     for (const JobId& id : aWaiting) {
       const Job& job = views_.tasks_.jobs_.at(id);
-      ranked.emplace_back(Rank(job, now_), &job);
+      ranked.push_back({ Rank(job, now_), &job });
     }
     // Jobs of equal rank keep the order of their ids.
-    std::ranges::stable_sort(ranked, [](const auto& aLeft, const auto& aRight) {
-      return aLeft.first < aRight.first;
-    });
-    std::vector<const Job*> jobs;
-    jobs.reserve(ranked.size());
-    for (const auto& [rank, job] : ranked) {
-      jobs.push_back(job);
-    }
-    return jobs;
+    std::ranges::stable_sort(ranked, {}, &RankedJob::rank_);
+    return ranked;
   }
 
   void Place(const Job& aJob, ServiceCapacity& aCapacity)
@@ -286,7 +290,10 @@
 
   const Views& views_;
   TimePoint now_;
+  WorkspaceWeights weights_;
   std::map<ServiceId, ServiceCapacity> capacities_;
+  /// Capacity of the workers in `capacities_`, whether free or not.
+  std::map<ServiceId, Resources> totals_;
   /// The jobs of each service with suspects that wait.
   std::map<ServiceId, std::set<JobId>> suspectJobs_;
   Selection selection_ = Selection::Others;
@@ -331,6 +338,7 @@
     if (!pass.queries_.empty() || !views_.advice_.queries_.empty()) {
       effects_.push_back(Raise{ AdviceRequested{ std::move(pass.queries_) } });
     }
+    ReportShares(state_.sharesReportedAt_, views_, context_, effects_);
     effects_.push_back(SetTimer{ PlacementPass{}, kIdlePassInterval });
   }
 
--- a/src/verbenawell/jobs/placement/PlacementState.h
+++ b/src/verbenawell/jobs/placement/PlacementState.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "verbenawell/core/Time.h"
+
 namespace verbenawell::jobs {
 
 struct PlacementState
 {
   /// A pass is scheduled, so further changes need no other one.
   bool isPassScheduled_ = false;
+  /// When the shares of workspaces were last logged.
+  TimePoint sharesReportedAt_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/pools/PoolDemand.cpp
+++ b/src/verbenawell/jobs/pools/PoolDemand.cpp
@@ -1,7 +1,9 @@
 #include "verbenawell/jobs/pools/PoolDemand.h"
 
 #include "verbenawell/core/Saturating.h"
+#include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
+#include "verbenawell/jobs/shares/WorkInQuotas.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
@@ -98,7 +100,7 @@
         SaturatingAdd(size.cpu_, worker.entry_.capacity_.cpu_.Value());
     }
   }
-  std::map<ServiceId, std::uint64_t> work;
+  WorkInQuotas openWork;
   std::set<ServiceId> needingVm;
   std::map<ServiceId, std::uint32_t> vmsForSpread;
   for (const auto& [id, job] : aViews.tasks_.jobs_) {
@@ -111,10 +113,11 @@
       }
     } else if (job.outcome_ == JobOutcome::Open &&
                Rank(job, aContext.now_).urgency_ != Urgency::Overdue) {
-      std::uint64_t& sum = work[job.service_];
-      sum = SaturatingAdd(sum, RemainingCpuTime(job));
+      openWork.Add(job, RemainingCpuTime(job));
     }
   }
+  auto work =
+    openWork.Within(kMaxBacklogTime, aViews.configuration_.configuration_);
   std::map<ServiceId, PoolDemand> demand;
   for (const auto& [service, size] : sizes) {
     const std::uint64_t cpuOfOne =
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
@@ -24,6 +24,14 @@
          (cpuTime % kMicrosecondsPerSecond == 0 ? 0 : 1);
 }
 
+WorkspaceLoad
+LoadOf(const Job& aJob)
+{
+  return { aJob.workspace_.IsEmpty() ? Resources{} : ResourcesInUse(aJob),
+           aJob.IsLongRunning() ? 0 : CpuSeconds(aJob),
+           1 };
+}
+
 bool
 HasTaskToStart(const Job& aJob)
 {
@@ -53,11 +61,15 @@
   }
   const Entry entry{ aJob.service_,
                      aJob.queue_,
-                     aJob.IsLongRunning() ? 0 : CpuSeconds(aJob),
+                     aJob.workspace_,
+                     LoadOf(aJob),
                      aJob.stored_ && !aJob.isHandedOver_ &&
                        HasTaskToStart(aJob),
                      aJob.stored_ && !aJob.started_ };
-  cpuSeconds_[entry.service_] += entry.cpuSeconds_;
+  cpuSeconds_[entry.service_] += entry.load_.cpuSeconds_;
+  if (!entry.workspace_.IsEmpty()) {
+    workspaces_.Add(entry.service_, entry.workspace_, entry.load_);
+  }
   if (entry.isWaiting_) {
     waiting_[entry.service_].insert(aJob.id_);
     ++waitingCount_;
@@ -76,7 +88,10 @@
     return;
   }
   const Entry& entry = found->second;
-  cpuSeconds_[entry.service_] -= entry.cpuSeconds_;
+  cpuSeconds_[entry.service_] -= entry.load_.cpuSeconds_;
+  if (!entry.workspace_.IsEmpty()) {
+    workspaces_.Remove(entry.service_, entry.workspace_, entry.load_);
+  }
   if (entry.isWaiting_) {
     const auto waiting = waiting_.find(entry.service_);
     waiting->second.erase(aJob);
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.h
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/jobs/model/Job.h"
+#include "verbenawell/jobs/shares/WorkspaceLoads.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -39,12 +40,17 @@
   /// Number of open jobs of a queue that are stored and have not begun.
   [[nodiscard]] std::uint64_t Pending(const QueueId& aQueue) const;
 
+  /// The loads of the workspaces; without the jobs of no workspace.
+  [[nodiscard]] const WorkspaceLoads& Workspaces() const { return workspaces_; }
+
 private:
   struct Entry
   {
     ServiceId service_;
     QueueId queue_;
-    std::uint64_t cpuSeconds_ = 0;
+    WorkspaceId workspace_;
+    /// Without resources in use if the job has no workspace.
+    WorkspaceLoad load_;
     bool isWaiting_ = false;
     bool isPending_ = false;
   };
@@ -56,6 +62,7 @@
   /// the largest declared size do not overflow the sum.
   std::map<ServiceId, std::uint64_t> cpuSeconds_;
   std::map<QueueId, std::uint64_t> pending_;
+  WorkspaceLoads workspaces_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/jobs/tasks/TasksReducer.h"
 
 #include "verbenawell/core/Overloaded.h"
+#include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/tasks/JobRecords.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
@@ -73,6 +74,11 @@
   void On(const LoopDelayMeasured& aMeasured)
   {
     state_.shedding_.Add(aMeasured.delay_);
+    if (const auto& configuration = views_.configuration_.configuration_;
+        configuration) {
+      state_.workspaceShedding_.Divide(
+        state_.shedding_.RejectedShare(), *configuration, context_.now_);
+    }
   }
 
   void On(const SubmissionPersisted& aStored)
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Job.h"
 #include "verbenawell/jobs/overload/LoadShedding.h"
+#include "verbenawell/jobs/shares/WorkspaceShedding.h"
 #include "verbenawell/jobs/tasks/OpenJobIndex.h"
 
 #include <map>
@@ -87,6 +88,7 @@
   JobId nextScheduledJob_;
   OpenJobIndex openJobs_;
   LoadShedding shedding_;
+  WorkspaceShedding workspaceShedding_;
   /// The suspects among the tasks of open jobs.
   std::set<TaskId> suspects_;
   /// Crashes of workers, for as long as others that crashed with them may still
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -234,6 +234,7 @@
         "job_rejected",
         { { "job", job.id_.Value() },
           { "queue", queue->id_.Value() },
+          { "workspace", job.workspace_.Value() },
           { "reason", std::string(ToString(refusal->reason_)) },
           { "loop_delay_ms", Milliseconds(state_.shedding_.LoopDelay()) },
           { "retry_after_ms", Milliseconds(refusal->retryAfter_) } } });
@@ -266,13 +267,33 @@
   std::optional<JobRejected> RefusalOf(const Job& aJob)
   {
     const bool mayReject = !aJob.IsLongRunning() && !aJob.definition_.schedule_;
-    if (mayReject && state_.shedding_.RejectNext()) {
-      return JobRejected{ RejectReason::Overload,
-                          state_.shedding_.RetryAfter() };
+    if (mayReject) {
+      if (const auto reason = ShedNext(aJob.workspace_); reason) {
+        return JobRejected{ *reason, state_.shedding_.RetryAfter() };
+      }
     }
     return Admit(aJob, views_, context_);
   }
 
+  /// Decides whether the next submission is rejected because this owner lacks
+  /// processor time.
+  std::optional<RejectReason> ShedNext(const WorkspaceId& aWorkspace)
+  {
+    if (aWorkspace.IsEmpty()) {
+      return state_.shedding_.RejectNext()
+               ? std::optional{ RejectReason::Overload }
+               : std::nullopt;
+    }
+    WorkspaceShedding& shedding = state_.workspaceShedding_;
+    shedding.Count(aWorkspace, context_.now_);
+    if (!shedding.RejectNext(aWorkspace)) {
+      return std::nullopt;
+    }
+    return shedding.RejectedShare(aWorkspace) > state_.shedding_.RejectedShare()
+             ? RejectReason::WorkspaceOverload
+             : RejectReason::Overload;
+  }
+
   // A daemon on a larger VM may have claimed the ownership since the last
   // renewal and may have accepted the job. The store refuses the write then,
   // and the request goes to the successor. The record changes nothing, since no
--- a/src/verbenawell/requests/FairQueue.h
+++ b/src/verbenawell/requests/FairQueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "verbenawell/requests/ShareOrder.h"
+#include "verbenawell/core/ShareOrder.h"
 #include "verbenawell/requests/TeamQueue.h"
 
 #include <map>
--- a/tests/jobs/OpenJobIndexTest.cpp
+++ b/tests/jobs/OpenJobIndexTest.cpp
@@ -113,6 +113,41 @@
   EXPECT_EQ(index.RemainingCpuTime(kService), 0U);
 }
 
+// Guards against a workspace that is charged for runs that have ended, or not
+// charged for its runs: either moves its share of the pool for good.
+TEST(OpenJobIndex, FollowsWhatAWorkspaceUses)
+{
+  const WorkspaceId workspace{ "workspace" };
+  OpenJobIndex index;
+  Job job = MakeOpenJob("a", 1s);
+  job.workspace_ = workspace;
+  index.Update(MakeOpenJob("b", 1s));
+  index.Update(job);
+  const auto& loads = index.Workspaces().In(kService);
+  EXPECT_EQ(loads.size(), 1U);
+  EXPECT_EQ(loads.at(workspace).used_, Resources{});
+  EXPECT_GT(loads.at(workspace).cpuSeconds_, 0U);
+  const TaskId task{ job.id_, {}, StepIndex{ 0 }, TaskIndex{ 0 } };
+  SetStatus(job, task, Placed{ WorkerId{ "w" }, RunNumber{ 1 }, {} });
+  index.Update(job);
+  index.Update(job);
+  EXPECT_EQ(loads.at(workspace).used_,
+            ResourcesOnWorker(job.definition_.steps_[0]));
+  SetStatus(job, task, Done{});
+  index.Update(job);
+  EXPECT_EQ(loads.at(workspace).used_, Resources{});
+  // Long-running tasks are placed outside the competition.
+  job.definition_.steps_[0].longRunning_ = true;
+  SetStatus(job,
+            { job.id_, {}, StepIndex{ 0 }, TaskIndex{ 1 } },
+            Placed{ WorkerId{ "w" }, RunNumber{ 1 }, {} });
+  index.Update(job);
+  EXPECT_EQ(loads.at(workspace).used_, Resources{});
+  job.outcome_ = JobOutcome::Cancelled;
+  index.Update(job);
+  EXPECT_TRUE(loads.empty());
+}
+
 // Guards against a sum that wraps: the removal of the job with a huge declared
 // size would leave a huge backlog for good.
 TEST(OpenJobIndex, ForgetsTheWorkOfAJobWithAHugeSize)
