--- a/src/verbenawell/jobs/shares/FairBacklog.cpp
+++ b/src/verbenawell/jobs/shares/FairBacklog.cpp
@@ -57,7 +57,7 @@
       ahead += std::min(work, ownWork * workspace.weight_.Value() / weight);
     }
   }
-  backlog.isBeyondShare_ = ownWork * weights > weight * ofWorkspaces;
+  backlog.isBeyondShare_ = ownWork * weights >= weight * ofWorkspaces;
   if (weight > 0) {
     // The work of no workspace is not held back by a share.
     const auto total = static_cast<double>(aTotal);
--- a/src/verbenawell/jobs/shares/FairBacklog.h
+++ b/src/verbenawell/jobs/shares/FairBacklog.h
@@ -18,7 +18,8 @@
   /// Work of all workspaces until the workspace's own is done, in millicores
   /// times microseconds.
   std::uint64_t cpuTimeAhead_ = 0;
-  /// The workspace has more work for its weight than the workspaces together.
+  /// The workspace has at least as much work for its weight as all workspaces
+  /// together.
   bool isBeyondShare_ = false;
 };
 
