--- a/src/verbenawell/jobs/shares/WorkspaceShedding.cpp
+++ b/src/verbenawell/jobs/shares/WorkspaceShedding.cpp
@@ -60,10 +60,11 @@
     arrivals.rejectedShare_ = 0;
     if (aRejectedShare > 0) {
       const Workspace* workspace = aConfiguration.Find(id);
-      const Sender& sender = senders.emplace_back(
-        RecentAt(arrivals, aNow),
-        workspace == nullptr ? WorkspaceWeight{} : workspace->weight_,
-        &arrivals);
+      const Sender sender{ RecentAt(arrivals, aNow),
+                           workspace == nullptr ? WorkspaceWeight{}
+                                                : workspace->weight_,
+                           &arrivals };
+      senders.push_back(sender);
       accepted += (1 - aRejectedShare) * sender.recent_;
       weights += sender.weight_.Value();
     }
