Learn run times from finished runs

Callers declare run times that are off by half to nine tenths, and the order of jobs, the admission, the size of pools, the objectives and the comparison of workers all follow the declared ones.

The owner now averages the logarithms of the factors of real to declared run time by queue, image and declared time, and falls back to wider groups where there are few runs. Runs that were stopped, failed, were lost or continued a checkpoint only raise an estimate that they have outlasted. Runs on workers slower than their peers are corrected by the speed.

--learned_run_times selects off (the default, decisions as before), observe (learn and log the errors) or on.

--- a/src/verbenawell/codec/jobs/JobFields.h
+++ b/src/verbenawell/codec/jobs/JobFields.h
@@ -33,6 +33,15 @@
   }
 }
 
+/// Throws `DecodeError` for a record with more groups than one is written with.
+inline void
+RequireValid(const jobs::RunTimesStored& aStored)
+{
+  if (aStored.groups_.size() > jobs::kMaxStoredRunGroups) {
+    throw DecodeError("too many groups of run times");
+  }
+}
+
 template<typename Archive, OneOf<jobs::Resources> T>
 void
 Fields(Archive& aArchive, T& aValue)
@@ -187,6 +196,55 @@
   aArchive(aValue.homePools_);
 }
 
+template<typename Archive, OneOf<jobs::DeclaredGroup> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.bucket_);
+}
+
+template<typename Archive, OneOf<jobs::QueueGroup> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.queue_);
+}
+
+template<typename Archive, OneOf<jobs::QueueDeclaredGroup> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.queue_, aValue.bucket_);
+}
+
+template<typename Archive, OneOf<jobs::ImageGroup> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.queue_, aValue.image_);
+}
+
+template<typename Archive, OneOf<jobs::ImageDeclaredGroup> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.queue_, aValue.image_, aValue.bucket_);
+}
+
+template<typename Archive, OneOf<jobs::StoredRunGroup> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.group_, aValue.runs_, aValue.mean_, aValue.variance_);
+}
+
+template<typename Archive, OneOf<jobs::RunTimesStored> T>
+void
+Fields(Archive& aArchive, T& aValue)
+{
+  aArchive(aValue.groups_);
+}
+
 template<typename Archive, OneOf<jobs::OwnerRecord> T>
 void
 Fields(Archive& aArchive, T& aValue)
--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -138,6 +138,9 @@
       [&](const WaveStored& aStored) {
         return Records{ { "wave/" + std::to_string(aStored.wave_.Value()),
                           Value(aRecord) } };
+      },
+      [&](const RunTimesStored&) {
+        return Records{ { "runtimes", Value(aRecord) } };
       } },
     aRecord);
 }
@@ -149,6 +152,9 @@
   if (const auto* stored = std::get_if<JobStored>(&record)) {
     codec::RequireValid(stored->definition_);
   }
+  if (const auto* stored = std::get_if<RunTimesStored>(&record)) {
+    codec::RequireValid(*stored);
+  }
   return record;
 }
 
--- a/src/verbenawell/jobs/core/Reduce.cpp
+++ b/src/verbenawell/jobs/core/Reduce.cpp
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/callers/CallersReducer.h"
 #include "verbenawell/jobs/configuration/ConfigurationReducer.h"
 #include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/estimates/EstimatesReducer.h"
 #include "verbenawell/jobs/health/HealthReducer.h"
 #include "verbenawell/jobs/journal/JournalReducer.h"
 #include "verbenawell/jobs/maintenance/MaintenanceReducer.h"
@@ -31,6 +32,8 @@
   ReduceConfiguration(aState.configuration_, views, aEvent, aContext, effects);
   ReduceJournal(aState.journal_, views, aEvent, aContext, effects);
   ReduceCallers(aState.callers_, views, aEvent, aContext, effects);
+  // Estimates look up where a run was placed before tasks apply its end.
+  ReduceEstimates(aState.estimates_, views, aEvent, aContext, effects);
   // Workers and placement look up tasks, so tasks handle each event first.
   ReduceTasks(aState.tasks_, views, aEvent, aContext, effects);
   ReduceWorkers(aState.workers_, views, aEvent, aContext, effects);
--- a/src/verbenawell/jobs/core/State.h
+++ b/src/verbenawell/jobs/core/State.h
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/callers/CallersState.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
 #include "verbenawell/jobs/core/Views.h"
+#include "verbenawell/jobs/estimates/EstimatesState.h"
 #include "verbenawell/jobs/health/HealthState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/maintenance/MaintenanceState.h"
@@ -32,11 +33,12 @@
   ThrottlingState throttling_;
   MaintenanceState maintenance_;
   PoolsState pools_;
+  EstimatesState estimates_;
 
   [[nodiscard]] Views View() const
   {
-    return { ownership_, journal_, configuration_, callers_,     workers_,
-             tasks_,     advice_,  health_,        maintenance_, pools_ };
+    return { ownership_, journal_, configuration_, callers_, workers_,  tasks_,
+             advice_,    health_,  maintenance_,   pools_,   estimates_ };
   }
 };
 
--- a/src/verbenawell/jobs/health/HealthReducer.cpp
+++ b/src/verbenawell/jobs/health/HealthReducer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,11 +46,18 @@
   bool isEmpty_ = true;
 };
 
+/// A step whose tasks have an expected run time.
+struct TimedStep
+{
+  const Step& step_;
+  Duration expected_{};
+};
+
 void
 Add(ServiceStats& aService, const WorkerStats& aStats, double aSign)
 {
   const Speed& speed = aStats.RecentSpeed();
-  aService.speed_.declaredSeconds_ += aSign * speed.declaredSeconds_;
+  aService.speed_.expectedSeconds_ += aSign * speed.expectedSeconds_;
   aService.speed_.elapsedSeconds_ += aSign * speed.elapsedSeconds_;
   aService.failedShareSum_ += aSign * aStats.FailedShare();
 }
@@ -75,9 +83,9 @@
   {
     Update(aReported.worker_, [&](WorkerStats& aStats) {
       for (const ListedRun& run : aReported.running_) {
-        if (const Step* step = TimedStep(run.task_); step != nullptr) {
+        if (const auto step = TimedStepOf(run.task_); step) {
           aStats.AddProgress(
-            run.task_, run.run_, run.percent_, step->estimatedRunTime_, now_);
+            run.task_, run.run_, run.percent_, step->expected_, now_);
         }
       }
       aStats.DropRunsNotSeenSince(now_ - kUnseenRunRetention);
@@ -121,10 +129,10 @@
   void AddEnd(WorkerStats& aStats, const ListedEnd& aEnd) const
   {
     const bool wasSeen = aStats.Runs().contains(aEnd.task_);
-    if (const Step* step = TimedStep(aEnd.task_);
-        aEnd.kind_ == EndKind::Done && wasSeen && step != nullptr) {
+    if (const auto step = TimedStepOf(aEnd.task_);
+        aEnd.kind_ == EndKind::Done && wasSeen && step) {
       aStats.AddProgress(
-        aEnd.task_, aEnd.run_, kCompletePercent, step->estimatedRunTime_, now_);
+        aEnd.task_, aEnd.run_, kCompletePercent, step->expected_, now_);
     }
     if (aEnd.kind_ == EndKind::Done || aEnd.kind_ == EndKind::Failed) {
       aStats.AddEnd(aEnd.task_, aEnd.kind_ == EndKind::Failed, now_);
@@ -132,18 +140,19 @@
   }
 
   /// The step of a task, if the task's progress shows the speed of its worker;
-  /// otherwise null.
-  [[nodiscard]] const Step* TimedStep(const TaskId& aTask) const
+  /// otherwise empty.
+  [[nodiscard]] std::optional<TimedStep> TimedStepOf(const TaskId& aTask) const
   {
     const Job* job = views_.tasks_.Find(aTask.job_);
     if (job == nullptr || job->Find(aTask) == nullptr) {
-      return nullptr;
+      return std::nullopt;
     }
     const Step& step = job->definition_.steps_[aTask.step_.Value()];
+    const Duration expected = job->ExpectedRunTime(aTask.step_);
     return step.longRunning_ || step.bestEffort_ || step.gang_ ||
-               step.estimatedRunTime_ <= Duration{}
-             ? nullptr
-             : &step;
+               expected <= Duration{}
+             ? std::nullopt
+             : std::optional{ TimedStep{ step, expected } };
   }
 
   /// Changes the statistics of a worker and updates the sums of its service.
@@ -258,24 +267,25 @@
       return;
     }
     for (const auto& [task, seen] : aStats.Runs()) {
-      const Step* step = TimedStep(task);
+      const auto step = TimedStepOf(task);
       const auto run = worker->runs_.find(task);
-      if (step == nullptr || run == worker->runs_.end() ||
+      if (!step || run == worker->runs_.end() ||
           run->second.run_ != seen.run_ || !run->second.IsPresent()) {
         continue;
       }
-      const double declared =
-        std::chrono::duration<double>(step->estimatedRunTime_).count();
+      const double expected =
+        std::chrono::duration<double>(step->expected_).count();
       const double remainingShare =
         1 -
         static_cast<double>(seen.percent_.Value()) / kCompletePercent.Value();
       const double restartSeconds =
         kRestartDelaySeconds +
-        declared * (step->checkpointing_ ? remainingShare : 1) / peerRatio;
+        expected * (step->step_.checkpointing_ ? remainingShare : 1) /
+          peerRatio;
       const bool isWorthwhile =
-        declared * remainingShare > kMinRestartGain * restartSeconds * ownRatio;
+        expected * remainingShare > kMinRestartGain * restartSeconds * ownRatio;
       if (isWorthwhile &&
-          HasCapacityElsewhere(*worker, ResourcesOnWorker(*step))) {
+          HasCapacityElsewhere(*worker, ResourcesOnWorker(step->step_))) {
         effects_.push_back(Count{ Counter::SlowRunsStopped });
         effects_.push_back(Raise{
           StopDecided{ aWorker, task, seen.run_, "its worker is too slow" } });
--- a/src/verbenawell/jobs/health/WorkerStats.cpp
+++ b/src/verbenawell/jobs/health/WorkerStats.cpp
@@ -30,7 +30,7 @@
 {
   const double factor =
     std::exp2(-Seconds(aNow - updatedAt_) / Seconds(kHalfLife));
-  speed_.declaredSeconds_ *= factor;
+  speed_.expectedSeconds_ *= factor;
   speed_.elapsedSeconds_ *= factor;
   updatedAt_ = aNow;
 }
@@ -39,13 +39,13 @@
 WorkerStats::AddProgress(const TaskId& aTask,
                          RunNumber aRun,
                          Percent aPercent,
-                         Duration aDeclared,
+                         Duration aExpected,
                          TimePoint aNow)
 {
   Decay(aNow);
   ObservedRun& seen = runs_[aTask];
   if (seen.run_ == aRun && aPercent >= seen.percent_) {
-    speed_.declaredSeconds_ += Seconds(aDeclared) *
+    speed_.expectedSeconds_ += Seconds(aExpected) *
                                (aPercent.Value() - seen.percent_.Value()) /
                                kWholePercent;
     speed_.elapsedSeconds_ += Seconds(aNow - seen.seenAt_);
--- a/src/verbenawell/jobs/health/WorkerStats.h
+++ b/src/verbenawell/jobs/health/WorkerStats.h
@@ -9,18 +9,18 @@
 
 namespace verbenawell::jobs {
 
-/// Speed of a worker, relative to the declared run times of its tasks.
+/// Speed of a worker, relative to the expected run times of its tasks.
 struct Speed
 {
-  /// Declared run time of the completed work.
-  double declaredSeconds_ = 0;
+  /// Expected run time of the completed work.
+  double expectedSeconds_ = 0;
   /// Time that this work took.
   double elapsedSeconds_ = 0;
 
-  /// 1 for tasks that take as long as declared.
+  /// 1 for tasks that take as long as expected.
   [[nodiscard]] double Ratio() const
   {
-    return elapsedSeconds_ > 0 ? declaredSeconds_ / elapsedSeconds_ : 0;
+    return elapsedSeconds_ > 0 ? expectedSeconds_ / elapsedSeconds_ : 0;
   }
 };
 
@@ -39,11 +39,11 @@
   /// The service whose sums include this worker.
   ServiceId service_;
 
-  /// Adds the progress of a run whose declared run time is `aDeclared`.
+  /// Adds the progress of a run whose expected run time is `aExpected`.
   void AddProgress(const TaskId& aTask,
                    RunNumber aRun,
                    Percent aPercent,
-                   Duration aDeclared,
+                   Duration aExpected,
                    TimePoint aNow);
   /// Adds the end of a run. Consecutive failures of one job count once, because
   /// some jobs fail on every worker.
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Endpoint.h"
 #include "verbenawell/core/Time.h"
+#include "verbenawell/jobs/estimates/RunGroup.h"
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/Job.h"
 #include "verbenawell/jobs/model/JobDefinition.h"
@@ -137,6 +138,12 @@
   std::vector<StoredHomePool> homePools_;
 };
 
+/// What was learned of run times; replaces the earlier record.
+struct RunTimesStored
+{
+  std::vector<StoredRunGroup> groups_;
+};
+
 using JournalRecord = std::variant<JobStored,
                                    ProgressStored,
                                    OutcomeStored,
@@ -146,6 +153,7 @@
                                    HomePoolsStored,
                                    OccurrencesDone,
                                    JobHandedOver,
-                                   HandOverRemoved>;
+                                   HandOverRemoved,
+                                   RunTimesStored>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/journal/RecordSize.cpp
+++ b/src/verbenawell/jobs/journal/RecordSize.cpp
@@ -47,6 +47,25 @@
          aHomePool.pool_.Value().size();
 }
 
+std::size_t
+MaxSize(const StoredRunGroup& aGroup)
+{
+  return kItemBytes +
+         std::visit(
+           Overloaded{
+             [](const DeclaredGroup&) { return std::size_t{}; },
+             [](const ImageGroup& aKnown) {
+               return aKnown.queue_.Value().size() +
+                      aKnown.image_.Value().size();
+             },
+             [](const ImageDeclaredGroup& aKnown) {
+               return aKnown.queue_.Value().size() +
+                      aKnown.image_.Value().size();
+             },
+             [](const auto& aKnown) { return aKnown.queue_.Value().size(); } },
+           aGroup.group_);
+}
+
 template<typename List>
 std::size_t
 MaxSizeOfAll(const List& aList)
@@ -105,6 +124,9 @@
                        },
                        [](const HomePoolsStored& aStored) {
                          return MaxSizeOfAll(aStored.homePools_);
+                       },
+                       [](const RunTimesStored& aStored) {
+                         return MaxSizeOfAll(aStored.groups_);
                        } },
            aRecord);
 }
--- a/src/verbenawell/jobs/model/Job.cpp
+++ b/src/verbenawell/jobs/model/Job.cpp
@@ -56,6 +56,14 @@
   return std::ranges::any_of(definition_.steps_, &Step::longRunning_);
 }
 
+Duration
+Job::ExpectedRunTime(StepIndex aStep) const
+{
+  return expectedRunTimes_.empty()
+           ? definition_.steps_[aStep.Value()].estimatedRunTime_
+           : expectedRunTimes_[aStep.Value()];
+}
+
 Occurrence
 Job::OccurrenceCount() const
 {
@@ -200,15 +208,16 @@
 }
 
 Duration
-CriticalPathTime(const JobDefinition& aDefinition, Duration aPerStep)
+CriticalPathTime(const Job& aJob, Duration aPerStep)
 {
   std::vector<Duration> ends;
-  for (const Step& step : aDefinition.steps_) {
+  for (const Step& step : aJob.definition_.steps_) {
     Duration start{};
     for (const StepIndex earlier : step.dependencies_) {
       start = std::max(start, ends.at(earlier.Value()));
     }
-    ends.push_back(start + step.estimatedRunTime_ + aPerStep);
+    const StepIndex index{ static_cast<std::uint32_t>(ends.size()) };
+    ends.push_back(start + aJob.ExpectedRunTime(index) + aPerStep);
   }
   return ends.empty() ? Duration{} : *std::ranges::max_element(ends);
 }
--- a/src/verbenawell/jobs/model/Job.h
+++ b/src/verbenawell/jobs/model/Job.h
@@ -26,6 +26,9 @@
   TimePoint since_;
   /// Incarnation of the worker when the run was assigned; zero if unknown.
   WorkerIncarnation incarnation_{};
+  /// The run continues a checkpoint or was placed by an earlier owner, so
+  /// `since_` is not the start of the task's work.
+  bool isContinued_ = false;
 };
 
 struct Done
@@ -117,6 +120,9 @@
   Occurrence doneOccurrences_;
   /// Number of tasks of `occurrences_` that are not done, by step.
   std::vector<std::uint64_t> openTasks_;
+  /// Expected run times of a task by step, learned from earlier runs; not
+  /// stored in the journal. Empty if the declared ones apply.
+  std::vector<Duration> expectedRunTimes_;
   JobOutcome outcome_ = JobOutcome::Open;
   TimePoint endedAt_;
   /// The submission is in the journal.
@@ -129,6 +135,8 @@
 
   [[nodiscard]] Task* Find(const TaskId& aTask);
   [[nodiscard]] const Task* Find(const TaskId& aTask) const;
+  /// Expected run time of a task of the step.
+  [[nodiscard]] Duration ExpectedRunTime(StepIndex aStep) const;
   [[nodiscard]] bool IsLongRunning() const;
   [[nodiscard]] Occurrence OccurrenceCount() const;
   /// Returns whether all steps that this step depends on are done.
@@ -165,8 +173,8 @@
 PlacedTasks(const Job& aJob);
 
 /// Returns the time of the critical path: the longest chain of dependent steps
-/// by their declared run times, plus `aPerStep` for each step of the chain.
+/// by their expected run times, plus `aPerStep` for each step of the chain.
 Duration
-CriticalPathTime(const JobDefinition& aDefinition, Duration aPerStep = {});
+CriticalPathTime(const Job& aJob, Duration aPerStep = {});
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/placement/Admission.cpp
+++ b/src/verbenawell/jobs/placement/Admission.cpp
@@ -67,8 +67,8 @@
   }
   const std::uint64_t cpuTime =
     aViews.tasks_.openJobs_.RemainingCpuTime(aJob.service_);
-  const Duration maxWait = kMaxObjectives * aJob.policy_.objective_ -
-                           CriticalPathTime(aJob.definition_);
+  const Duration maxWait =
+    kMaxObjectives * aJob.policy_.objective_ - CriticalPathTime(aJob);
   const std::uint64_t enough = CpuFor(cpuTime, maxWait);
   const std::uint64_t cpu = CpuUpTo(enough, aViews.workers_, aJob.service_);
   // Without workers the capacity to come is unknown.
--- a/src/verbenawell/jobs/placement/JobOrder.cpp
+++ b/src/verbenawell/jobs/placement/JobOrder.cpp
@@ -13,11 +13,12 @@
 constexpr int kLateFactor = 3;
 
 std::uint64_t
-CpuTimeOfTask(const Step& aStep)
+CpuTimeOfTask(const Job& aJob, std::size_t aStep)
 {
+  const StepIndex step{ static_cast<std::uint32_t>(aStep) };
   return SaturatingMultiply(
-    aStep.resources_.cpu_.Value(),
-    static_cast<std::uint64_t>(aStep.estimatedRunTime_.count()));
+    aJob.definition_.steps_[aStep].resources_.cpu_.Value(),
+    static_cast<std::uint64_t>(aJob.ExpectedRunTime(step).count()));
 }
 
 Duration
@@ -32,7 +33,9 @@
       start = std::max(start, ends[earlier.Value()]);
     }
     const bool isDone = aTasks.steps_[index].IsDone();
-    ends.push_back(isDone ? start : start + step.estimatedRunTime_);
+    ends.push_back(isDone ? start
+                          : start + aJob.ExpectedRunTime(StepIndex{
+                                      static_cast<std::uint32_t>(index) }));
     longest = std::max(longest, ends.back());
   }
   return longest;
@@ -43,7 +46,7 @@
 Duration
 RemainingCriticalPath(const Job& aJob)
 {
-  const Duration whole = CriticalPathTime(aJob.definition_);
+  const Duration whole = CriticalPathTime(aJob);
   Duration longest{};
   for (auto entry = aJob.occurrences_.rbegin();
        entry != aJob.occurrences_.rend() && longest < whole;
@@ -62,19 +65,20 @@
   for (std::size_t index = 0; index < aJob.openTasks_.size(); ++index) {
     sum = SaturatingAdd(
       sum,
-      SaturatingMultiply(aJob.openTasks_[index],
-                         CpuTimeOfTask(aJob.definition_.steps_[index])));
+      SaturatingMultiply(aJob.openTasks_[index], CpuTimeOfTask(aJob, index)));
   }
   return sum;
 }
 
 std::uint64_t
-CpuTimeOfOccurrence(const JobDefinition& aDefinition)
+CpuTimeOfOccurrence(const Job& aJob)
 {
+  const auto& steps = aJob.definition_.steps_;
   std::uint64_t sum = 0;
-  for (const Step& step : aDefinition.steps_) {
-    sum = SaturatingAdd(
-      sum, SaturatingMultiply(step.count_.Value(), CpuTimeOfTask(step)));
+  for (std::size_t index = 0; index < steps.size(); ++index) {
+    sum = SaturatingAdd(sum,
+                        SaturatingMultiply(steps[index].count_.Value(),
+                                           CpuTimeOfTask(aJob, index)));
   }
   return sum;
 }
--- a/src/verbenawell/jobs/placement/JobOrder.h
+++ b/src/verbenawell/jobs/placement/JobOrder.h
@@ -8,14 +8,14 @@
 
 namespace verbenawell::jobs {
 
-/// CPU time that the tasks of a job still need, by the declared run times of
+/// CPU time that the tasks of a job still need, by the expected run times of
 /// its steps, in millicores times microseconds.
 std::uint64_t
 RemainingCpuTime(const Job& aJob);
 
 /// CPU time of all tasks of an occurrence, in the same unit.
 std::uint64_t
-CpuTimeOfOccurrence(const JobDefinition& aDefinition);
+CpuTimeOfOccurrence(const Job& aJob);
 
 /// Whether a job can still end in time.
 enum class Urgency : std::uint8_t
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -357,6 +357,7 @@
     State& first = state_.shards_.front();
     added.ownership_.self_ = first.ownership_.self_;
     added.ownership_.random_ = Random{ first.ownership_.random_() };
+    added.estimates_.use_ = first.estimates_.use_;
     added.configuration_.configuration_ = first.configuration_.configuration_;
     state_.shards_.push_back(std::move(added));
     Apply(shard, Started{});
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -157,7 +157,8 @@
               Placed{ aProgress.worker_,
                       aProgress.lastRun_,
                       aNow,
-                      aProgress.incarnation_.value_or(WorkerIncarnation{}) });
+                      aProgress.incarnation_.value_or(WorkerIncarnation{}),
+                      true });
   } else {
     SetStatus(aJob, id, Waiting{});
   }
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.cpp
@@ -18,7 +18,7 @@
   // A backlog of occurrences ranks behind the jobs that can still be in time,
   // so it must not make the admission reject them.
   if (aJob.definition_.schedule_) {
-    cpuTime = std::min(cpuTime, CpuTimeOfOccurrence(aJob.definition_));
+    cpuTime = std::min(cpuTime, CpuTimeOfOccurrence(aJob));
   }
   return cpuTime / kMicrosecondsPerSecond +
          (cpuTime % kMicrosecondsPerSecond == 0 ? 0 : 1);
--- a/src/verbenawell/jobs/tasks/OpenJobIndex.h
+++ b/src/verbenawell/jobs/tasks/OpenJobIndex.h
@@ -16,7 +16,8 @@
 {
 public:
   /// Replaces what is known of a job. Has to follow each change of its tasks,
-  /// its outcome, `stored_`, `started_` or `isHandedOver_`.
+  /// its outcome, its expected run times, `stored_`, `started_` or
+  /// `isHandedOver_`.
   void Update(const Job& aJob);
 
   void Remove(const JobId& aJob);
--- a/src/verbenawell/jobs/tasks/TasksReducer.cpp
+++ b/src/verbenawell/jobs/tasks/TasksReducer.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/jobs/tasks/TasksReducer.h"
 
 #include "verbenawell/core/Overloaded.h"
+#include "verbenawell/jobs/estimates/EstimatesState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/tasks/JobRecords.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
@@ -11,6 +12,7 @@
 #include "verbenawell/jobs/tasks/internal/RunUpdates.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -29,6 +31,9 @@
 // other events are handled before the next ones are added.
 constexpr std::uint64_t kMaxTasksAddedPerEvent = 500;
 constexpr Duration kNextPartDelay = 20ms;
+// Jobs per tick whose expected run times are looked up, which takes some
+// microseconds each.
+constexpr std::size_t kMaxJobsRefreshedPerTick = 100;
 // Time for which an ended job is stored. Callers may ask for its state for 120
 // s. It is counted on the owner's monotonic clock, since the time of day may be
 // set, and begins anew with each owner.
@@ -54,7 +59,8 @@
   void On(const JournalLoaded& aLoaded)
   {
     Restore(state_, aLoaded.records_, context_);
-    for (const auto& [id, job] : state_.jobs_) {
+    for (auto& [id, job] : state_.jobs_) {
+      RefreshExpectedRunTimes(job, views_.estimates_, context_.now_);
       state_.openJobs_.Update(job);
     }
     effects_.push_back(
@@ -156,13 +162,14 @@
       task->lastRun_ = start.run_;
       task->percent_ = Percent{ 0 };
       const Worker* worker = views_.workers_.Find(start.worker_);
-      SetStatus(job,
-                start.task_,
-                Placed{ start.worker_,
-                        start.run_,
-                        context_.now_,
-                        worker == nullptr ? WorkerIncarnation{}
-                                          : worker->incarnation_ });
+      SetStatus(
+        job,
+        start.task_,
+        Placed{ start.worker_,
+                start.run_,
+                context_.now_,
+                worker == nullptr ? WorkerIncarnation{} : worker->incarnation_,
+                !task->checkpoint_.empty() });
       changed[job.id_].insert(PartOf(job, start.task_));
     }
     JournalWriteRequested write{ {}, StartsPersisted{ aDecided.starts_ } };
@@ -187,6 +194,7 @@
       const bool areMoreDue = AddDueOccurrences();
       RemoveOldJobs();
       ContinueHandOvers(state_, context_, effects_);
+      RefreshJobs();
       effects_.push_back(
         SetTimer{ JobsTick{}, areMoreDue ? kNextPartDelay : kTickInterval });
     }
@@ -239,6 +247,28 @@
     return true;
   }
 
+  /// Looks up the expected run times of some jobs, in turn. The load is that of
+  /// a long queue, where a look at every job would delay other events.
+  void RefreshJobs()
+  {
+    if (views_.estimates_.use_ != LearnedRunTimes::On) {
+      return;
+    }
+    auto entry = state_.jobs_.lower_bound(state_.nextRefreshedJob_);
+    std::size_t left = std::min(state_.jobs_.size(), kMaxJobsRefreshedPerTick);
+    for (; left > 0; --left, ++entry) {
+      if (entry == state_.jobs_.end()) {
+        entry = state_.jobs_.begin();
+      }
+      if (RefreshExpectedRunTimes(
+            entry->second, views_.estimates_, context_.now_)) {
+        state_.openJobs_.Update(entry->second);
+      }
+    }
+    state_.nextRefreshedJob_ =
+      entry == state_.jobs_.end() ? JobId{} : entry->first;
+  }
+
   // The records of an earlier version may hold any number of occurrences that
   // are done. Nothing follows the write.
   void RemoveDoneOf(Job& aJob)
--- a/src/verbenawell/jobs/tasks/TasksState.h
+++ b/src/verbenawell/jobs/tasks/TasksState.h
@@ -85,6 +85,8 @@
   std::map<JobId, Job> jobs_;
   /// The job whose due occurrences are added first.
   JobId nextScheduledJob_;
+  /// The job whose expected run times are looked up next.
+  JobId nextRefreshedJob_;
   OpenJobIndex openJobs_;
   LoadShedding shedding_;
   /// The suspects among the tasks of open jobs.
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
+#include "verbenawell/jobs/estimates/EstimatesState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/placement/Admission.h"
@@ -67,6 +68,7 @@
 NewJob(const SubmitJob& aSubmit,
        const Queue& aQueue,
        const WorkspaceId& aWorkspace,
+       const EstimatesState& aEstimates,
        const Context& aContext)
 {
   Job job;
@@ -75,8 +77,9 @@
   job.queue_ = aQueue.id_;
   job.service_ = aQueue.service_;
   job.definition_ = *aSubmit.definition_;
+  RefreshExpectedRunTimes(job, aEstimates, aContext.now_);
   const Duration criticalPath = CriticalPathTime(
-    job.definition_,
+    job,
     aQueue.advice_ ? aQueue.advice_->callTime_ +
                        kWorkersPerAdviceCall * aQueue.advice_->timePerWorker_
                    : Duration{});
@@ -183,6 +186,7 @@
     } else {
       Job job = RestoredJob(stored, context_);
       job.stored_ = false;
+      RefreshExpectedRunTimes(job, views_.estimates_, context_.now_);
       Store(std::move(job), stored);
     }
   }
@@ -227,7 +231,8 @@
       Respond(QueueUnknown{});
       return;
     }
-    Job job = NewJob(aSubmit, *queue, request_.workspace_, context_);
+    Job job =
+      NewJob(aSubmit, *queue, request_.workspace_, views_.estimates_, context_);
     if (const auto refusal = RefusalOf(job); refusal) {
       effects_.push_back(LogLine{
         LogLevel::Info,
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -106,6 +106,7 @@
     ownership.self_.shards_ = ShardCount{ shards };
     ownership.publishedShards_ = ShardCount{ shards };
     ownership.random_ = Random{ random_() };
+    state.estimates_.use_ = size_.learnedRunTimes_;
   }
   for (std::uint32_t index = 0; index < std::max(1U, shards); ++index) {
     Apply(aDaemon, { ShardIndex{ index }, Started{} });
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -75,6 +75,7 @@
     int other_ = 0;
     /// Number of shards; zero if the first owner decides on it.
     int shards_ = 1;
+    LearnedRunTimes learnedRunTimes_ = LearnedRunTimes::Off;
   };
 
   SimulatedDeployment(std::uint64_t aSeed, Size aSize);
