--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/callers/CallersState.h"
 #include "verbenawell/jobs/callers/internal/AttemptOutcome.h"
+#include "verbenawell/jobs/callers/internal/RequestExpiry.h"
 #include "verbenawell/jobs/callers/internal/RequestLogLine.h"
 #include "verbenawell/jobs/callers/internal/ResponseMargin.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
@@ -30,9 +31,7 @@
 // probes.
 constexpr Duration kUnreadyPeriod = 2500ms;
 constexpr Duration kStopPoll = 100ms;
-// A stopping daemon then responds to all requests that are still open, so that
-// none of them is when it exits. It is killed 6 s after the stop signal.
-constexpr Duration kLastResponsesAfter = 4500ms;
+// It is killed 6 s after the stop signal.
 constexpr Duration kMaxStopTime = 5s;
 
 class Reducer
@@ -290,34 +289,13 @@
       aKey, owner->address_, aOpen.request_, aOpen.deadline_ - now_ });
   }
 
-  /// Returns whether the submission has reached no owner, so that its caller
-  /// may repeat it.
-  static bool IsUnsentSubmission(const OpenRequest& aOpen)
-  {
-    return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
-           !aOpen.forwarded_;
-  }
-
-  [[nodiscard]] bool EndsWithoutOwner(const OpenRequest& aOpen) const
-  {
-    if (state_.isStopping_ && (now_ - state_.stopAt_ >= kLastResponsesAfter ||
-                               (aOpen.stage_ == RequestStage::Waiting &&
-                                IsOwnerMissing(views_.ownership_, now_)))) {
-      return true;
-    }
-    return IsUnsentSubmission(aOpen) &&
-           (now_ >= aOpen.deadline_ ||
-            now_ - aOpen.arrivedAt_ >= kNoOwnerTimeout);
-  }
-
   void Expire()
   {
     std::vector<std::pair<RequestKey, CallerResponse>> expired;
     for (const auto& [key, open] : state_.open_) {
-      if (now_ >= open.deadline_ && !IsUnsentSubmission(open)) {
-        expired.emplace_back(key, OutcomeUnknown{});
-      } else if (EndsWithoutOwner(open)) {
-        expired.emplace_back(key, ResponseWithoutOwner(open));
+      if (auto response = ExpiryResponse(open, state_, views_.ownership_, now_);
+          response) {
+        expired.emplace_back(key, std::move(*response));
       }
     }
     for (const auto& [key, response] : expired) {
