--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -31,7 +31,7 @@
 // probes.
 constexpr Duration kUnreadyPeriod = 2500ms;
 constexpr Duration kStopPoll = 100ms;
-// It is killed 6 s after the stop signal.
+// A stopping daemon is killed 6 s after the stop signal.
 constexpr Duration kMaxStopTime = 5s;
 
 class Reducer
