Feed malformed reports and workspaces to the decoders

Callers saw: nothing; the fuzz test of the decoders had no workspaces and no reports between daemons.

--- a/tests/jobs/WireFuzzTest.cpp
+++ b/tests/jobs/WireFuzzTest.cpp
@@ -1,8 +1,10 @@
 #include "verbenawell/codec/DecodeError.h"
 #include "verbenawell/codec/jobs/JournalCodec.h"
+#include "verbenawell/codec/jobs/PeerReportCodec.h"
 #include "verbenawell/codec/jobs/RequestCodec.h"
 
 #include "ByteFuzz.h"
+#include "Workspaces.h"
 #include "platform/JsonFields.h"
 #include "platform/Utf8.h"
 #include "platform/WireDecoding.h"
@@ -71,6 +73,11 @@
     jobs::SubmitJob{ stored.job_,
                      std::make_shared<const jobs::JobDefinition>(definition) }
   };
+  jobs::PeerReport report;
+  report.configuration_.emplace().queues_.emplace_back();
+  jobs::SetWorkspaces(*report.configuration_, { { "first", "key" } });
+  report.version_ = report.configuration_->version_;
+  report.owners_.emplace_back();
   return {
     { "entry of a worker",
       { R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",
@@ -86,7 +93,9 @@
     { "configuration",
       { R"({"version":3,"services":[{"name":"s","standby":true}],
             "routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
-            "advice":{"decisionMs":40,"perItemMs":1.5,"validityMs":3000}}]})" },
+            "advice":{"decisionMs":40,"perItemMs":1.5,"validityMs":3000}}]})",
+        R"({"version":3,"services":[],"routes":[],"tenants":[{"name":"a",
+            "apiKeys":["k","l"],"weight":1.5,"cap":{"cpu":4000}}]})" },
       AsReader(DecodeConfiguration) },
     { "wave",
       { R"({"wave":1,"machines":["m"],"durationS":1.5,"cap":2})" },
@@ -110,6 +119,9 @@
     { "request",
       { jobs::EncodeRequest(submit) },
       AsReader(jobs::DecodeRequest) },
+    { "report of a daemon",
+      { jobs::EncodePeerReport(report) },
+      AsReader(jobs::DecodePeerReport) },
     { "page of records",
       { "{\"items\":[{\"key\":\"\\ud83d\\ude00\xc3\xa9\"}]}" },
       // The result is valid UTF-8 for every input.
