Move the choice of peers and of the number of shards out of ReduceShards

Change: internal/PeerPolls and internal/DaemonDecisions hold what ReduceShards had grown by; IsUnsentSubmission stands beside IsSubmission.

--- a/src/verbenawell/jobs/callers/CallersReducer.cpp
+++ b/src/verbenawell/jobs/callers/CallersReducer.cpp
@@ -290,14 +290,6 @@
       aKey, owner->address_, aOpen.request_, aOpen.deadline_ - now_ });
   }
 
-  /// Returns whether the submission has reached no owner, so that its caller
-  /// may repeat it.
-  static bool IsUnsentSubmission(const OpenRequest& aOpen)
-  {
-    return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
-           !aOpen.forwarded_;
-  }
-
   [[nodiscard]] bool EndsWithoutOwner(const OpenRequest& aOpen) const
   {
     if (state_.isStopping_ && (now_ - state_.stopAt_ >= kLastResponsesAfter ||
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.cpp
@@ -49,6 +49,13 @@
   return std::holds_alternative<SubmitJob>(aOpen.request_.action_);
 }
 
+bool
+IsUnsentSubmission(const OpenRequest& aOpen)
+{
+  return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
+         !aOpen.forwarded_;
+}
+
 // A rejection only tells about the attempt that it responds to. If an earlier
 // attempt got no response, its owner may have stored the job, and the rejected
 // job would run.
--- a/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
+++ b/src/verbenawell/jobs/callers/internal/AttemptOutcome.h
@@ -31,6 +31,11 @@
 [[nodiscard]] bool
 IsSubmission(const OpenRequest& aOpen);
 
+/// Returns whether the request is a submission that has reached no owner, so
+/// that its caller may repeat it.
+[[nodiscard]] bool
+IsUnsentSubmission(const OpenRequest& aOpen);
+
 /// Decides what follows from the response to the latest attempt of a request. A
 /// submission is rejected only if no earlier attempt may have taken effect.
 [[nodiscard]] AttemptOutcome
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -25,9 +25,6 @@
 using namespace std::chrono_literals;
 
 constexpr ShardIndex kFirstShard{ 0 };
-// Time after which the owner of a new deployment no longer waits for the list
-// of VMs.
-constexpr Duration kMaxWaitForVms = 10s;
 constexpr Duration kExitPoll = 100ms;
 // Requests of a shard's owner to another shard have keys of their own, beyond
 // those of the daemon's callers.
@@ -87,11 +84,7 @@
   {
     CompareWithOtherShards(state_, aShard);
     Apply(aShard, aRead);
-    if (const auto& owner = StateOf(aShard).ownership_.owner_;
-        owner &&
-        owner->instance_ != StateOf(aShard).ownership_.self_.instance_) {
-      state_.peers_.Add(owner->address_);
-    }
+    RememberOwner(state_, aShard);
     LearnShardCount();
     AssignWaves();
   }
@@ -195,12 +188,7 @@
           return IsPartOfSum(state_, aResponse) || IsForShard(aResponse);
         },
         [&](const PollPeers& aPoll) {
-          for (RequestPeerReport& request :
-               RequestsToPeers(state_, aPoll.known_)) {
-            effects_.push_back(
-              { aShard, Count{ Counter::PeerReportsRequested } });
-            effects_.push_back({ aShard, std::move(request) });
-          }
+          AddRequestsToPeers(state_, aPoll.known_, effects_);
           return true;
         },
         [&](SendPeerReport& aReport) {
@@ -310,12 +298,7 @@
 
   void Route(CallerRequested aRequest)
   {
-    // Daemons that still take a turned-away daemon for the owner are turned
-    // away themselves. They must not displace those that can read the store.
-    if (aRequest.sender_ &&
-        !state_.shards_.front().configuration_.isPollingPeers_) {
-      state_.peers_.Add(*aRequest.sender_);
-    }
+    RememberSender(state_, aRequest);
     if (!state_.count_) {
       std::ranges::move(RejectionWithoutShards(aRequest),
                         std::back_inserter(effects_));
@@ -343,33 +326,21 @@
     }
   }
 
-  // The number is decided before the first job and the first command to a
-  // worker. A journal with content is that of a version without shards.
   void DecideShardCount(std::optional<std::size_t> aVms)
   {
-    const State& first = state_.shards_.front();
-    const Owning* owning = first.ownership_.AsOwner();
-    if (state_.count_ || owning == nullptr || !first.journal_.IsReady() ||
-        first.ownership_.self_.shards_ != ShardCount{}) {
-      return;
-    }
-    const bool isNew = first.tasks_.jobs_.empty() &&
-                       first.tasks_.endedJobs_.empty() &&
-                       first.workers_.workers_.empty();
-    if (isNew && !aVms && state_.hasVmList_ &&
-        context_.now_ - owning->takenAt_ < kMaxWaitForVms) {
+    const auto count = ShardCountToPublish(state_, aVms, context_.now_);
+    if (!count) {
       return;
     }
-    const ShardCount count =
-      isNew && aVms ? ShardCountFor(*aVms) : ShardCount{ 1 };
     effects_.push_back(
       { kFirstShard,
-        LogLine{ LogLevel::Info,
-                 "shards_decided",
-                 { { "shards", std::to_string(count.Value()) },
-                   { "vms", aVms ? std::to_string(*aVms) : "unknown" },
-                   { "journal", isNew ? "empty" : "in use" } } } });
-    Apply(kFirstShard, ShardCountDecided{ count });
+        LogLine{
+          LogLevel::Info,
+          "shards_decided",
+          { { "shards", std::to_string(count->Value()) },
+            { "vms", aVms ? std::to_string(*aVms) : "unknown" },
+            { "journal", HasUsedJournal(state_) ? "in use" : "empty" } } } });
+    Apply(kFirstShard, ShardCountDecided{ *count });
   }
 
   void LearnShardCount()
--- a/src/verbenawell/jobs/sharding/internal/DaemonDecisions.cpp
+++ b/src/verbenawell/jobs/sharding/internal/DaemonDecisions.cpp
@@ -1,6 +1,7 @@
 #include "verbenawell/jobs/sharding/internal/DaemonDecisions.h"
 
 #include "verbenawell/jobs/sharding/DaemonState.h"
+#include "verbenawell/jobs/sharding/Shards.h"
 
 #include <cstdint>
 #include <variant>
@@ -15,6 +16,9 @@
 // The number of shards is known a few milliseconds after a daemon has started,
 // or once a new deployment has its first owner.
 constexpr Duration kRetryAfterNoShards = 2s;
+// Time after which the owner of a new deployment no longer waits for the list
+// of VMs.
+constexpr Duration kMaxWaitForVms = 10s;
 
 } // namespace
 
@@ -34,6 +38,36 @@
   return effects;
 }
 
+bool
+HasUsedJournal(const DaemonState& aState)
+{
+  const State& first = aState.shards_.front();
+  return !first.tasks_.jobs_.empty() || !first.tasks_.endedJobs_.empty() ||
+         !first.workers_.workers_.empty();
+}
+
+// The number is decided before the first job and the first command to a worker.
+// A journal with content is that of a version without shards.
+std::optional<ShardCount>
+ShardCountToPublish(const DaemonState& aState,
+                    std::optional<std::size_t> aVms,
+                    TimePoint aNow)
+{
+  const State& first = aState.shards_.front();
+  const Owning* owning = first.ownership_.AsOwner();
+  if (aState.count_ || owning == nullptr || !first.journal_.IsReady() ||
+      first.ownership_.self_.shards_ != ShardCount{}) {
+    return std::nullopt;
+  }
+  if (HasUsedJournal(aState)) {
+    return ShardCount{ 1 };
+  }
+  if (!aVms && aState.hasVmList_ && aNow - owning->takenAt_ < kMaxWaitForVms) {
+    return std::nullopt;
+  }
+  return aVms ? ShardCountFor(*aVms) : ShardCount{ 1 };
+}
+
 void
 CompareWithOtherShards(DaemonState& aState, ShardIndex aShard)
 {
--- a/src/verbenawell/jobs/sharding/internal/DaemonDecisions.h
+++ b/src/verbenawell/jobs/sharding/internal/DaemonDecisions.h
@@ -3,6 +3,8 @@
 #include "verbenawell/jobs/callers/CallerEvents.h"
 #include "verbenawell/jobs/sharding/ReduceShards.h"
 
+#include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace verbenawell::jobs {
@@ -13,6 +15,18 @@
 std::vector<ShardEffect>
 RejectionWithoutShards(const CallerRequested& aRequest);
 
+/// The number of shards that the owner of the first one decides on now; empty
+/// if it is decided, or decided later. `aVms` is the number of VMs if it is
+/// known.
+std::optional<ShardCount>
+ShardCountToPublish(const DaemonState& aState,
+                    std::optional<std::size_t> aVms,
+                    TimePoint aNow);
+
+/// Returns whether the journal of the first shard holds records.
+bool
+HasUsedJournal(const DaemonState& aState);
+
 /// Tells the state of a shard which other shards this daemon and the shard's
 /// owner own.
 void
--- a/src/verbenawell/jobs/sharding/internal/PeerPolls.cpp
+++ b/src/verbenawell/jobs/sharding/internal/PeerPolls.cpp
@@ -3,6 +3,7 @@
 #include "verbenawell/jobs/sharding/DaemonState.h"
 
 #include <set>
+#include <utility>
 
 namespace verbenawell::jobs {
 
@@ -13,8 +14,31 @@
 
 } // namespace
 
-std::vector<RequestPeerReport>
-RequestsToPeers(DaemonState& aState, ConfigurationVersion aKnown)
+void
+RememberOwner(DaemonState& aState, ShardIndex aShard)
+{
+  const OwnershipState& ownership = aState.shards_[aShard.Value()].ownership_;
+  if (ownership.owner_ &&
+      ownership.owner_->instance_ != ownership.self_.instance_) {
+    aState.peers_.Add(ownership.owner_->address_);
+  }
+}
+
+// Daemons that still take a turned-away daemon for the owner are turned away
+// themselves. They must not displace those that can read the store.
+void
+RememberSender(DaemonState& aState, const CallerRequested& aRequest)
+{
+  if (aRequest.sender_ &&
+      !aState.shards_.front().configuration_.isPollingPeers_) {
+    aState.peers_.Add(*aRequest.sender_);
+  }
+}
+
+void
+AddRequestsToPeers(DaemonState& aState,
+                   ConfigurationVersion aKnown,
+                   std::vector<ShardEffect>& aEffects)
 {
   std::set<Endpoint> peers;
   for (const State& shard : aState.shards_) {
@@ -26,12 +50,10 @@
     peers.insert(std::move(peer));
   }
   peers.erase(aState.shards_.front().ownership_.self_.address_);
-  std::vector<RequestPeerReport> requests;
-  requests.reserve(peers.size());
   for (const Endpoint& peer : peers) {
-    requests.push_back({ peer, aKnown });
+    aEffects.push_back({ {}, Count{ Counter::PeerReportsRequested } });
+    aEffects.push_back({ {}, RequestPeerReport{ peer, aKnown } });
   }
-  return requests;
 }
 
 std::vector<KnownOwner>
