--- a/src/verbenawell/jobs/callers/internal/RequestExpiry.cpp
+++ b/src/verbenawell/jobs/callers/internal/RequestExpiry.cpp
@@ -14,15 +14,6 @@
 // that none of them is when it exits.
 constexpr Duration kLastResponsesAfter = 4500ms;
 
-/// Returns whether the submission has reached no owner, so that its caller may
-/// repeat it.
-bool
-IsUnsentSubmission(const OpenRequest& aOpen)
-{
-  return IsSubmission(aOpen) && aOpen.attemptsWithoutResponse_ == 0 &&
-         !aOpen.forwarded_;
-}
-
 bool
 EndsWithStop(const OpenRequest& aOpen,
              const CallersState& aState,
--- a/src/verbenawell/jobs/core/TimerKey.h
+++ b/src/verbenawell/jobs/core/TimerKey.h
@@ -88,6 +88,12 @@
   auto operator<=>(const PeerPoll&) const = default;
 };
 
+/// Reports the demand for quotas and ends waits for them.
+struct QuotaTick
+{
+  auto operator<=>(const QuotaTick&) const = default;
+};
+
 /// Identifies a timer. Setting a timer again under the same key replaces it.
 using TimerKey = std::variant<OwnershipTick,
                               JournalRetry,
@@ -102,6 +108,7 @@
                               MaintenanceTick,
                               PoolsTick,
                               ExitTick,
-                              PeerPoll>;
+                              PeerPoll,
+                              QuotaTick>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/core/Views.h
+++ b/src/verbenawell/jobs/core/Views.h
@@ -13,6 +13,7 @@
 struct MaintenanceState;
 struct PoolsState;
 struct EstimatesState;
+struct QuotasState;
 
 /// Read-only access to the states of all modules. A module changes only its own
 /// state.
@@ -29,6 +30,7 @@
   const MaintenanceState& maintenance_;
   const PoolsState& pools_;
   const EstimatesState& estimates_;
+  const QuotasState& quotas_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -82,6 +82,8 @@
       return "peer_reports_requested";
     case Counter::ConfigurationsFromPeers:
       return "configurations_from_peers";
+    case Counter::QuotaWaits:
+      return "quota_waits";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -57,6 +57,8 @@
   SlowRunsStopped,
   PeerReportsRequested,
   ConfigurationsFromPeers,
+  /// Workspaces that began to wait for their quotas.
+  QuotaWaits,
 };
 
 std::string_view
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -7,6 +7,8 @@
 #include "verbenawell/jobs/placement/PlacementState.h"
 #include "verbenawell/jobs/placement/WorkerChoice.h"
 #include "verbenawell/jobs/pools/PoolsState.h"
+#include "verbenawell/jobs/quotas/QuotaRoom.h"
+#include "verbenawell/jobs/quotas/QuotasState.h"
 #include "verbenawell/jobs/shares/FairOrder.h"
 #include "verbenawell/jobs/shares/ShareReport.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
@@ -42,6 +44,7 @@
     : views_(aViews)
     , now_(aContext.now_)
     , weights_(aViews.configuration_.configuration_)
+    , quotaRoom_(aViews.quotas_, aViews.workers_.quotaUsage_)
   {
   }
 
@@ -73,6 +76,11 @@
   std::vector<StartDecision> starts_;
   std::vector<AdviceQuery> queries_;
 
+  [[nodiscard]] const std::map<WorkspaceId, QuotaShortage>& Shortages() const
+  {
+    return quotaRoom_.Shortages();
+  }
+
 private:
   /// The tasks that a round of a pass places.
   enum class Selection : std::uint8_t
@@ -179,9 +187,9 @@
   void PlaceTasks(const Job& aJob, TaskId aTask, ServiceCapacity& aCapacity)
   {
     const Step& step = aJob.definition_.steps_[aTask.step_.Value()];
-    const auto& tasks = aJob.occurrences_.at(aTask.occurrence_)
-                          .steps_[aTask.step_.Value()]
-                          .tasks_;
+    const StepTasks& stepTasks =
+      aJob.occurrences_.at(aTask.occurrence_).steps_[aTask.step_.Value()];
+    const auto& tasks = stepTasks.tasks_;
     const Permission permission = PermissionOf(aJob, aTask);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       if (!std::holds_alternative<Waiting>(tasks[index].status_)) {
@@ -190,6 +198,11 @@
       if (tasks[index].IsSuspect() != (selection_ == Selection::Suspects)) {
         continue;
       }
+      if (!quotaRoom_.Fits(
+            aJob.workspace_, step, TaskCount{ 1 }, stepTasks.waiting_)) {
+        unplaceableSteps_.insert(aTask.step_);
+        return;
+      }
       aTask.index_ = TaskIndex{ index };
       auto choice =
         aCapacity.ChooseWorker(aTask, step, permission, tasks[index]);
@@ -202,13 +215,15 @@
         }
         return;
       }
+      quotaRoom_.Take(aJob.workspace_, step);
       const RunNumber run{ tasks[index].lastRun_.Value() + 1 };
       starts_.push_back({ aTask,
                           run,
                           std::move(choice->worker_),
                           ResourcesOnWorker(step),
                           step.longRunning_,
-                          std::move(choice->ticket_) });
+                          std::move(choice->ticket_),
+                          { aJob.workspace_, step.resources_ } });
     }
   }
 
@@ -246,6 +261,10 @@
     if (mostSuspect.IsSuspect() != (selection_ == Selection::Suspects)) {
       return;
     }
+    const TaskCount size{ static_cast<std::uint32_t>(members.size()) };
+    if (!quotaRoom_.Fits(aJob.workspace_, step, size, size)) {
+      return;
+    }
     const Permission permission = PermissionOf(aJob, aTask);
     auto choices =
       aCapacity.ChooseWorkers(members, step, permission, mostSuspect);
@@ -256,12 +275,14 @@
     }
     for (std::size_t index = 0; index < members.size(); ++index) {
       Choice& choice = (*choices)[index];
+      quotaRoom_.Take(aJob.workspace_, step);
       starts_.push_back({ members[index],
                           RunNumber{ run.Value() + 1 },
                           std::move(choice.worker_),
                           ResourcesOnWorker(step),
                           step.longRunning_,
-                          std::move(choice.ticket_) });
+                          std::move(choice.ticket_),
+                          { aJob.workspace_, step.resources_ } });
     }
   }
 
@@ -291,6 +312,7 @@
   const Views& views_;
   TimePoint now_;
   WorkspaceWeights weights_;
+  QuotaRoom quotaRoom_;
   std::map<ServiceId, ServiceCapacity> capacities_;
   /// Capacity of the workers in `capacities_`, whether free or not.
   std::map<ServiceId, Resources> totals_;
@@ -339,6 +361,9 @@
       effects_.push_back(Raise{ AdviceRequested{ std::move(pass.queries_) } });
     }
     ReportShares(state_.sharesReportedAt_, views_, context_, effects_);
+    if (!pass.Shortages().empty() || !views_.quotas_.shortages_.empty()) {
+      effects_.push_back(Raise{ QuotaShortagesFound{ pass.Shortages() } });
+    }
     effects_.push_back(SetTimer{ PlacementPass{}, kIdlePassInterval });
   }
 
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -118,6 +118,9 @@
   void AddService();
   /// From now on the queue's jobs need a ticket for each start.
   void RequireTickets();
+  /// Puts a configuration with one workspace, to which all later requests
+  /// belong. A resource of 0 has no limit.
+  void SetQuota(const WorkspaceId& aWorkspace, const Resources& aQuota);
   /// Sets the CPU share of a daemon's VM from its next start on.
   void SetVmCpu(const std::string& aDaemon, MilliCores aCpu);
   void Kill(const std::string& aDaemon);
@@ -279,6 +282,8 @@
   std::map<RequestKey, ResponseHandler> responseHandlers_;
   std::map<RequestKey, std::function<void(const std::string&)>> reportReplies_;
   RequestKey lastKey_;
+  Credential credential_;
+  ConfigurationVersion quotaVersion_{ 10 };
   std::optional<Wave> wave_;
   bool requiresTickets_ = false;
 
