--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -246,6 +246,7 @@
       "job_accepted",
       { { "job", job.id_.Value() },
         { "queue", queue->id_.Value() },
+        { "workspace", job.workspace_.Value() },
         { "service", job.service_.Value() },
         { "configuration",
           std::to_string(
