Keep workspaces within their quotas

Cause: no part of the job manager knew the quotas.

Change: each start is charged to the quota of its workspace before it is stored and sent, and until the run is gone. A successor restores the charges from the stored runs and from those that a stored outcome names. A job that exceeds its whole quota is rejected at submission. With several shards, the owner of the first one divides each quota by demand and stores the parts before it announces them (docs/design/quotas.md).

--- a/src/verbenawell/codec/jobs/JournalCodec.cpp
+++ b/src/verbenawell/codec/jobs/JournalCodec.cpp
@@ -135,6 +135,9 @@
       [](const HomePoolsStored& aStored) {
         return SplitList("homes", aStored, &HomePoolsStored::homePools_);
       },
+      [&](const QuotaPartsStored& aStored) {
+        return Records{ { "q/" + aStored.workspace_.Value(), Value(aRecord) } };
+      },
       [&](const WaveStored& aStored) {
         return Records{ { "wave/" + std::to_string(aStored.wave_.Value()),
                           Value(aRecord) } };
--- a/src/verbenawell/jobs/callers/CallerRequest.cpp
+++ b/src/verbenawell/jobs/callers/CallerRequest.cpp
@@ -10,6 +10,7 @@
 {
   return std::visit(
     Overloaded{ [](const CountPending&) { return JobId{}; },
+                [](const ReportQuotas&) { return JobId{}; },
                 [](const AdoptJob& aAdopt) { return aAdopt.job_->job_; },
                 [](const auto& aKnown) { return aKnown.job_; } },
     aAction);
@@ -19,7 +20,8 @@
 IsBetweenShards(const CallerAction& aAction)
 {
   return std::holds_alternative<AdoptJob>(aAction) ||
-         std::holds_alternative<FindAdoptedJob>(aAction);
+         std::holds_alternative<FindAdoptedJob>(aAction) ||
+         std::holds_alternative<ReportQuotas>(aAction);
 }
 
 std::string_view
--- a/src/verbenawell/jobs/callers/CallerRequest.h
+++ b/src/verbenawell/jobs/callers/CallerRequest.h
@@ -3,6 +3,7 @@
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/JobDefinition.h"
+#include "verbenawell/jobs/quotas/QuotaMessages.h"
 #include "verbenawell/jobs/workspaces/Credential.h"
 
 #include <cstdint>
@@ -54,7 +55,8 @@
                                   CancelJob,
                                   CountPending,
                                   AdoptJob,
-                                  FindAdoptedJob>;
+                                  FindAdoptedJob,
+                                  ReportQuotas>;
 
 /// The job that an action names; empty for an action on a queue.
 JobId
@@ -175,6 +177,7 @@
                                     OutcomeUnknown,
                                     NotOwner,
                                     OtherShard,
-                                    KeyRejected>;
+                                    KeyRejected,
+                                    QuotasDealt>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/core/Event.h
+++ b/src/verbenawell/jobs/core/Event.h
@@ -9,6 +9,7 @@
 #include "verbenawell/jobs/overload/OverloadEvents.h"
 #include "verbenawell/jobs/ownership/OwnershipEvents.h"
 #include "verbenawell/jobs/placement/PlacementEvents.h"
+#include "verbenawell/jobs/quotas/QuotaEvents.h"
 #include "verbenawell/jobs/workers/WorkerEvents.h"
 
 #include <variant>
@@ -103,6 +104,8 @@
                            CapacityChanged,
                            StartsDecided,
                            StopDecided,
-                           AdviceRequested>;
+                           AdviceRequested,
+                           QuotaShortagesFound,
+                           ShardAssigned>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/core/Reduce.cpp
+++ b/src/verbenawell/jobs/core/Reduce.cpp
@@ -11,6 +11,7 @@
 #include "verbenawell/jobs/ownership/OwnershipReducer.h"
 #include "verbenawell/jobs/placement/PlacementReducer.h"
 #include "verbenawell/jobs/pools/PoolsReducer.h"
+#include "verbenawell/jobs/quotas/QuotasReducer.h"
 #include "verbenawell/jobs/tasks/TasksReducer.h"
 #include "verbenawell/jobs/throttling/ThrottlingReducer.h"
 #include "verbenawell/jobs/workers/WorkersReducer.h"
@@ -34,6 +35,7 @@
   // Workers and placement look up tasks, so tasks handle each event first.
   ReduceTasks(aState.tasks_, views, aEvent, aContext, effects);
   ReduceWorkers(aState.workers_, views, aEvent, aContext, effects);
+  ReduceQuotas(aState.quotas_, views, aEvent, aContext, effects);
   ReduceHealth(aState.health_, views, aEvent, aContext, effects);
   ReduceAdvice(aState.advice_, views, aEvent, aContext, effects);
   ReducePlacement(aState.placement_, views, aEvent, aContext, effects);
--- a/src/verbenawell/jobs/core/State.h
+++ b/src/verbenawell/jobs/core/State.h
@@ -10,6 +10,7 @@
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/placement/PlacementState.h"
 #include "verbenawell/jobs/pools/PoolsState.h"
+#include "verbenawell/jobs/quotas/QuotasState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/throttling/ThrottlingState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
@@ -32,11 +33,12 @@
   ThrottlingState throttling_;
   MaintenanceState maintenance_;
   PoolsState pools_;
+  QuotasState quotas_;
 
   [[nodiscard]] Views View() const
   {
-    return { ownership_, journal_, configuration_, callers_,     workers_,
-             tasks_,     advice_,  health_,        maintenance_, pools_ };
+    return { ownership_, journal_, configuration_, callers_, workers_, tasks_,
+             advice_,    health_,  maintenance_,   pools_,   quotas_ };
   }
 };
 
--- a/src/verbenawell/jobs/core/TimerKey.h
+++ b/src/verbenawell/jobs/core/TimerKey.h
@@ -81,6 +81,12 @@
   auto operator<=>(const ExitTick&) const = default;
 };
 
+/// Reports the demand for quotas and ends waits for them.
+struct QuotaTick
+{
+  auto operator<=>(const QuotaTick&) const = default;
+};
+
 /// Identifies a timer. Setting a timer again under the same key replaces it.
 using TimerKey = std::variant<OwnershipTick,
                               JournalRetry,
@@ -94,6 +100,7 @@
                               JobsTick,
                               MaintenanceTick,
                               PoolsTick,
-                              ExitTick>;
+                              ExitTick,
+                              QuotaTick>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/core/Views.h
+++ b/src/verbenawell/jobs/core/Views.h
@@ -12,6 +12,7 @@
 struct HealthState;
 struct MaintenanceState;
 struct PoolsState;
+struct QuotasState;
 
 /// Read-only access to the states of all modules. A module changes only its own
 /// state.
@@ -27,6 +28,7 @@
   const HealthState& health_;
   const MaintenanceState& maintenance_;
   const PoolsState& pools_;
+  const QuotasState& quotas_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/journal/JournalRecord.h
+++ b/src/verbenawell/jobs/journal/JournalRecord.h
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/Job.h"
 #include "verbenawell/jobs/model/JobDefinition.h"
+#include "verbenawell/jobs/quotas/QuotaMessages.h"
 
 #include <optional>
 #include <string>
@@ -55,6 +56,17 @@
   std::optional<ProgressPart> part_{};
 };
 
+/// A run that was to be stopped when its job ended.
+struct RemainingRun
+{
+  Occurrence occurrence_;
+  StepIndex step_;
+  TaskIndex index_;
+  RunNumber run_;
+  WorkerId worker_;
+  Resources resources_;
+};
+
 /// A job that has ended; replaces its definition and progress.
 struct OutcomeStored
 {
@@ -70,6 +82,8 @@
   bool hasDoneOccurrences_ = false;
   /// Empty in records of earlier versions.
   WorkspaceId workspace_{};
+  /// Only for a job of a workspace, whose quota these runs take.
+  std::vector<RemainingRun> remaining_{};
 };
 
 /// The leading occurrences of a scheduled job that are done.
@@ -137,6 +151,23 @@
   std::vector<StoredHomePool> homePools_;
 };
 
+struct StoredQuotaPart
+{
+  ShardIndex shard_;
+  /// At least what the shard may use and what its runs take.
+  Resources held_;
+  /// The report of the shard that this was decided on.
+  Epoch epoch_;
+  QuotaReportNumber report_;
+};
+
+/// The parts of a workspace's quota. Only in the journal of the first shard.
+struct QuotaPartsStored
+{
+  WorkspaceId workspace_;
+  std::vector<StoredQuotaPart> parts_;
+};
+
 using JournalRecord = std::variant<JobStored,
                                    ProgressStored,
                                    OutcomeStored,
@@ -146,6 +177,7 @@
                                    HomePoolsStored,
                                    OccurrencesDone,
                                    JobHandedOver,
-                                   HandOverRemoved>;
+                                   HandOverRemoved,
+                                   QuotaPartsStored>;
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/journal/RecordSize.cpp
+++ b/src/verbenawell/jobs/journal/RecordSize.cpp
@@ -27,6 +27,12 @@
   return kItemBytes + aTask.checkpoint_.size() + aTask.worker_.Value().size();
 }
 
+std::size_t
+MaxSize(const RemainingRun& aRun)
+{
+  return kItemBytes + aRun.worker_.Value().size();
+}
+
 std::size_t
 MaxSize(const StoredWorker& aWorker)
 {
@@ -79,8 +85,10 @@
                        [](const OutcomeStored& aStored) {
                          return aStored.job_.Value().size() * 3 +
                                 aStored.queue_.Value().size() +
+                                aStored.workspace_.Value().size() +
                                 aStored.parts_.size() *
-                                  (kItemBytes + aStored.job_.Value().size());
+                                  (kItemBytes + aStored.job_.Value().size()) +
+                                MaxSizeOfAll(aStored.remaining_);
                        },
                        [](const OccurrencesDone& aDone) {
                          return aDone.job_.Value().size() * 2 +
@@ -105,6 +113,10 @@
                        },
                        [](const HomePoolsStored& aStored) {
                          return MaxSizeOfAll(aStored.homePools_);
+                       },
+                       [](const QuotaPartsStored& aStored) {
+                         return aStored.workspace_.Value().size() * 2 +
+                                aStored.parts_.size() * kItemBytes;
                        } },
            aRecord);
 }
--- a/src/verbenawell/jobs/metrics/Counter.cpp
+++ b/src/verbenawell/jobs/metrics/Counter.cpp
@@ -78,6 +78,8 @@
       return "workers_cleared";
     case Counter::SlowRunsStopped:
       return "slow_runs_stopped";
+    case Counter::QuotaWaits:
+      return "quota_waits";
   }
   return "unknown";
 }
--- a/src/verbenawell/jobs/metrics/Counter.h
+++ b/src/verbenawell/jobs/metrics/Counter.h
@@ -55,6 +55,8 @@
   WorkersEjected,
   WorkersRecovered,
   SlowRunsStopped,
+  /// Workspaces that began to wait for their quotas.
+  QuotaWaits,
 };
 
 std::string_view
--- a/src/verbenawell/jobs/metrics/JobMetrics.cpp
+++ b/src/verbenawell/jobs/metrics/JobMetrics.cpp
@@ -68,7 +68,7 @@
 // counter that is still zero from one that does not exist.
 JobMetrics::JobMetrics()
 {
-  AddZeroCounters(counters_, Counter::SlowRunsStopped);
+  AddZeroCounters(counters_, Counter::QuotaWaits);
   AddZeroCounters(counters_, RejectReason::IdInUse);
   AddZeroCounters(counters_, StartRefusal::OtherIncarnation);
   AddZeroCounters(counters_, EndKind::GangIncomplete);
--- a/src/verbenawell/jobs/overload/EventClass.cpp
+++ b/src/verbenawell/jobs/overload/EventClass.cpp
@@ -33,6 +33,7 @@
     Overloaded{ [](const CancelJob&) { return EventClass::Cancel; },
                 [](const SubmitJob&) { return EventClass::Start; },
                 [](const AdoptJob&) { return EventClass::Start; },
+                [](const ReportQuotas&) { return EventClass::Start; },
                 [](const auto&) { return EventClass::Read; } },
     aAction);
 }
--- a/src/verbenawell/jobs/placement/PlacementEvents.h
+++ b/src/verbenawell/jobs/placement/PlacementEvents.h
@@ -3,6 +3,7 @@
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/model/Resources.h"
 #include "verbenawell/jobs/model/TaskId.h"
+#include "verbenawell/jobs/quotas/QuotaUsage.h"
 
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
   Resources resources_;
   bool isLongRunning_ = false;
   std::string ticket_;
+  QuotaCharge quota_{};
 };
 
 struct StartsDecided
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -7,6 +7,8 @@
 #include "verbenawell/jobs/placement/PlacementState.h"
 #include "verbenawell/jobs/placement/WorkerChoice.h"
 #include "verbenawell/jobs/pools/PoolsState.h"
+#include "verbenawell/jobs/quotas/QuotaRoom.h"
+#include "verbenawell/jobs/quotas/QuotasState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
@@ -39,6 +41,7 @@
   Pass(const Views& aViews, const Context& aContext)
     : views_(aViews)
     , now_(aContext.now_)
+    , quotaRoom_(aViews.quotas_, aViews.workers_.quotaUsage_)
   {
   }
 
@@ -63,6 +66,11 @@
   std::vector<StartDecision> starts_;
   std::vector<AdviceQuery> queries_;
 
+  [[nodiscard]] const std::map<WorkspaceId, QuotaShortage>& Shortages() const
+  {
+    return quotaRoom_.Shortages();
+  }
+
 private:
   /// The tasks that a round of a pass places.
   enum class Selection : std::uint8_t
@@ -175,9 +183,9 @@
   void PlaceTasks(const Job& aJob, TaskId aTask, ServiceCapacity& aCapacity)
   {
     const Step& step = aJob.definition_.steps_[aTask.step_.Value()];
-    const auto& tasks = aJob.occurrences_.at(aTask.occurrence_)
-                          .steps_[aTask.step_.Value()]
-                          .tasks_;
+    const StepTasks& stepTasks =
+      aJob.occurrences_.at(aTask.occurrence_).steps_[aTask.step_.Value()];
+    const auto& tasks = stepTasks.tasks_;
     const Permission permission = PermissionOf(aJob, aTask);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       if (!std::holds_alternative<Waiting>(tasks[index].status_)) {
@@ -186,6 +194,11 @@
       if (tasks[index].IsSuspect() != (selection_ == Selection::Suspects)) {
         continue;
       }
+      if (!quotaRoom_.Fits(
+            aJob.workspace_, step, TaskCount{ 1 }, stepTasks.waiting_)) {
+        unplaceableSteps_.insert(aTask.step_);
+        return;
+      }
       aTask.index_ = TaskIndex{ index };
       auto choice =
         aCapacity.ChooseWorker(aTask, step, permission, tasks[index]);
@@ -198,13 +211,15 @@
         }
         return;
       }
+      quotaRoom_.Take(aJob.workspace_, step);
       const RunNumber run{ tasks[index].lastRun_.Value() + 1 };
       starts_.push_back({ aTask,
                           run,
                           std::move(choice->worker_),
                           ResourcesOnWorker(step),
                           step.longRunning_,
-                          std::move(choice->ticket_) });
+                          std::move(choice->ticket_),
+                          { aJob.workspace_, step.resources_ } });
     }
   }
 
@@ -242,6 +257,10 @@
     if (mostSuspect.IsSuspect() != (selection_ == Selection::Suspects)) {
       return;
     }
+    const TaskCount size{ static_cast<std::uint32_t>(members.size()) };
+    if (!quotaRoom_.Fits(aJob.workspace_, step, size, size)) {
+      return;
+    }
     const Permission permission = PermissionOf(aJob, aTask);
     auto choices =
       aCapacity.ChooseWorkers(members, step, permission, mostSuspect);
@@ -252,12 +271,14 @@
     }
     for (std::size_t index = 0; index < members.size(); ++index) {
       Choice& choice = (*choices)[index];
+      quotaRoom_.Take(aJob.workspace_, step);
       starts_.push_back({ members[index],
                           RunNumber{ run.Value() + 1 },
                           std::move(choice.worker_),
                           ResourcesOnWorker(step),
                           step.longRunning_,
-                          std::move(choice.ticket_) });
+                          std::move(choice.ticket_),
+                          { aJob.workspace_, step.resources_ } });
     }
   }
 
@@ -286,6 +307,7 @@
 
   const Views& views_;
   TimePoint now_;
+  QuotaRoom quotaRoom_;
   std::map<ServiceId, ServiceCapacity> capacities_;
   /// The jobs of each service with suspects that wait.
   std::map<ServiceId, std::set<JobId>> suspectJobs_;
@@ -331,6 +353,9 @@
     if (!pass.queries_.empty() || !views_.advice_.queries_.empty()) {
       effects_.push_back(Raise{ AdviceRequested{ std::move(pass.queries_) } });
     }
+    if (!pass.Shortages().empty() || !views_.quotas_.shortages_.empty()) {
+      effects_.push_back(Raise{ QuotaShortagesFound{ pass.Shortages() } });
+    }
     effects_.push_back(SetTimer{ PlacementPass{}, kIdlePassInterval });
   }
 
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -343,6 +343,10 @@
     while (Size() < published.Value()) {
       AddShard();
     }
+    for (std::uint32_t index = 0; index < Size(); ++index) {
+      const ShardIndex shard{ index };
+      Apply(shard, ShardAssigned{ shard, published });
+    }
     if (state_.shards_.front().workers_.isActive_) {
       effects_.push_back({ kFirstShard, ReadWorkers{} });
       Apply(kFirstShard, VmListRequired{});
--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -258,10 +258,22 @@
 OutcomeStored
 StoredOutcome(const Job& aJob, const Context& aContext)
 {
+  std::vector<RemainingRun> remaining;
+  if (!aJob.workspace_.IsEmpty()) {
+    for (const auto& [task, placed] : PlacedTasks(aJob)) {
+      const Step& step = aJob.definition_.steps_[task.step_.Value()];
+      remaining.push_back({ task.occurrence_,
+                            task.step_,
+                            task.index_,
+                            placed.run_,
+                            placed.worker_,
+                            step.resources_ });
+    }
+  }
   return { aJob.id_,           aJob.queue_,
            aJob.outcome_,      aContext.wallNow_,
            StartedParts(aJob), aJob.doneOccurrences_ > Occurrence{},
-           aJob.workspace_ };
+           aJob.workspace_,    std::move(remaining) };
 }
 
 std::optional<OccurrencesDone>
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -5,6 +5,7 @@
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/placement/Admission.h"
+#include "verbenawell/jobs/quotas/QuotasState.h"
 #include "verbenawell/jobs/tasks/JobRecords.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/tasks/internal/JobOutcomes.h"
@@ -20,6 +21,8 @@
 
 constexpr Duration kStoreRetryAfter = 2s;
 // The other workspace's job is stored under the id for 150 s after its end.
+// Only a new configuration raises a quota.
+constexpr Duration kQuotaRetryAfter = 60s;
 constexpr Duration kIdInUseRetryAfter = 150s;
 // The owner reports a job as unknown only while its last renewal is younger
 // than this. An unresponsive owner is replaced 2.5 s after its last renewal at
@@ -218,6 +221,9 @@
     Respond(PendingJobsReported{ state_.openJobs_.Pending(request_.queue_) });
   }
 
+  // Handled with the quotas.
+  void operator()(const ReportQuotas&) {}
+
 private:
   void Accept(const SubmitJob& aSubmit)
   {
@@ -265,6 +271,9 @@
 
   std::optional<JobRejected> RefusalOf(const Job& aJob)
   {
+    if (!FitsQuota(aJob, views_.quotas_)) {
+      return JobRejected{ RejectReason::QuotaTooSmall, kQuotaRetryAfter };
+    }
     const bool mayReject = !aJob.IsLongRunning() && !aJob.definition_.schedule_;
     if (mayReject && state_.shedding_.RejectNext()) {
       return JobRejected{ RejectReason::Overload,
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -66,6 +66,7 @@
       }
     }
     RestoreRuns();
+    RestoreRunsOfEndedJobs(aLoaded.records_);
     effects_.push_back(
       Observe{ LatencyMetric::TakeOver, context_.now_ - state_.takenAt_ });
     effects_.push_back(ReadWorkers{});
@@ -298,12 +299,50 @@
         run.isStored_ = true;
         run.startedAt_ = state_.takenAt_;
         run.incarnation_ = placed.incarnation_;
-        worker->second.used_ += run.resources_;
-        worker->second.runs_.emplace(task, std::move(run));
+        run.quota_ = { job.workspace_, step.resources_ };
+        AddRun(worker->second, task, std::move(run));
       }
     }
   }
 
+  // Runs of a job that has ended may still be there. They count until the first
+  // report of their worker shows that they are gone, or its lease is over.
+  void RestoreRunsOfEndedJobs(const std::vector<JournalRecord>& aRecords)
+  {
+    for (const JournalRecord& record : aRecords) {
+      const auto* ended = std::get_if<OutcomeStored>(&record);
+      if (ended == nullptr) {
+        continue;
+      }
+      for (const RemainingRun& remaining : ended->remaining_) {
+        const auto worker = state_.workers_.find(remaining.worker_);
+        if (worker == state_.workers_.end()) {
+          continue;
+        }
+        Assignment run;
+        run.run_ = remaining.run_;
+        run.resources_ = remaining.resources_;
+        run.phase_ = Present{ state_.takenAt_, false };
+        run.isStored_ = true;
+        run.startedAt_ = state_.takenAt_;
+        run.quota_ = { ended->workspace_, remaining.resources_ };
+        AddRun(worker->second,
+               { ended->job_,
+                 remaining.occurrence_,
+                 remaining.step_,
+                 remaining.index_ },
+               std::move(run));
+      }
+    }
+  }
+
+  void AddRun(Worker& aWorker, const TaskId& aTask, Assignment aRun)
+  {
+    aWorker.used_ += aRun.resources_;
+    state_.quotaUsage_.Add(aRun.quota_);
+    aWorker.runs_.insert_or_assign(aTask, std::move(aRun));
+  }
+
   [[nodiscard]] Duration NextRenewalDelay(const Worker& aWorker,
                                           bool aHasNewEnds) const
   {
@@ -338,15 +377,15 @@
   {
     Worker& worker = state_.workers_.at(aStart.worker_);
     const bool wasIdle = worker.runs_.empty();
-    Assignment& run = worker.runs_[aStart.task_];
-    run = Assignment{};
+    Assignment run;
     run.run_ = aStart.run_;
     run.resources_ = aStart.resources_;
     run.isLongRunning_ = aStart.isLongRunning_;
     run.ticket_ = aStart.ticket_;
     run.startedAt_ = context_.now_;
     run.incarnation_ = worker.incarnation_;
-    worker.used_ += run.resources_;
+    run.quota_ = aStart.quota_;
+    AddRun(worker, aStart.task_, std::move(run));
     effects_.push_back(Count{ Counter::TasksStarted });
     effects_.push_back(
       LogLine{ LogLevel::Info,
--- a/src/verbenawell/jobs/workers/WorkersState.h
+++ b/src/verbenawell/jobs/workers/WorkersState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Time.h"
+#include "verbenawell/jobs/quotas/QuotaUsage.h"
 #include "verbenawell/jobs/workers/LatenessMonitor.h"
 #include "verbenawell/jobs/workers/Lease.h"
 #include "verbenawell/jobs/workers/WorkerEvents.h"
@@ -70,6 +71,8 @@
   TimePoint startSentAt_;
   /// This owner does not know the run, nor the resources that it takes.
   bool isUnknownRun_ = false;
+  /// Counted in the quota of its workspace until the run is gone.
+  QuotaCharge quota_;
 
   /// No start command was sent yet, so the run cannot be on the worker.
   [[nodiscard]] bool IsUnsent() const
@@ -153,6 +156,8 @@
   /// The journal has been loaded under this epoch.
   bool isActive_ = false;
   LatenessMonitor lateness_;
+  /// The sum over the runs of all workers.
+  QuotaUsage quotaUsage_;
 
   [[nodiscard]] const Worker* Find(const WorkerId& aWorker) const
   {
--- a/src/verbenawell/jobs/workers/internal/WorkerList.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.cpp
@@ -199,6 +199,7 @@
 MarkRunLost(Worker& aWorker,
             const TaskId& aTask,
             LossReason aReason,
+            QuotaUsage& aUsage,
             Effects& aEffects)
 {
   // The extracted node keeps the id alive if `aTask` refers to its key.
@@ -208,6 +209,7 @@
     aReason = LossCause::WorkerCrashed;
   }
   aWorker.used_ -= run.resources_;
+  aUsage.Remove(run.quota_);
   aEffects.push_back(
     LogLine{ LogLevel::Warning,
              "run_lost",
@@ -220,10 +222,14 @@
 }
 
 void
-MarkAllRunsLost(Worker& aWorker, LossReason aReason, Effects& aEffects)
+MarkAllRunsLost(Worker& aWorker,
+                LossReason aReason,
+                QuotaUsage& aUsage,
+                Effects& aEffects)
 {
   while (!aWorker.runs_.empty()) {
-    MarkRunLost(aWorker, aWorker.runs_.begin()->first, aReason, aEffects);
+    MarkRunLost(
+      aWorker, aWorker.runs_.begin()->first, aReason, aUsage, aEffects);
   }
 }
 
--- a/src/verbenawell/jobs/workers/internal/WorkerList.h
+++ b/src/verbenawell/jobs/workers/internal/WorkerList.h
@@ -7,6 +7,7 @@
 
 struct Worker;
 struct WorkersState;
+class QuotaUsage;
 
 /// Applies the platform's list of workers.
 void
@@ -44,9 +45,13 @@
 MarkRunLost(Worker& aWorker,
             const TaskId& aTask,
             LossReason aReason,
+            QuotaUsage& aUsage,
             Effects& aEffects);
 
 void
-MarkAllRunsLost(Worker& aWorker, LossReason aReason, Effects& aEffects);
+MarkAllRunsLost(Worker& aWorker,
+                LossReason aReason,
+                QuotaUsage& aUsage,
+                Effects& aEffects);
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerLoss.cpp
@@ -49,7 +49,10 @@
 // incarnation whose clock is unknown. Such a run has a lease of
 // `kMaxLeaseDuration` at most.
 void
-MarkExpiredRunsLost(Worker& aWorker, TimePoint aNow, Effects& aEffects)
+MarkExpiredRunsLost(Worker& aWorker,
+                    TimePoint aNow,
+                    QuotaUsage& aUsage,
+                    Effects& aEffects)
 {
   std::vector<TaskId> expired;
   for (const auto& [task, run] : aWorker.runs_) {
@@ -60,14 +63,14 @@
     }
   }
   for (const TaskId& task : expired) {
-    MarkRunLost(aWorker, task, LossCause::LeaseExpired, aEffects);
+    MarkRunLost(aWorker, task, LossCause::LeaseExpired, aUsage, aEffects);
   }
 }
 
 // A start command may wait for the store for any time. A run without one needs
 // no lease to end, so it can start elsewhere at once.
 void
-TakeBackUnsentRuns(Worker& aWorker, Effects& aEffects)
+TakeBackUnsentRuns(Worker& aWorker, QuotaUsage& aUsage, Effects& aEffects)
 {
   std::vector<TaskId> unsent;
   for (const auto& [task, run] : aWorker.runs_) {
@@ -76,7 +79,7 @@
     }
   }
   for (const TaskId& task : unsent) {
-    MarkRunLost(aWorker, task, LossCause::StartNotSent, aEffects);
+    MarkRunLost(aWorker, task, LossCause::StartNotSent, aUsage, aEffects);
   }
 }
 
@@ -117,7 +120,8 @@
   if (found->second.hasCrashed_) {
     ReportCrash(found->second, std::nullopt, aContext, aEffects);
   }
-  MarkAllRunsLost(found->second, LossCause::WorkerEnded, aEffects);
+  MarkAllRunsLost(
+    found->second, LossCause::WorkerEnded, aState.quotaUsage_, aEffects);
   aEffects.push_back(DisconnectWorker{ found->first });
   aState.workers_.erase(found);
   return true;
@@ -142,13 +146,13 @@
   const TimePoint now = aContext.now_;
   for (auto& [id, worker] : aState.workers_) {
     if (!TakesAssignedRuns(worker, now)) {
-      TakeBackUnsentRuns(worker, aEffects);
+      TakeBackUnsentRuns(worker, aState.quotaUsage_, aEffects);
     }
     // A response after the end of the lease settles the runs of then, not those
     // that were assigned later or whose ends a full list left out.
     if (now >= worker.lease_.expiresAt_ &&
         !MayHaveUnreadResponse(aState, worker, now)) {
-      MarkExpiredRunsLost(worker, now, aEffects);
+      MarkExpiredRunsLost(worker, now, aState.quotaUsage_, aEffects);
     }
   }
 }
--- a/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
+++ b/src/verbenawell/jobs/workers/internal/WorkerResponses.cpp
@@ -46,6 +46,7 @@
 void
 MarkMissingRunsLost(Worker& aWorker,
                     const WorkerReported& aReport,
+                    QuotaUsage& aUsage,
                     Effects& aEffects)
 {
   if (aReport.mayHaveMoreEnds_) {
@@ -60,7 +61,7 @@
     }
   }
   for (const TaskId& task : missing) {
-    MarkRunLost(aWorker, task, LossCause::NotListed, aEffects);
+    MarkRunLost(aWorker, task, LossCause::NotListed, aUsage, aEffects);
   }
 }
 
@@ -142,6 +143,7 @@
 ApplyListedEnds(Worker& aWorker,
                 const WorkerReported& aReport,
                 TimePoint aNow,
+                QuotaUsage& aUsage,
                 Effects& aEffects)
 {
   RunsEnded ended{
@@ -159,6 +161,7 @@
         LogStopped(aWorker, *stopping, end, aNow, aEffects);
       }
       aWorker.used_ -= found->second.resources_;
+      aUsage.Remove(found->second.quota_);
       aWorker.runs_.erase(found);
     }
   }
@@ -220,6 +223,7 @@
                    const StartCommandCompleted& aCompletion,
                    StartRefusal aRefusal,
                    Assignment& aRun,
+                   QuotaUsage& aUsage,
                    const Context& aContext,
                    Effects& aEffects)
 {
@@ -242,7 +246,7 @@
       "start refused after an earlier start command got no response" } });
     return;
   }
-  MarkRunLost(aWorker, aCompletion.task_, aRefusal, aEffects);
+  MarkRunLost(aWorker, aCompletion.task_, aRefusal, aUsage, aEffects);
 }
 
 // The result of a stop that was meant for an earlier incarnation tells nothing
@@ -301,10 +305,10 @@
   worker.loggedRefusal_.clear();
   ConfirmStarts(worker, aReport);
   RepeatOverdueStops(worker, aReport, aContext.now_, aEffects);
-  MarkMissingRunsLost(worker, aReport, aEffects);
+  MarkMissingRunsLost(worker, aReport, aState.quotaUsage_, aEffects);
   aEffects.push_back(
     Raise{ RunsReported{ aReport.worker_, aReport.running_ } });
-  ApplyListedEnds(worker, aReport, aContext.now_, aEffects);
+  ApplyListedEnds(worker, aReport, aContext.now_, aState.quotaUsage_, aEffects);
   return true;
 }
 
@@ -333,8 +337,13 @@
       },
       [&](StartRefusal aRefusal) {
         aEffects.push_back(Count{ aRefusal });
-        HandleStartRefusal(
-          worker->second, aCompletion, aRefusal, *run, aContext, aEffects);
+        HandleStartRefusal(worker->second,
+                           aCompletion,
+                           aRefusal,
+                           *run,
+                           aState.quotaUsage_,
+                           aContext,
+                           aEffects);
       },
       [&](StartUnconfirmed) {
         starting->hasUnconfirmedStart_ = true;
--- a/tests/jobs/SimulatedDeployment.cpp
+++ b/tests/jobs/SimulatedDeployment.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/sharding/Shards.h"
+#include "verbenawell/jobs/workspaces/ApiKeyIndex.h"
 
 #include <algorithm>
 #include <iostream>
@@ -85,6 +86,24 @@
   }
 }
 
+void
+SimulatedDeployment::SetQuota(const WorkspaceId& aWorkspace,
+                              const Resources& aQuota)
+{
+  const ApiKey key{ "key of " + aWorkspace.Value() };
+  auto keys = std::make_shared<ApiKeyIndex>(ApiKeyIndex::Salt{});
+  keys->Add(key, aWorkspace);
+  Configuration configuration = DefaultConfiguration();
+  configuration.version_ = quotaVersion_;
+  ++quotaVersion_;
+  configuration.workspaces_ = {
+    { aWorkspace, WorkspaceWeight{ 1.0 }, aQuota }
+  };
+  configuration.keys_ = std::move(keys);
+  credential_ = key;
+  store_.Put(configuration);
+}
+
 void
 SimulatedDeployment::Start(const std::string& aDaemon)
 {
@@ -96,6 +115,11 @@
     daemon.state_.count_ = ShardCount{ shards };
     daemon.state_.shards_.resize(shards);
   }
+  for (std::uint32_t index = 0; index < shards; ++index) {
+    QuotasState& quotas = daemon.state_.shards_[index].quotas_;
+    quotas.shard_ = ShardIndex{ index };
+    quotas.shards_ = ShardCount{ shards };
+  }
   for (State& state : daemon.state_.shards_) {
     OwnershipState& ownership = state.ownership_;
     ownership.self_.daemon_ = DaemonId{ aDaemon };
--- a/tests/jobs/SimulatedDeployment.h
+++ b/tests/jobs/SimulatedDeployment.h
@@ -117,6 +117,9 @@
   void AddService();
   /// From now on the queue's jobs need a ticket for each start.
   void RequireTickets();
+  /// Puts a configuration with one workspace, to which all later requests
+  /// belong. A resource of 0 has no limit.
+  void SetQuota(const WorkspaceId& aWorkspace, const Resources& aQuota);
   /// Sets the CPU share of a daemon's VM from its next start on.
   void SetVmCpu(const std::string& aDaemon, MilliCores aCpu);
   void Kill(const std::string& aDaemon);
@@ -274,6 +277,8 @@
   std::map<std::string, JobDefinition> definitions_;
   std::map<RequestKey, ResponseHandler> responseHandlers_;
   RequestKey lastKey_;
+  Credential credential_;
+  ConfigurationVersion quotaVersion_{ 10 };
   std::optional<Wave> wave_;
   bool requiresTickets_ = false;
 
--- a/tests/jobs/SimulatedDeploymentCallers.cpp
+++ b/tests/jobs/SimulatedDeploymentCallers.cpp
@@ -30,12 +30,11 @@
 {
   const RequestKey key = ++lastKey_;
   responseHandlers_[key] = std::move(aHandler);
-  Deliver(
-    aDaemon,
-    daemons_.at(aDaemon).incarnationNumber_,
-    { {},
-      CallerRequested{
-        key, { kCallerHost, aPath, std::move(aAction) }, aTimeLeft, false } });
+  CallerRequest request{ kCallerHost, aPath, std::move(aAction) };
+  request.credential_ = credential_;
+  Deliver(aDaemon,
+          daemons_.at(aDaemon).incarnationNumber_,
+          { {}, CallerRequested{ key, std::move(request), aTimeLeft, false } });
 }
 
 void
