--- a/tests/jobs/QuotaDealerTest.cpp
+++ b/tests/jobs/QuotaDealerTest.cpp
@@ -107,6 +107,7 @@
 {
   second_.used_ = Cores(5);
   second_.Report(dealer_, Cores(6));
+  second_.Report(dealer_, Cores(6));
   first_.wanted_ = Cores(10);
   first_.Report(dealer_, Cores(6));
   EXPECT_EQ(first_.part_, Cores(1));
