--- a/bench/JobDecisionsBench.cpp
+++ b/bench/JobDecisionsBench.cpp
@@ -1,4 +1,5 @@
 #include "verbenawell/jobs/core/State.h"
+#include "verbenawell/jobs/estimates/RunTimeEstimates.h"
 #include "verbenawell/jobs/placement/Admission.h"
 #include "verbenawell/jobs/placement/JobOrder.h"
 #include "verbenawell/jobs/placement/PlacementReducer.h"
@@ -13,6 +14,7 @@
 #include <utility>
 
 #include <gflags/gflags.h>
+#include <malloc.h>
 
 DEFINE_uint64(seed, 1, "printed with each row; the decisions are not random");
 
@@ -204,6 +206,55 @@
           kDecisions });
 }
 
+/// Memory of the largest number of learned groups, and the time to learn from a
+/// run and to look up a run time among them.
+void
+MeasureLearnedRunTimes()
+{
+  const std::size_t before = mallinfo2().uordblks;
+  RunTimeEstimates estimates;
+  std::uint32_t image = 0;
+  const auto kindOf = [](std::uint32_t aImage) {
+    return RunKind{ QueueId{ "queue-of-a-service" },
+                    ImageId{ "registry.example/image-" +
+                             std::to_string(aImage) },
+                    1s };
+  };
+  // Each new image adds two groups.
+  while (estimates.GroupCount() + 2 <= RunTimeEstimates::kMaxGroups) {
+    estimates.Add(kindOf(image++), WholeRun{ 2s }, kNow);
+  }
+  const std::size_t bytes = mallinfo2().uordblks - before;
+  const RunKind known = kindOf(image / 2);
+  Duration sum{};
+  const double learn =
+    MeasureNanoseconds([&] { estimates.Add(known, WholeRun{ 2s }, kNow); });
+  const double expect =
+    MeasureNanoseconds([&] { sum += estimates.Expect(known, kNow).runTime_; });
+  const std::string size = "/" + std::to_string(estimates.GroupCount());
+  Print({ "learned_run_times_bytes" + size,
+          static_cast<double>(bytes),
+          "bytes",
+          0,
+          {},
+          FLAGS_seed,
+          1 });
+  Print({ "learned_run_times_ns/learn" + size,
+          learn,
+          "ns",
+          0,
+          {},
+          FLAGS_seed,
+          kDecisions });
+  Print({ "learned_run_times_ns/expect" + size,
+          expect,
+          "ns",
+          sum > Duration{} ? 0.0 : -1.0,
+          {},
+          FLAGS_seed,
+          kDecisions });
+}
+
 } // namespace
 } // namespace verbenawell::bench
 
@@ -224,5 +275,6 @@
       MeasureDueOccurrences(jobs, occurrences);
     }
   }
+  MeasureLearnedRunTimes();
   return 0;
 }
