--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -53,7 +53,9 @@
     CollectCapacity();
     IsolateSuspects();
     for (auto& [service, capacity] : capacities_) {
-      auto jobs = OrderedJobs(views_.tasks_.openJobs_.Waiting().at(service));
+      auto jobs = RankJobs(views_.tasks_.openJobs_.Waiting().at(service),
+                           views_.tasks_.jobs_,
+                           now_);
       if (const auto suspects = suspectJobs_.find(service);
           suspects != suspectJobs_.end()) {
         PlaceSuspects(jobs, suspects->second, capacity);
@@ -150,20 +152,6 @@
     }
   }
 
-  [[nodiscard]] std::vector<RankedJob> OrderedJobs(
-    const std::set<JobId>& aWaiting) const
-  {
-    std::vector<RankedJob> ranked;
-    ranked.reserve(aWaiting.size());
-    for (const JobId& id : aWaiting) {
-      const Job& job = views_.tasks_.jobs_.at(id);
-      ranked.push_back({ Rank(job, now_), &job });
-    }
-    // Jobs of equal rank keep the order of their ids.
-    std::ranges::stable_sort(ranked, {}, &RankedJob::rank_);
-    return ranked;
-  }
-
   void Place(const Job& aJob, ServiceCapacity& aCapacity)
   {
     unplaceableSteps_.clear();
--- a/src/verbenawell/jobs/pools/PoolDemand.h
+++ b/src/verbenawell/jobs/pools/PoolDemand.h
@@ -24,8 +24,6 @@
   std::uint32_t minVms_ = 1;
   /// Active VMs on the rack that has the most of them.
   std::uint32_t vmsOfLargestRack_ = 0;
-  /// The next turn of the pool's demand is known and far away.
-  bool isBetweenTurns_ = false;
 };
 
 /// Computes the demand of each pool from its waiting work and its arrival rate.
--- a/src/verbenawell/jobs/pools/PoolsReducer.cpp
+++ b/src/verbenawell/jobs/pools/PoolsReducer.cpp
@@ -12,7 +12,6 @@
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <algorithm>
-#include <string>
 #include <vector>
 
 namespace verbenawell::jobs {
@@ -232,34 +231,15 @@
 
   void StartPlannedMoves()
   {
-    auto demand = ComputePoolDemand(views_, state_.arrivals_, context_);
-    for (auto& [service, pool] : demand) {
-      ApplyRhythm(service, pool);
-    }
     for (const PlannedMove& move :
-         PlanMoves(state_, views_, demand, context_)) {
+         PlanMoves(state_,
+                   views_,
+                   ComputePoolDemand(views_, state_.arrivals_, context_),
+                   context_)) {
       StartMove(move);
     }
   }
 
-  void ApplyRhythm(const ServiceId& aService, PoolDemand& aPool)
-  {
-    TurnRhythm& rhythm = state_.rhythms_[aService];
-    const bool wasKnown = rhythm.Period().has_value();
-    rhythm.Observe(context_.now_, aPool.requiredByArrivals_);
-    if (const auto period = rhythm.Period(); period.has_value() != wasKnown) {
-      effects_.push_back(LogLine{
-        LogLevel::Info,
-        period ? "pool_rhythm_learned" : "pool_rhythm_lost",
-        { { "pool", aService.Value() },
-          { "period_ms",
-            period ? std::to_string(period->count() / 1000) : "" } } });
-    }
-    aPool.requiredVms_ =
-      std::max(aPool.requiredVms_, rhythm.VmsForNextTurn(context_.now_));
-    aPool.isBetweenTurns_ = rhythm.IsBetweenTurns(context_.now_);
-  }
-
   void StartMove(const PlannedMove& aPlanned)
   {
     const ListedVm& vm = views_.maintenance_.vms_.at(aPlanned.vm_);
--- a/src/verbenawell/jobs/pools/PoolsState.h
+++ b/src/verbenawell/jobs/pools/PoolsState.h
@@ -3,7 +3,6 @@
 #include "verbenawell/core/Time.h"
 #include "verbenawell/jobs/model/Ids.h"
 #include "verbenawell/jobs/pools/ArrivalRate.h"
-#include "verbenawell/jobs/pools/TurnRhythm.h"
 
 #include <map>
 #include <set>
@@ -40,9 +39,6 @@
   std::map<ServiceId, ArrivalRate> arrivals_;
   /// Moves that the platform has rejected because the VM cannot join the pool.
   std::set<std::pair<VmId, ServiceId>> invalidMoves_;
-  /// Turns of each pool's demand. Not in the journal: a new owner decides by
-  /// the present demand until it has learned them.
-  std::map<ServiceId, TurnRhythm> rhythms_;
   bool isActive_ = false;
 };
 
--- a/src/verbenawell/jobs/pools/internal/MovePlan.cpp
+++ b/src/verbenawell/jobs/pools/internal/MovePlan.cpp
@@ -28,9 +28,6 @@
 // covers a move away and back, so that a VM that is needed again within that
 // time stays.
 constexpr Duration kMinIdleBeforeRelease = 3s;
-// Share of its own VMs that a pool keeps between two turns, for bursts out of
-// turn, in percent.
-constexpr std::uint64_t kMinReadyPercent = 50;
 // A pool lends VMs only while it has more than this share of its own, so that
 // it has capacity for its next burst until they are back.
 constexpr std::uint32_t kMinOwnVmsPercent = 70;
@@ -228,12 +225,11 @@
   {
     const PoolDemand& pool = demand_.at(aPool);
     const auto ownVms = ownVms_.find(aPool);
-    const std::uint64_t own = ownVms == ownVms_.end() ? 0 : ownVms->second;
     return std::max<std::uint64_t>(
       { std::uint64_t{ pool.requiredVms_ } +
           std::min(pool.requiredVms_, pool.vmsOfLargestRack_),
         pool.minVms_,
-        pool.isBetweenTurns_ ? own * kMinReadyPercent / 100 : own });
+        ownVms == ownVms_.end() ? 0 : ownVms->second });
   }
 
   void ReleaseIdleVms()
--- a/src/verbenawell/jobs/sharding/ReduceShards.cpp
+++ b/src/verbenawell/jobs/sharding/ReduceShards.cpp
@@ -282,13 +282,9 @@
   {
     const auto before = VersionInUse();
     Apply(kFirstShard, aEvent);
-    if (VersionInUse() != before) {
-      ShareConfiguration();
+    if (VersionInUse() == before) {
+      return;
     }
-  }
-
-  void ShareConfiguration()
-  {
     const Configuration configuration =
       *state_.shards_.front().configuration_.configuration_;
     for (std::uint32_t index = 1; index < Size(); ++index) {
@@ -333,13 +329,7 @@
       return;
     }
     effects_.push_back(
-      { kFirstShard,
-        LogLine{
-          LogLevel::Info,
-          "shards_decided",
-          { { "shards", std::to_string(count->Value()) },
-            { "vms", aVms ? std::to_string(*aVms) : "unknown" },
-            { "journal", HasUsedJournal(state_) ? "in use" : "empty" } } } });
+      { kFirstShard, ShardsDecidedLine(state_, *count, aVms) });
     Apply(kFirstShard, ShardCountDecided{ *count });
   }
 
--- a/src/verbenawell/jobs/sharding/internal/DaemonDecisions.cpp
+++ b/src/verbenawell/jobs/sharding/internal/DaemonDecisions.cpp
@@ -4,6 +4,7 @@
 #include "verbenawell/jobs/sharding/Shards.h"
 
 #include <cstdint>
+#include <string>
 #include <variant>
 
 namespace verbenawell::jobs {
@@ -20,6 +21,15 @@
 // of VMs.
 constexpr Duration kMaxWaitForVms = 10s;
 
+/// Returns whether the journal of the first shard holds records.
+bool
+HasUsedJournal(const DaemonState& aState)
+{
+  const State& first = aState.shards_.front();
+  return !first.tasks_.jobs_.empty() || !first.tasks_.endedJobs_.empty() ||
+         !first.workers_.workers_.empty();
+}
+
 } // namespace
 
 std::vector<ShardEffect>
@@ -38,14 +48,6 @@
   return effects;
 }
 
-bool
-HasUsedJournal(const DaemonState& aState)
-{
-  const State& first = aState.shards_.front();
-  return !first.tasks_.jobs_.empty() || !first.tasks_.endedJobs_.empty() ||
-         !first.workers_.workers_.empty();
-}
-
 // The number is decided before the first job and the first command to a worker.
 // A journal with content is that of a version without shards.
 std::optional<ShardCount>
@@ -68,6 +70,18 @@
   return aVms ? ShardCountFor(*aVms) : ShardCount{ 1 };
 }
 
+LogLine
+ShardsDecidedLine(const DaemonState& aState,
+                  ShardCount aCount,
+                  std::optional<std::size_t> aVms)
+{
+  return { LogLevel::Info,
+           "shards_decided",
+           { { "shards", std::to_string(aCount.Value()) },
+             { "vms", aVms ? std::to_string(*aVms) : "unknown" },
+             { "journal", HasUsedJournal(aState) ? "in use" : "empty" } } };
+}
+
 void
 CompareWithOtherShards(DaemonState& aState, ShardIndex aShard)
 {
--- a/src/verbenawell/jobs/sharding/internal/DaemonDecisions.h
+++ b/src/verbenawell/jobs/sharding/internal/DaemonDecisions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "verbenawell/core/LogLine.h"
 #include "verbenawell/jobs/callers/CallerEvents.h"
 #include "verbenawell/jobs/sharding/ReduceShards.h"
 
@@ -23,9 +24,11 @@
                     std::optional<std::size_t> aVms,
                     TimePoint aNow);
 
-/// Returns whether the journal of the first shard holds records.
-bool
-HasUsedJournal(const DaemonState& aState);
+/// The log line about the number of shards that was decided on.
+LogLine
+ShardsDecidedLine(const DaemonState& aState,
+                  ShardCount aCount,
+                  std::optional<std::size_t> aVms);
 
 /// Tells the state of a shard which other shards this daemon and the shard's
 /// owner own.
--- a/src/verbenawell/jobs/shares/FairOrder.cpp
+++ b/src/verbenawell/jobs/shares/FairOrder.cpp
@@ -1,5 +1,6 @@
 #include "verbenawell/jobs/shares/FairOrder.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -15,6 +16,22 @@
 
 } // namespace
 
+std::vector<RankedJob>
+RankJobs(const std::set<JobId>& aWaiting,
+         const std::map<JobId, Job>& aJobs,
+         TimePoint aNow)
+{
+  std::vector<RankedJob> ranked;
+  ranked.reserve(aWaiting.size());
+  for (const JobId& id : aWaiting) {
+    const Job& job = aJobs.at(id);
+    ranked.push_back({ Rank(job, aNow), &job });
+  }
+  // Jobs of equal rank keep the order of their ids.
+  std::ranges::stable_sort(ranked, {}, &RankedJob::rank_);
+  return ranked;
+}
+
 FairOrder::FairOrder(std::vector<RankedJob> aJobs,
                      const Resources& aPool,
                      const WorkspaceLoads::ById& aLoads,
--- a/src/verbenawell/jobs/shares/FairOrder.h
+++ b/src/verbenawell/jobs/shares/FairOrder.h
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +22,12 @@
   const Job* job_ = nullptr;
 };
 
+/// Returns these jobs in the order of their ranks.
+std::vector<RankedJob>
+RankJobs(const std::set<JobId>& aWaiting,
+         const std::map<JobId, Job>& aJobs,
+         TimePoint aNow);
+
 /// Order in which one placement pass goes through the waiting jobs of a
 /// service. It answers the load of one workspace that sends many times its
 /// usual, by jobs that the rank alone would put before those of all others.
--- a/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CallerActions.cpp
@@ -2,7 +2,6 @@
 
 #include "verbenawell/core/Overloaded.h"
 #include "verbenawell/jobs/configuration/ConfigurationState.h"
-#include "verbenawell/jobs/estimates/EstimatesState.h"
 #include "verbenawell/jobs/journal/JournalState.h"
 #include "verbenawell/jobs/ownership/OwnershipState.h"
 #include "verbenawell/jobs/placement/Admission.h"
@@ -10,6 +9,7 @@
 #include "verbenawell/jobs/tasks/JobRecords.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/tasks/internal/JobOutcomes.h"
+#include "verbenawell/jobs/tasks/internal/NewJob.h"
 #include "verbenawell/jobs/workspaces/Access.h"
 
 #include <algorithm>
@@ -22,18 +22,14 @@
 
 constexpr Duration kStoreRetryAfter = 2s;
 // The other workspace's job is stored under the id for 150 s after its end.
+constexpr Duration kIdInUseRetryAfter = 150s;
 // Only a new configuration raises a quota.
 constexpr Duration kQuotaRetryAfter = 60s;
-constexpr Duration kIdInUseRetryAfter = 150s;
 // The owner reports a job as unknown only while its last renewal is younger
 // than this. An unresponsive owner is replaced 2.5 s after its last renewal at
 // the earliest. A daemon on a larger VM may claim before, so the response to a
 // read may be late by a second; a cancel is confirmed by a write.
 constexpr Duration kMaxConfirmationAge = 1800ms;
-// The objective of a job includes, for each step, one call to the advice
-// service about this many workers.
-constexpr int kWorkersPerAdviceCall = 30;
-
 JobState
 StateOf(const Job& aJob)
 {
@@ -67,38 +63,6 @@
   return JobState::Completed;
 }
 
-Job
-NewJob(const SubmitJob& aSubmit,
-       const Queue& aQueue,
-       const WorkspaceId& aWorkspace,
-       const EstimatesState& aEstimates,
-       const Context& aContext)
-{
-  Job job;
-  job.workspace_ = aWorkspace;
-  job.id_ = aSubmit.job_;
-  job.queue_ = aQueue.id_;
-  job.service_ = aQueue.service_;
-  job.definition_ = *aSubmit.definition_;
-  RefreshExpectedRunTimes(job, aEstimates, aContext.now_);
-  const Duration criticalPath = CriticalPathTime(
-    job,
-    aQueue.advice_ ? aQueue.advice_->callTime_ +
-                       kWorkersPerAdviceCall * aQueue.advice_->timePerWorker_
-                   : Duration{});
-
-  job.policy_ = { aQueue.priority_,
-                  aQueue.maxAttempts_,
-                  aQueue.slack_ + std::chrono::duration_cast<Duration>(
-                                    criticalPath * aQueue.stretch_),
-                  aQueue.advice_.has_value() };
-  job.acceptedAt_ = aContext.now_;
-  if (!job.definition_.schedule_) {
-    AddOccurrence(job);
-  }
-  return job;
-}
-
 std::string
 Milliseconds(Duration aTime)
 {
--- a/src/verbenawell/jobs/workers/WorkersReducer.cpp
+++ b/src/verbenawell/jobs/workers/WorkersReducer.cpp
@@ -6,6 +6,7 @@
 #include "verbenawell/jobs/pools/PoolsState.h"
 #include "verbenawell/jobs/tasks/TasksState.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
+#include "verbenawell/jobs/workers/internal/RestoredWorkers.h"
 #include "verbenawell/jobs/workers/internal/WorkerCommands.h"
 #include "verbenawell/jobs/workers/internal/WorkerList.h"
 #include "verbenawell/jobs/workers/internal/WorkerLoss.h"
@@ -58,15 +59,7 @@
   void On(const JournalLoaded& aLoaded)
   {
     state_.isActive_ = true;
-    for (const JournalRecord& record : aLoaded.records_) {
-      if (const auto* stored = std::get_if<WorkersStored>(&record)) {
-        for (const StoredWorker& worker : stored->workers_) {
-          RestoreWorker(worker);
-        }
-      }
-    }
-    RestoreRuns();
-    RestoreRunsOfEndedJobs(aLoaded.records_);
+    RestoreWorkers(state_, views_, aLoaded.records_, context_, effects_);
     effects_.push_back(
       Observe{ LatencyMetric::TakeOver, context_.now_ - state_.takenAt_ });
     effects_.push_back(ReadWorkers{});
@@ -266,83 +259,6 @@
     state_ = {};
   }
 
-  void RestoreWorker(const StoredWorker& aStored)
-  {
-    Worker& worker = state_.workers_[aStored.worker_];
-    worker.entry_.worker_ = aStored.worker_;
-    worker.entry_.service_ = aStored.service_;
-    worker.entry_.address_ = aStored.address_;
-    worker.isStored_ = true;
-    worker.listedAt_ = context_.now_;
-    worker.lease_.expiresAt_ = LatestExpiry(state_.takenAt_, kLeaseDuration);
-    effects_.push_back(SetTimer{ LeaseRenewal{ aStored.worker_ }, {} });
-  }
-
-  // The first report of each worker is requested under the new epoch, so a run
-  // that is missing from it cannot start any more.
-  void RestoreRuns()
-  {
-    for (const auto& [id, job] : views_.tasks_.jobs_) {
-      for (const auto& [task, placed] : PlacedTasks(job)) {
-        const auto worker = state_.workers_.find(placed.worker_);
-        if (worker == state_.workers_.end()) {
-          effects_.push_back(Raise{ RunLost{
-            placed.worker_, task, placed.run_, LossCause::UnknownWorker } });
-          continue;
-        }
-        Assignment run;
-        run.run_ = placed.run_;
-        const Step& step = job.definition_.steps_[task.step_.Value()];
-        run.resources_ = ResourcesOnWorker(step);
-        run.isLongRunning_ = step.longRunning_;
-        run.phase_ = Present{ state_.takenAt_, false };
-        run.isStored_ = true;
-        run.startedAt_ = state_.takenAt_;
-        run.incarnation_ = placed.incarnation_;
-        run.quota_ = { job.workspace_, step.resources_ };
-        AddRun(worker->second, task, std::move(run));
-      }
-    }
-  }
-
-  // Runs of a job that has ended may still be there. They count until the first
-  // report of their worker shows that they are gone, or its lease is over.
-  void RestoreRunsOfEndedJobs(const std::vector<JournalRecord>& aRecords)
-  {
-    for (const JournalRecord& record : aRecords) {
-      const auto* ended = std::get_if<OutcomeStored>(&record);
-      if (ended == nullptr) {
-        continue;
-      }
-      for (const RemainingRun& remaining : ended->remaining_) {
-        const auto worker = state_.workers_.find(remaining.worker_);
-        if (worker == state_.workers_.end()) {
-          continue;
-        }
-        Assignment run;
-        run.run_ = remaining.run_;
-        run.resources_ = remaining.resources_;
-        run.phase_ = Present{ state_.takenAt_, false };
-        run.isStored_ = true;
-        run.startedAt_ = state_.takenAt_;
-        run.quota_ = { ended->workspace_, remaining.resources_ };
-        AddRun(worker->second,
-               { ended->job_,
-                 remaining.occurrence_,
-                 remaining.step_,
-                 remaining.index_ },
-               std::move(run));
-      }
-    }
-  }
-
-  void AddRun(Worker& aWorker, const TaskId& aTask, Assignment aRun)
-  {
-    aWorker.used_ += aRun.resources_;
-    state_.quotaUsage_.Add(aRun.quota_);
-    aWorker.runs_.insert_or_assign(aTask, std::move(aRun));
-  }
-
   [[nodiscard]] Duration NextRenewalDelay(const Worker& aWorker,
                                           bool aHasNewEnds) const
   {
@@ -385,7 +301,7 @@
     run.startedAt_ = context_.now_;
     run.incarnation_ = worker.incarnation_;
     run.quota_ = aStart.quota_;
-    AddRun(worker, aStart.task_, std::move(run));
+    AddRun(state_, worker, aStart.task_, std::move(run));
     effects_.push_back(Count{ Counter::TasksStarted });
     effects_.push_back(
       LogLine{ LogLevel::Info,
--- a/tests/jobs/SimulatedDeploymentCallers.cpp
+++ b/tests/jobs/SimulatedDeploymentCallers.cpp
@@ -1,3 +1,5 @@
+#include "verbenawell/codec/jobs/PeerReportCodec.h"
+
 #include "SimulatedDeployment.h"
 
 #include <memory>
@@ -10,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kCallerTimeout = 3s;
+constexpr Duration kNetworkLatency = 1ms;
 
 } // namespace
 
@@ -190,4 +193,79 @@
   return found == definitions_.end() ? nullptr : &found->second;
 }
 
+void
+SimulatedDeployment::Forward(const std::string& aDaemon,
+                             const ForwardRequest& aForward)
+{
+  const auto reply = ReplyTo(aDaemon, aForward.request_.shard_);
+  const auto respond = [reply, key = aForward.key_](
+                         const std::optional<CallerResponse>& aResponse) {
+    reply(ForwardCompleted{ key, aResponse });
+  };
+  const auto target = daemons_.find(aForward.owner_.host_);
+  if (target == daemons_.end() || !target->second.isUp_) {
+    time_.After(kNetworkLatency, [respond] { respond(std::nullopt); });
+    return;
+  }
+  const RequestKey key = ++lastKey_;
+  const auto done = std::make_shared<bool>(false);
+  std::erase_if(target->second.openForwards_,
+                [](const OpenForward& aOpen) { return *aOpen.isDone_; });
+  target->second.openForwards_.push_back(
+    { done, [respond] { respond(std::nullopt); } });
+  responseHandlers_[key] = [this, respond, done](
+                             const CallerResponse& aResponse) {
+    *done = true;
+    time_.After(kNetworkLatency, [respond, aResponse] { respond(aResponse); });
+  };
+  time_.After(kNetworkLatency,
+              [this,
+               name = target->first,
+               incarnation = target->second.incarnationNumber_,
+               key,
+               sender = aDaemon,
+               aForward] {
+                Deliver(name,
+                        incarnation,
+                        { {},
+                          CallerRequested{ key,
+                                           aForward.request_,
+                                           aForward.timeLeft_,
+                                           true,
+                                           Endpoint{ sender, 1 } } });
+              });
+  time_.After(aForward.timeLeft_, [respond, done] {
+    if (!*done) {
+      respond(std::nullopt);
+    }
+  });
+}
+
+void
+SimulatedDeployment::RequestReport(const std::string& aDaemon,
+                                   const RequestPeerReport& aRequest)
+{
+  const auto target = daemons_.find(aRequest.peer_.host_);
+  if (target == daemons_.end() || !target->second.isUp_) {
+    return;
+  }
+  const RequestKey key = ++lastKey_;
+  reportReplies_[key] =
+    [this, peer = aRequest.peer_, reply = ReplyTo(aDaemon, {})](
+      const std::string& aBytes) {
+      time_.After(kNetworkLatency, [peer, reply, aBytes] {
+        reply(PeerReportReceived{ peer, DecodePeerReport(aBytes) });
+      });
+    };
+  time_.After(
+    kNetworkLatency,
+    [this,
+     name = target->first,
+     incarnation = target->second.incarnationNumber_,
+     key,
+     known = aRequest.known_] {
+      Deliver(name, incarnation, { {}, PeerReportRequested{ key, known } });
+    });
+}
+
 } // namespace verbenawell::jobs
