Tell the replay of a pool that no workspace has a quota

Without a configuration that it has read, an owner starts no task of a workspace. The replay of fair shares was written before quotas and raised no event that tells of one: six tests of shares failed when the parts were joined.

--- a/tests/jobs/PoolReplay.cpp
+++ b/tests/jobs/PoolReplay.cpp
@@ -32,6 +32,8 @@
 {
   state_.journal_.phase_ = JournalReady{};
   state_.configuration_.configuration_.emplace().workspaces_.emplace();
+  // No workspace has a quota.
+  state_.quotas_.isConfigured_ = true;
   for (int index = 0; index < aWorkers; ++index) {
     const WorkerId id{ "w" + std::to_string(index) };
     Worker& worker = state_.workers_.workers_[id];
