--- a/src/verbenawell/jobs/quotas/QuotaDivision.cpp
+++ b/src/verbenawell/jobs/quotas/QuotaDivision.cpp
@@ -27,8 +27,9 @@
   std::vector<std::uint64_t> parts(aNeeds.size());
   std::vector<std::size_t> order(aNeeds.size());
   std::iota(order.begin(), order.end(), std::size_t{ 0 });
-  std::ranges::rotate(
-    order, order.begin() + static_cast<std::ptrdiff_t>(aTurn % order.size()));
+  std::rotate(order.begin(),
+              order.begin() + static_cast<std::ptrdiff_t>(aTurn % order.size()),
+              order.end());
   std::ranges::stable_sort(
     order, {}, [&](std::size_t aIndex) { return aNeeds[aIndex]; });
   std::uint64_t left = aAmount;
