--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,7 +3,7 @@
 # The work items that last and ran there must run again: it has room for them.
 set -uo pipefail
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
-worker_count=8
+worker_names=(w0 w1 w2 w3 w4 w5 w6 w7)
 . "$case_dir/../standins-3/fleet.sh"
 
 jobs=()
--- a/review/standins-3/fleet.sh
+++ b/review/standins-3/fleet.sh
@@ -1,7 +1,8 @@
 # Shell functions that start a small deployment for a case: three entry
 # processes with the command of the deploy file, the platform and the workers
-# of one service, six if $worker_count does not say otherwise. Sourced by the
-# scripts; everything listens on 127.0.0.1.
+# of one service. Sourced by the scripts; everything listens on 127.0.0.1. A
+# script may set worker_names, worker_kinds and idle_machines, a number of
+# machines that are off.
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 entry=$root/target/verbenawell-entry
@@ -9,7 +10,7 @@
 work=$(mktemp -d)
 record=$case_dir/record.txt
 : > "$record"
-declare -A worker_pids worker_ids worker_ports
+declare -A worker_pids worker_ids worker_ports worker_kinds
 entry_pids=()
 other_pids=()
 
@@ -52,7 +53,8 @@
   worker_ids[$name]=$id
   "$standins/worker" --port "${worker_ports[$name]}" \
     --machine_port "$machine_port" --id "$id" --machine "m-$name" \
-    --service "$service" --rack "r${name: -1}" --record "$record" \
+    --service "$service" --kind "${worker_kinds[$name]:-a}" \
+    --rack "r${name: -1}" --record "$record" \
     > "$work/worker-$id.log" 2>&1 &
   worker_pids[$name]=$!
   note "worker $id starts on machine m-$name"
@@ -108,7 +110,9 @@
 # processes; returns when all of these are ready.
 start_fleet() {
   [ -x "$entry" ] && [ -x "$standins/worker" ] || cannot_run "not built"
-  local n ports count=${worker_count:-6}
+  local n ports names=("${worker_names[@]:-}") count name
+  [ -n "${names[0]}" ] || names=(w0 w1 w2 w3 w4 w5)
+  count=${#names[@]}
   mapfile -t ports < <(free_ports $((16 + count)))
   machine_port=${ports[0]}
   store_ports=("${ports[@]:1:3}")
@@ -119,12 +123,14 @@
   echo "$1" > "$work/config.json"
   "$standins/platform" --machine_port "$machine_port" \
     --store_ports "$(IFS=,; echo "${store_ports[*]}")" \
+    --idle_machines "${idle_machines:-0}" \
     --config "$work/config.json" > "$work/platform.log" 2>&1 &
   other_pids+=($!)
   sleep 0.3
   for ((n = 0; n < count; ++n)); do
-    worker_ports[w$n]=${ports[16 + n]}
-    start_worker "w$n" svc "i-w$n-1"
+    name=${names[$n]}
+    worker_ports[$name]=${ports[16 + n]}
+    start_worker "$name" svc "i-$name-1"
   done
   rm -f "$case_dir"/entry-*.log
   for n in 0 1 2; do start_entry "$n"; done
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -27,6 +27,7 @@
 
 DEFINE_string(store_ports, "", "ports of the store, separated by commas");
 DEFINE_int32(machine_port, 0, "port of the list of machines");
+DEFINE_int32(idle_machines, 0, "number of machines that are off");
 DEFINE_string(config, "", "file with the first configuration");
 
 namespace {
@@ -312,6 +313,17 @@
       row["capacity"] = machine.last_.at("capacity");
       list.push_back(std::move(row));
     }
+    for (int number = 0; number < FLAGS_idle_machines; ++number) {
+      list.push_back(
+        { { "machine", "m-off" + std::to_string(number) },
+          { "pool", "standby" },
+          { "state", "down" },
+          { "zone", "z1" },
+          { "labels", { "a", "r-off" } },
+          { "capacity",
+            { { "cpu", 4000 }, { "memoryRequestMb", 16'384 }, { "gpu", 0 } } },
+          { "identifier", nullptr } });
+    }
     return {
       200, json{ { "machines", list }, { "nextPageToken", nullptr } }.dump()
     };
--- a/review/standins-3/worker.cpp
+++ b/review/standins-3/worker.cpp
@@ -25,6 +25,7 @@
 DEFINE_string(id, "", "identifier of this life");
 DEFINE_string(machine, "", "machine of the worker");
 DEFINE_string(service, "", "service of the worker");
+DEFINE_string(kind, "a", "kind of the machine");
 DEFINE_string(rack, "r1", "rack of the machine");
 DEFINE_int32(cpu, 4000, "capacity in thousandths of a core");
 DEFINE_string(record, "", "file to which starts and ends are appended");
@@ -202,7 +203,7 @@
       { "coldRemainingMs", 0 },
       { "capacity",
         { { "cpu", FLAGS_cpu }, { "memoryRequestMb", 16'384 }, { "gpu", 0 } } },
-      { "labels", { "a", FLAGS_rack } },
+      { "labels", { FLAGS_kind, FLAGS_rack } },
       { "born", bornMs_ }
     };
     return { { "machine", FLAGS_machine },
