Let suspects share workers after two seconds

Cause: each suspect job took a worker for itself until its task had run for its probation, 10 s for long-running tasks. With more suspects than workers the others waited, and so did all other tasks of the service. Evidence: six tasks start 1.5 s after the crash, one on each worker, and the two others 11.0 s after these, when their probation ends.

Change: a suspect has its worker to itself for 2 s. After that, tasks for which no other worker has room share it, unless one of them has crashed several workers. If a shared worker crashes, its short tasks are suspected too, and nothing is proved.

--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -98,10 +98,11 @@
       if (capacity == capacities_.end()) {
         continue;
       }
-      const TaskStatus& status = job.Find(id)->status_;
-      if (const auto* placed = std::get_if<Placed>(&status)) {
-        capacity->second.Isolate(placed->worker_, id.job_);
-      } else if (std::holds_alternative<Waiting>(status)) {
+      const Task& task = *job.Find(id);
+      if (const auto* placed = std::get_if<Placed>(&task.status_)) {
+        capacity->second.Isolate(
+          placed->worker_, { id.job_, task.crashes_, now_ - placed->since_ });
+      } else if (std::holds_alternative<Waiting>(task.status_)) {
         suspectJobs_[job.service_].insert(id.job_);
       }
     }
--- a/src/verbenawell/jobs/placement/WorkerChoice.cpp
+++ b/src/verbenawell/jobs/placement/WorkerChoice.cpp
@@ -15,6 +15,13 @@
 // a job includes, for each step, one call about this many workers.
 constexpr std::size_t kMaxWorkersPerAdviceCall = 30;
 
+// A suspect has its worker to itself for this long. Most tasks that crash
+// workers do so at once. A long-running suspect keeps its state for 10 s, and
+// tasks that wait until then are late where a crash leaves more suspects than
+// there are workers.
+constexpr Duration kExclusiveTime = std::chrono::seconds(2);
+constexpr WorkerCount kFirstCrash{ 1 };
+
 /// Share of a capacity that is in use once the need is met, from 0 to 1.
 template<typename Quantity>
 double
@@ -81,17 +88,23 @@
       aStatus,
       std::nullopt,
       JobId{},
+      0,
+      false,
       false,
       aWorker.runs_.size() - static_cast<std::size_t>(longRunning),
       {} });
 }
 
 void
-ServiceCapacity::Isolate(const WorkerId& aWorker, const JobId& aJob)
+ServiceCapacity::Isolate(const WorkerId& aWorker,
+                         const ResidentSuspect& aSuspect)
 {
   for (Candidate& candidate : candidates_) {
     if (candidate.worker_->entry_.worker_ == aWorker) {
-      candidate.isolatedFor_ = aJob;
+      candidate.isolatedFor_ = aSuspect.job_;
+      ++candidate.suspects_;
+      candidate.isExclusive_ |=
+        aSuspect.age_ < kExclusiveTime || aSuspect.crashes_ > kFirstCrash;
     }
   }
 }
@@ -148,16 +161,28 @@
          aStep.maxPerWorker_.Value();
 }
 
-bool
-ServiceCapacity::IsIsolatedFor(const Candidate& aCandidate,
-                               const JobId& aJob,
-                               const Task& aHistory)
+// A task that has crashed several workers never shares one: the next crash may
+// give up the tasks beside it too.
+ServiceCapacity::Suitability
+ServiceCapacity::IsolationOf(const Candidate& aCandidate,
+                             const JobId& aJob,
+                             const Task& aHistory)
 {
+  const Suitability shared =
+    aCandidate.isExclusive_ ? Suitability::None : Suitability::LastResort;
+  const bool isIsolated = !aCandidate.isolatedFor_.IsEmpty();
   if (!aHistory.IsSuspect()) {
-    return aCandidate.isolatedFor_.IsEmpty() && !aCandidate.isKeptFree_;
+    if (aCandidate.isKeptFree_) {
+      return Suitability::None;
+    }
+    return isIsolated ? shared : Suitability::Suitable;
+  }
+  if (aCandidate.isolatedFor_ == aJob ||
+      (!isIsolated && aCandidate.shortRuns_ == 0)) {
+    return Suitability::Suitable;
   }
-  return aCandidate.isolatedFor_ == aJob ||
-         (aCandidate.isolatedFor_.IsEmpty() && aCandidate.shortRuns_ == 0);
+  return isIsolated && aHistory.crashes_ == kFirstCrash ? shared
+                                                        : Suitability::None;
 }
 
 // An ejected worker may fail the task that it gets. So it gets a task that has
@@ -219,6 +244,8 @@
 {
   if (aHistory.IsSuspect()) {
     aCandidate.isolatedFor_ = aTask.job_;
+    ++aCandidate.suspects_;
+    aCandidate.isExclusive_ = true;
   }
   if (aCandidate.health_ != HealthStatus::Healthy && aStep.gang_) {
     aCandidate.probingGang_ = StepKey(aTask);
@@ -251,20 +278,27 @@
   const Resources resources = ResourcesOnWorker(aStep);
   const auto preference = [&](const Candidate& aCandidate,
                               Suitability aSuitability) {
+    // Suspects that have to share workers spread over them, so that few crash
+    // together.
+    const std::size_t suspects =
+      aHistory.IsSuspect() && aSuitability == Suitability::LastResort
+        ? aCandidate.suspects_
+        : 0;
     return std::tuple{ aSuitability,
+                       -static_cast<std::ptrdiff_t>(suspects),
                        aCandidate.longRunning_,
                        aStep.longRunning_ ? -LoadAfter(aCandidate, resources)
                                           : LoadAfter(aCandidate, resources) };
   };
   Candidate* best = nullptr;
-  std::tuple<Suitability, std::size_t, double> bestPreference;
+  std::tuple<Suitability, std::ptrdiff_t, std::size_t, double> bestPreference;
   for (Candidate& candidate : candidates_) {
     const Suitability suitability =
-      SuitabilityOf(candidate, aTask, aStep, aHistory);
+      std::min(SuitabilityOf(candidate, aTask, aStep, aHistory),
+               IsolationOf(candidate, aTask.job_, aHistory));
     if (suitability < aLeast ||
         (!aRack.IsEmpty() && candidate.worker_->entry_.rack_ != aRack) ||
         !MayRun(candidate, aTask, aStep, resources) ||
-        !IsIsolatedFor(candidate, aTask.job_, aHistory) ||
         !IsPermitted(aPermission, candidate.worker_->entry_.worker_)) {
       continue;
     }
--- a/src/verbenawell/jobs/placement/WorkerChoice.h
+++ b/src/verbenawell/jobs/placement/WorkerChoice.h
@@ -37,6 +37,15 @@
   std::string ticket_;
 };
 
+/// A suspect that was placed on a worker in an earlier pass.
+struct ResidentSuspect
+{
+  JobId job_;
+  WorkerCount crashes_;
+  /// Since its placement.
+  Duration age_{};
+};
+
 /// The workers of one service during one pass, with the capacity that the
 /// decisions of this pass leave.
 class ServiceCapacity
@@ -44,9 +53,10 @@
 public:
   void Add(const Worker& aWorker, HealthStatus aStatus);
 
-  /// The worker runs a suspect of this job, so it takes no tasks but other
-  /// suspects of the job.
-  void Isolate(const WorkerId& aWorker, const JobId& aJob);
+  /// The worker runs a suspect, so it takes no tasks but other suspects of the
+  /// job. Once all of its suspects have run for a while without a crash, it
+  /// also takes tasks for which no other worker has room.
+  void Isolate(const WorkerId& aWorker, const ResidentSuspect& aSuspect);
 
   /// Keeps tasks away from up to this many workers, the least loaded ones, so
   /// that they become free for suspects. At most half of the workers of the
@@ -77,7 +87,7 @@
     const TicketRequired& aRequired) const;
 
 private:
-  /// Whether a worker may run a task, by what failed on it.
+  /// Whether a worker may run a task, by what has failed or may crash there.
   enum class Suitability : std::uint8_t
   {
     None,
@@ -97,6 +107,11 @@
     std::optional<TaskId> probingGang_;
     /// The job whose suspects run there; empty if any task may run there.
     JobId isolatedFor_{};
+    /// Number of suspects there.
+    std::size_t suspects_ = 0;
+    /// A suspect there has not run for long yet, or has crashed more than one
+    /// worker.
+    bool isExclusive_ = false;
     /// Becomes free for suspects.
     bool isKeptFree_ = false;
     /// Number of tasks other than long-running ones, with those of this pass.
@@ -114,9 +129,9 @@
   /// Suspects run apart from the tasks of other jobs, so that a crash shows
   /// which job caused it, and takes few tasks along. A suspect may run beside
   /// long-running tasks, which leave few workers free.
-  static bool IsIsolatedFor(const Candidate& aCandidate,
-                            const JobId& aJob,
-                            const Task& aHistory);
+  static Suitability IsolationOf(const Candidate& aCandidate,
+                                 const JobId& aJob,
+                                 const Task& aHistory);
   static Suitability SuitabilityOf(const Candidate& aCandidate,
                                    const TaskId& aTask,
                                    const Step& aStep,
--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.cpp
@@ -74,12 +74,15 @@
       return aCrash.time_.to_ < context_.now_ - kMassCrashWindow;
     });
     const std::vector<RecentCrash> others = CoincidingCrashes();
-    const bool isProof = hasSuspect && SuspectJobs().size() == 1 &&
+    const bool wasShared = hasSuspect && HadShortTasksBesideSuspects();
+    const bool isProof = hasSuspect && !wasShared &&
+                         SuspectJobs().size() == 1 &&
                          others.size() < kMassCrashWorkers;
     const std::size_t workersOfZone = CountWorkersOfZone();
     state_.recentCrashes_.push_back(ThisCrash());
     for (const CrashedRun& run : crashed_.runs_) {
-      if (!hasSuspect || state_.suspects_.contains(run.task_)) {
+      if (!hasSuspect || state_.suspects_.contains(run.task_) ||
+          (wasShared && IsShort(run))) {
         Accuse(run, isProof, HasCommonCause(run, others, workersOfZone));
       }
     }
@@ -98,6 +101,23 @@
     return jobs;
   }
 
+  [[nodiscard]] bool IsShort(const CrashedRun& aRun) const
+  {
+    const auto job = state_.jobs_.find(aRun.task_.job_);
+    return job != state_.jobs_.end() &&
+           !job->second.definition_.steps_[aRun.task_.step_.Value()]
+              .longRunning_;
+  }
+
+  // Short tasks run beside a suspect only where no other worker had room. Then
+  // either of them may have crashed the worker.
+  [[nodiscard]] bool HadShortTasksBesideSuspects() const
+  {
+    return std::ranges::any_of(crashed_.runs_, [&](const CrashedRun& aRun) {
+      return !state_.suspects_.contains(aRun.task_) && IsShort(aRun);
+    });
+  }
+
   [[nodiscard]] RecentCrash ThisCrash() const
   {
     RecentCrash crash{ { crashed_.lastResponseAt_, crashed_.silentSince_ },
--- a/src/verbenawell/jobs/tasks/internal/CrashSuspects.h
+++ b/src/verbenawell/jobs/tasks/internal/CrashSuspects.h
@@ -16,7 +16,8 @@
 
 /// Makes the tasks suspects that a crashed worker may have run, and gives up
 /// the jobs whose tasks have crashed too many workers. If a suspect was there
-/// already, it explains the crash, and no other task is suspected.
+/// already, it explains the crash, and no other task is suspected but short
+/// ones that shared its worker.
 void
 ApplyWorkerCrash(TasksState& aState,
                  const Views& aViews,
