Move the view of a worker during a pass into a class of its own

Candidate now holds what a pass knows of one worker and what may run there; ServiceCapacity chooses among candidates.

--- a/src/verbenawell/jobs/placement/WorkerChoice.h
+++ b/src/verbenawell/jobs/placement/WorkerChoice.h
@@ -4,11 +4,10 @@
 #include "verbenawell/jobs/health/HealthState.h"
 #include "verbenawell/jobs/model/Job.h"
 #include "verbenawell/jobs/model/StepId.h"
+#include "verbenawell/jobs/placement/internal/Candidate.h"
 #include "verbenawell/jobs/workers/WorkersState.h"
 
 #include <cstddef>
-#include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -37,15 +36,6 @@
   std::string ticket_;
 };
 
-/// A suspect that was placed on a worker in an earlier pass.
-struct ResidentSuspect
-{
-  JobId job_;
-  WorkerCount crashes_;
-  /// Since its placement.
-  Duration age_{};
-};
-
 /// The workers of one service during one pass, with the capacity that the
 /// decisions of this pass leave.
 class ServiceCapacity
@@ -87,63 +77,6 @@
     const TicketRequired& aRequired) const;
 
 private:
-  /// Whether a worker may run a task, by what has failed or may crash there.
-  enum class Suitability : std::uint8_t
-  {
-    None,
-    /// Only if no other worker has room.
-    LastResort,
-    Suitable,
-  };
-
-  struct Candidate
-  {
-    const Worker* worker_ = nullptr;
-    Resources free_;
-    std::size_t longRunning_ = 0;
-    HealthStatus health_ = HealthStatus::Healthy;
-    /// The gang that probes the worker, by its first member; empty if none
-    /// does.
-    std::optional<TaskId> probingGang_;
-    /// The job whose suspects run there; empty if any task may run there.
-    JobId isolatedFor_{};
-    /// Number of suspects there.
-    std::size_t suspects_ = 0;
-    /// A suspect there has not run for long yet, or has crashed more than one
-    /// worker.
-    bool isExclusive_ = false;
-    /// Becomes free for suspects.
-    bool isKeptFree_ = false;
-    /// Number of tasks other than long-running ones, with those of this pass.
-    std::size_t shortRuns_ = 0;
-
-    /// Number of tasks placed in this pass, for steps with a limit per worker.
-    std::map<TaskId, std::uint32_t> chosenTasks_;
-  };
-
-  static TaskId StepKey(TaskId aTask);
-  static bool MayRun(const Candidate& aCandidate,
-                     const TaskId& aTask,
-                     const Step& aStep,
-                     const Resources& aResources);
-  /// Suspects run apart from the tasks of other jobs, so that a crash shows
-  /// which job caused it, and takes few tasks along. A suspect may run beside
-  /// long-running tasks, which leave few workers free.
-  static Suitability IsolationOf(const Candidate& aCandidate,
-                                 const JobId& aJob,
-                                 const Task& aHistory);
-  static Suitability SuitabilityOf(const Candidate& aCandidate,
-                                   const TaskId& aTask,
-                                   const Step& aStep,
-                                   const Task& aHistory);
-  static double LoadAfter(const Candidate& aCandidate,
-                          const Resources& aResources);
-  static void Reserve(Candidate& aCandidate,
-                      const TaskId& aTask,
-                      const Step& aStep,
-                      const Resources& aResources,
-                      const Task& aHistory);
-
   /// Takes workers of at least this suitability, and the most suitable ones
   /// first.
   std::optional<Choice> ChooseWorkerOnRack(const TaskId& aTask,
