Run gangs on several racks where no rack has room for them

Cause: placement, and the choice of a shard, took the preference as a requirement. Evidence: the gang starts if one rack has room, and has no task_start otherwise, on idle workers and without a loss shortly before.

A gang for which no shard has a rack goes to a shard that can run it on several racks if its own can't.

Measured: GangRack.RunsOnSeveralRacksIfNoneCanHoldIt, GangRack.RunsOnSeveralRacksIfEachIsBusyForLong and HandOver.RunsAGangThatPrefersARackInALargerShard failed before and pass.

--- a/src/verbenawell/jobs/model/JobDefinition.h
+++ b/src/verbenawell/jobs/model/JobDefinition.h
@@ -33,7 +33,7 @@
   /// Maximum number of tasks that the system may make unavailable at a time; 0
   /// for no budget.
   TaskCount disruptionBudget_;
-  /// All tasks run in one rack.
+  /// The tasks of a gang take longer if they run in more than one rack.
   bool sameRack_ = false;
   /// The tasks start together, and the end of one ends all.
   bool gang_ = false;
--- a/src/verbenawell/jobs/placement/PlacementReducer.cpp
+++ b/src/verbenawell/jobs/placement/PlacementReducer.cpp
@@ -39,9 +39,12 @@
 class Pass
 {
 public:
-  Pass(const Views& aViews, const Context& aContext)
+  Pass(const Views& aViews,
+       const RackWaitTimes& aEarlierWaits,
+       const Context& aContext)
     : views_(aViews)
     , now_(aContext.now_)
+    , rackWaits_(aEarlierWaits, now_)
     , weights_(aViews.configuration_.configuration_)
     , quotaRoom_(aViews.quotas_, aViews.workers_.quotaUsage_)
   {
@@ -77,6 +80,11 @@
   std::vector<StartDecision> starts_;
   std::vector<AdviceQuery> queries_;
 
+  [[nodiscard]] const RackWaitTimes& GangsWaiting() const
+  {
+    return rackWaits_.Waiting();
+  }
+
   [[nodiscard]] const std::map<WorkspaceId, QuotaShortage>& Shortages() const
   {
     return quotaRoom_.Shortages();
@@ -250,7 +258,7 @@
     }
     const Permission permission = PermissionOf(aJob, aTask);
     auto choices =
-      aCapacity.ChooseWorkers(members, step, permission, mostSuspect);
+      rackWaits_.Choose(aCapacity, members, step, permission, mostSuspect);
     if (!choices) {
       isAnyUnplaced_ = true;
       NoteMissingAdvice(aTask, step, permission, aCapacity);
@@ -294,6 +302,7 @@
 
   const Views& views_;
   TimePoint now_;
+  RackWaits rackWaits_;
   WorkspaceWeights weights_;
   QuotaRoom quotaRoom_;
   std::map<ServiceId, ServiceCapacity> capacities_;
@@ -335,8 +344,9 @@
       return;
     }
     state_.isPassScheduled_ = false;
-    Pass pass{ views_, context_ };
+    Pass pass{ views_, state_.rackWaits_, context_ };
     pass.Run();
+    state_.rackWaits_ = pass.GangsWaiting();
     LogProbes(pass.starts_, views_.health_, effects_);
     if (!pass.starts_.empty()) {
       effects_.push_back(Raise{ StartsDecided{ std::move(pass.starts_) } });
--- a/src/verbenawell/jobs/placement/PlacementState.h
+++ b/src/verbenawell/jobs/placement/PlacementState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "verbenawell/core/Time.h"
+#include "verbenawell/jobs/placement/internal/RackWaits.h"
 
 namespace verbenawell::jobs {
 
@@ -10,6 +11,7 @@
   bool isPassScheduled_ = false;
   /// When the shares of workspaces were last logged.
   TimePoint sharesReportedAt_;
+  RackWaitTimes rackWaits_;
 };
 
 } // namespace verbenawell::jobs
--- a/src/verbenawell/jobs/placement/WorkerChoice.cpp
+++ b/src/verbenawell/jobs/placement/WorkerChoice.cpp
@@ -193,10 +193,7 @@
     return ChooseWorkersOnRack(
       aTasks, aStep, aPermission, RackId{}, Suitability::LastResort, aHistory);
   }
-  std::set<RackId> racks;
-  for (const Candidate& candidate : candidates_) {
-    racks.insert(candidate.Entry().rack_);
-  }
+  const std::set<RackId> racks = Racks();
   for (const Suitability least :
        { Suitability::Suitable, Suitability::LastResort }) {
     for (const RackId& rack : racks) {
@@ -210,6 +207,58 @@
   return std::nullopt;
 }
 
+std::optional<std::vector<Choice>>
+ServiceCapacity::ChooseWorkersAcrossRacks(const std::vector<TaskId>& aTasks,
+                                          const Step& aStep,
+                                          const Permission& aPermission,
+                                          const Task& aHistory)
+{
+  const auto choose = [&] {
+    return ChooseWorkersOnRack(
+      aTasks, aStep, aPermission, RackId{}, Suitability::LastResort, aHistory);
+  };
+  const std::vector<Candidate> before = candidates_;
+  auto choices = choose();
+  const bool mayWaitForRack =
+    choices && std::ranges::any_of(Racks(), [&](const RackId& aRack) {
+      return CanRackHold(aRack, aStep, aTasks.size());
+    });
+  if (!mayWaitForRack) {
+    return choices;
+  }
+  std::vector<Candidate> after = candidates_;
+  if (!choose()) {
+    candidates_ = before;
+    return std::nullopt;
+  }
+  candidates_ = std::move(after);
+  return choices;
+}
+
+std::set<RackId>
+ServiceCapacity::Racks() const
+{
+  std::set<RackId> racks;
+  for (const Candidate& candidate : candidates_) {
+    racks.insert(candidate.Entry().rack_);
+  }
+  return racks;
+}
+
+bool
+ServiceCapacity::CanRackHold(const RackId& aRack,
+                             const Step& aStep,
+                             std::size_t aTasks) const
+{
+  std::uint64_t tasks = 0;
+  for (const Candidate& candidate : candidates_) {
+    if (candidate.Entry().rack_ == aRack) {
+      tasks += candidate.TasksBesideLongRunning(aStep, aTasks);
+    }
+  }
+  return tasks >= aTasks;
+}
+
 std::vector<WorkerId>
 ServiceCapacity::WorkersWithoutAdvice(const TaskId& aTask,
                                       const Step& aStep,
--- a/src/verbenawell/jobs/placement/WorkerChoice.h
+++ b/src/verbenawell/jobs/placement/WorkerChoice.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -62,14 +63,23 @@
                                      const Permission& aPermission,
                                      const Task& aHistory);
 
-  /// Reserves resources for all these tasks or for none.
-  /// `aHistory` is that of the most suspect of the tasks.
+  /// Reserves resources for all these tasks or for none; in one rack if the
+  /// step prefers that. `aHistory` is that of the most suspect of the tasks.
   std::optional<std::vector<Choice>> ChooseWorkers(
     const std::vector<TaskId>& aTasks,
     const Step& aStep,
     const Permission& aPermission,
     const Task& aHistory);
 
+  /// The same for a step that prefers one rack and has waited for it. The tasks
+  /// spread over racks, where they take longer, if there is room for them twice
+  /// or if no rack can hold them.
+  std::optional<std::vector<Choice>> ChooseWorkersAcrossRacks(
+    const std::vector<TaskId>& aTasks,
+    const Step& aStep,
+    const Permission& aPermission,
+    const Task& aHistory);
+
   /// Workers with capacity for the step for which advice is missing.
   [[nodiscard]] std::vector<WorkerId> WorkersWithoutAdvice(
     const TaskId& aTask,
@@ -93,6 +103,13 @@
     Suitability aLeast,
     const Task& aHistory);
 
+  [[nodiscard]] std::set<RackId> Racks() const;
+  /// Returns whether the workers of one rack can hold these tasks of a step
+  /// once their short tasks have ended.
+  [[nodiscard]] bool CanRackHold(const RackId& aRack,
+                                 const Step& aStep,
+                                 std::size_t aTasks) const;
+
   std::vector<Candidate> candidates_;
 };
 
--- a/src/verbenawell/jobs/placement/internal/Candidate.cpp
+++ b/src/verbenawell/jobs/placement/internal/Candidate.cpp
@@ -1,5 +1,7 @@
 #include "verbenawell/jobs/placement/internal/Candidate.h"
 
+#include "verbenawell/jobs/workers/TaskCapacity.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -88,6 +90,18 @@
          aStep.maxPerWorker_.Value();
 }
 
+std::uint64_t
+Candidate::TasksBesideLongRunning(const Step& aStep, std::uint64_t aLimit) const
+{
+  Resources room = Entry().capacity_;
+  for (const auto& [task, run] : worker_->runs_) {
+    if (run.isLongRunning_) {
+      room -= run.resources_;
+    }
+  }
+  return CountTasksThatFit(Entry(), room, aStep, aLimit);
+}
+
 Suitability
 Candidate::SuitabilityFor(const TaskId& aTask,
                           const Step& aStep,
--- a/src/verbenawell/jobs/placement/internal/Candidate.h
+++ b/src/verbenawell/jobs/placement/internal/Candidate.h
@@ -55,6 +55,11 @@
   [[nodiscard]] bool HasRoomFor(const TaskId& aTask,
                                 const Step& aStep,
                                 const Resources& aResources) const;
+  /// Number of tasks of a step that the worker can run beside its long-running
+  /// ones, up to a limit.
+  [[nodiscard]] std::uint64_t TasksBesideLongRunning(
+    const Step& aStep,
+    std::uint64_t aLimit) const;
   [[nodiscard]] Suitability SuitabilityFor(const TaskId& aTask,
                                            const Step& aStep,
                                            const Task& aHistory) const;
--- a/src/verbenawell/jobs/sharding/internal/StrandedJobs.cpp
+++ b/src/verbenawell/jobs/sharding/internal/StrandedJobs.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenawell/jobs/sharding/DaemonState.h"
 #include "verbenawell/jobs/sharding/Shards.h"
+#include "verbenawell/jobs/workers/TaskCapacity.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -25,39 +26,16 @@
 using Workers = std::vector<const WorkerEntry*>;
 using WorkersByShard = std::map<ShardIndex, Workers>;
 
-/// Number of tasks of a step that an idle worker runs at the same time, up to
-/// a limit.
-std::uint64_t
-TasksOn(const WorkerEntry& aWorker, const Step& aStep, std::uint64_t aLimit)
-{
-  if (!HasLabel(aWorker, aStep.requiredLabel_)) {
-    return 0;
-  }
-  if (aStep.maxPerWorker_ > TaskCount{}) {
-    aLimit = std::min<std::uint64_t>(aLimit, aStep.maxPerWorker_.Value());
-  }
-  const Resources required = ResourcesOnWorker(aStep);
-  const auto limitBy = [&](std::uint64_t aCapacity, std::uint64_t aRequired) {
-    if (aRequired > 0) {
-      aLimit = std::min(aLimit, aCapacity / aRequired);
-    }
-  };
-  const Resources& capacity = aWorker.capacity_;
-  limitBy(capacity.cpu_.Value(), required.cpu_.Value());
-  limitBy(capacity.memory_.Value(), required.memory_.Value());
-  limitBy(capacity.accelerators_.Value(), required.accelerators_.Value());
-  return aLimit;
-}
-
 bool
-CanRunStep(const Step& aStep, const Workers& aWorkers)
+CanRunStep(const Step& aStep, const Workers& aWorkers, RackPreference aRacks)
 {
+  const bool isInOneRack = aStep.sameRack_ && aRacks == RackPreference::Kept;
   const std::uint64_t required =
     aStep.gang_ || aStep.longRunning_ ? aStep.count_.Value() : 1;
   std::map<RackId, std::uint64_t> tasks;
   return std::ranges::any_of(aWorkers, [&](const WorkerEntry* aWorker) {
-    std::uint64_t& sum = tasks[aStep.sameRack_ ? aWorker->rack_ : RackId{}];
-    sum += TasksOn(*aWorker, aStep, required);
+    std::uint64_t& sum = tasks[isInOneRack ? aWorker->rack_ : RackId{}];
+    sum += CountTasksThatFit(*aWorker, aWorker->capacity_, aStep, required);
     return sum >= required;
   });
 }
@@ -80,6 +58,21 @@
   return workers;
 }
 
+std::vector<ShardIndex>
+OtherShardsThatCanRun(const Job& aJob,
+                      ShardIndex aOwn,
+                      const WorkersByShard& aWorkers,
+                      RackPreference aRacks)
+{
+  std::vector<ShardIndex> able;
+  for (const auto& [shard, workers] : aWorkers) {
+    if (shard != aOwn && CanRun(aJob.definition_, workers, aRacks)) {
+      able.push_back(shard);
+    }
+  }
+  return able;
+}
+
 /// The other shard that gets a job. The jobs are spread over the shards that
 /// can run them.
 std::optional<ShardIndex>
@@ -87,11 +80,12 @@
                 ShardIndex aOwn,
                 const WorkersByShard& aWorkers)
 {
-  std::vector<ShardIndex> able;
-  for (const auto& [shard, workers] : aWorkers) {
-    if (shard != aOwn && CanRun(aJob.definition_, workers)) {
-      able.push_back(shard);
-    }
+  auto able = OtherShardsThatCanRun(aJob, aOwn, aWorkers, RackPreference::Kept);
+  // A gang that finds one rack nowhere runs on several ones, in its own shard
+  // if that has room.
+  if (able.empty() &&
+      !CanRun(aJob.definition_, aWorkers.at(aOwn), RackPreference::Ignored)) {
+    able = OtherShardsThatCanRun(aJob, aOwn, aWorkers, RackPreference::Ignored);
   }
   if (able.empty()) {
     return std::nullopt;
@@ -103,10 +97,12 @@
 } // namespace
 
 bool
-CanRun(const JobDefinition& aDefinition, const Workers& aWorkers)
+CanRun(const JobDefinition& aDefinition,
+       const Workers& aWorkers,
+       RackPreference aRacks)
 {
   return std::ranges::all_of(aDefinition.steps_, [&](const Step& aStep) {
-    return CanRunStep(aStep, aWorkers);
+    return CanRunStep(aStep, aWorkers, aRacks);
   });
 }
 
@@ -142,7 +138,7 @@
       if (!workers) {
         workers = WorkersOfService(aState, aRead, service);
       }
-      if (CanRun(job.definition_, (*workers)[aShard])) {
+      if (CanRun(job.definition_, (*workers)[aShard], RackPreference::Kept)) {
         continue;
       }
       ++lookUps;
