--- a/tests/jobs/GangRackTest.cpp
+++ b/tests/jobs/GangRackTest.cpp
@@ -80,7 +80,7 @@
 // members, though other racks together have them.
 TEST_F(GangRack, RunsOnSeveralRacksIfNoneCanHoldIt)
 {
-  for (int rack = 0; rack < 4; ++rack) {
+  for (std::size_t rack = 0; rack < 4; ++rack) {
     deployment_.KillWorker(rack * kWorkersPerRack);
   }
   deployment_.RunFor(15s);
