Count jobs as pending whose stored starts reached no worker

Cause: a new owner took any stored progress of a job for its begin. Starts are stored before they are sent, so a stored run number shows only a decision. The owner before it counted by the responses of workers.

Hand-overs use stored run numbers and are not concerned.

--- a/src/verbenawell/jobs/tasks/JobRecords.cpp
+++ b/src/verbenawell/jobs/tasks/JobRecords.cpp
@@ -123,6 +123,15 @@
 
 namespace {
 
+// Starts are stored before they are sent, so a stored run number alone does not
+// show that a worker has begun the run.
+bool
+ShowsARun(const TaskProgress& aProgress)
+{
+  return aProgress.done_ || aProgress.failures_ > TaskCount{} ||
+         !aProgress.checkpoint_.empty();
+}
+
 void
 RestoreTask(Job& aJob, const TaskProgress& aProgress, TimePoint aNow)
 {
@@ -148,7 +157,7 @@
   task->checkpoint_ = aProgress.checkpoint_;
   task->crashes_ = aProgress.crashes_.value_or(WorkerCount{});
   task->probation_ = kMinProbation;
-  aJob.started_ = true;
+  aJob.started_ = aJob.started_ || ShowsARun(aProgress);
   if (aProgress.done_) {
     SetStatus(aJob, id, Done{});
   } else if (!aProgress.worker_.IsEmpty()) {
